--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/configuration/KeyDirectory.kt
@@ -0,0 +1,21 @@
+package org.poplarshift.core.configuration
+
+import java.security.MessageDigest
+
+/**
+ * Finds the organisation of a caller's key by the key's hash. Built once for each version of the configuration.
+ */
+class KeyDirectory(keys: List<KeyEntry>) {
+    private val entries = keys.associateBy { it.sha256 }
+
+    /** The entry of [key], or null when the key is unknown or was withdrawn. */
+    fun find(key: String): KeyEntry? = entries[hash(key)]
+
+    companion object {
+        /** The SHA-256 hash of [key] in hexadecimal digits. */
+        fun hash(key: String): String = MessageDigest
+            .getInstance("SHA-256")
+            .digest(key.toByteArray())
+            .joinToString("") { "%02x".format(it) }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/verdict/Verdict.kt
@@ -0,0 +1,49 @@
+package org.poplarshift.core.verdict
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * States whether a request may have taken effect at an upstream.
+ *
+ * Every refusal, error and retry decision carries one of these values. Callers read it as the `ran` field of an
+ * error body, so a value of [NOT_RUN] must only be used when no byte of the request can have reached an upstream,
+ * or when the upstream said that it did not run the request.
+ */
+@Serializable
+enum class Ran {
+    /** No upstream has started the request. */
+    @SerialName("not_run")
+    NOT_RUN,
+
+    /** The request was sent, and its outcome is unknown. */
+    @SerialName("may_have_run")
+    MAY_HAVE_RUN,
+
+    /** An upstream ran the request. */
+    @SerialName("ran")
+    RAN,
+}
+
+/**
+ * The outcome of one attempt to run a request at an upstream worker.
+ */
+sealed interface Verdict {
+    /** Whether the request may have taken effect. */
+    val ran: Ran
+
+    /** The worker never started the request, so that it may be sent to another worker. */
+    data class NotRun(val reason: RefusalReason) : Verdict {
+        override val ran = Ran.NOT_RUN
+    }
+
+    /** The request was sent and no complete answer came back. */
+    data class MayHaveRun(val reason: RefusalReason) : Verdict {
+        override val ran = Ran.MAY_HAVE_RUN
+    }
+
+    /** The worker answered with the HTTP status [status]. */
+    data class Answered(val status: Int) : Verdict {
+        override val ran = Ran.RAN
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
@@ -0,0 +1,4 @@
+package org.poplarshift.node
+
+/** Entry point of the program. */
+fun main() = Unit
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/OperatorMain.kt
@@ -0,0 +1,4 @@
+package org.poplarshift.operator
+
+/** Entry point of the program. */
+fun main() = Unit
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/StandInsMain.kt
@@ -0,0 +1,4 @@
+package org.poplarshift.standins
+
+/** Entry point of the program. */
+fun main() = Unit
