--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/ConfigurationStore.kt
@@ -0,0 +1,14 @@
+package org.poplarshift.node.configuration
+
+import kotlinx.coroutines.flow.StateFlow
+import org.poplarshift.core.configuration.Configuration
+import org.poplarshift.core.configuration.KeyEntry
+
+/** The configuration in force at this node. */
+interface ConfigurationStore {
+    /** The newest configuration; its version never falls. */
+    val current: StateFlow<Configuration>
+
+    /** The entry of a caller's key, or null when the key is unknown or withdrawn. */
+    fun findKey(key: String): KeyEntry?
+}
