Add the skeleton of the node program

Cause: the other parts of a node need settings, servers, ports and a place where they are constructed. Change: strict settings with a JSON schema, the command line, logging as text or JSON lines, NodeContext, the composition root Node with NodePart, both servers, the log follower, the configuration store, gossip with configuration pull, and the baselines LocalQuotaGate and RoundRobinDispatcher. The platform ports report unavailable until the HTTP adapters exist.

--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -0,0 +1,75 @@
+package org.poplarshift.node
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import org.poplarshift.node.configuration.ConfigurationExchange
+import org.poplarshift.node.configuration.ConfigurationFollower
+import org.poplarshift.node.configuration.DefaultConfigurationStore
+import org.poplarshift.node.dispatch.RoundRobinDispatcher
+import org.poplarshift.node.dispatch.UpstreamDispatcher
+import org.poplarshift.node.http.NodeServer
+import org.poplarshift.node.idempotency.RefusingRequestLedger
+import org.poplarshift.node.idempotency.RequestLedger
+import org.poplarshift.node.log.TailingLogFollower
+import org.poplarshift.node.peer.DefaultPeerDirectory
+import org.poplarshift.node.peer.Gossip
+import org.poplarshift.node.peer.HttpPeerClient
+import org.poplarshift.node.peer.VmListReader
+import org.poplarshift.node.quota.LocalQuotaGate
+import org.poplarshift.node.quota.QuotaGate
+import org.poplarshift.node.status.HealthRoutes
+import org.poplarshift.wire.LogStream
+
+/** The composition root: constructs every part of a node once, starts the parts and ends them. */
+class Node(val context: NodeContext) {
+    val lifecycle = NodeLifecycle()
+    val callersServer = NodeServer(context, "callers", context.settings.callersAddress)
+    val peersServer = NodeServer(context, "peers", context.settings.peersAddress)
+
+    private val configurationLog = TailingLogFollower(context.logService, LogStream.CONFIGURATION, context.clock)
+    val configuration = DefaultConfigurationStore(configurationLog, context.clock)
+    val peerClient = HttpPeerClient(context.vertx)
+    val peers = DefaultPeerDirectory(context.settings.peersAddress, context.settings.seedPeers, context.clock)
+    private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
+
+    val quota: QuotaGate = LocalQuotaGate(context.clock)
+    val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
+    val ledger: RequestLedger = RefusingRequestLedger()
+
+    private val exchangeParts = listOf(
+        configurationExchange,
+    )
+
+    private val parts: List<NodePart> = listOf(
+        HealthRoutes(context, lifecycle, peersServer.router),
+        ConfigurationFollower(context, configuration, lifecycle),
+        configurationExchange,
+        VmListReader(context, peers),
+        Gossip(context, lifecycle, peers, peerClient, peersServer.router, exchangeParts),
+    )
+
+    /** Starts all parts and then listens. */
+    suspend fun start() = withContext(context.scope.coroutineContext) {
+        parts.forEach { it.start() }
+        peersServer.listen()
+        callersServer.listen()
+        log.info { "node: ${context.settings.vm} started as ${context.incarnation}" }
+    }
+
+    /** Leaves the fleet: interrupts no request and returns when all have ended. */
+    suspend fun shutdown() = withContext(context.scope.coroutineContext) {
+        log.info { "node: leaving" }
+        lifecycle.leave()
+        parts.forEach { it.leave() }
+        delay(context.settings.shutdown.listLagMillis)
+        callersServer.close()
+        parts.asReversed().forEach { it.stop() }
+        peersServer.close()
+        log.info { "node: left" }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
@@ -0,0 +1,31 @@
+package org.poplarshift.node
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import org.poplarshift.node.settings.NodeSettings
+import org.poplarshift.platform.LogService
+import org.poplarshift.platform.VmList
+import org.poplarshift.platform.WeightStore
+
+/**
+ * What every part of a node shares.
+ *
+ * All coroutines of [scope], all handlers of both servers and all clients run on one event loop thread, so that the
+ * parts need no locks. Work that takes more than a few milliseconds must use another dispatcher.
+ *
+ * @property incarnation the identifier of this process, different after each start
+ */
+class NodeContext(
+    val settings: NodeSettings,
+    val incarnation: String,
+    val vertx: Vertx,
+    val scope: CoroutineScope,
+    val metrics: PrometheusMeterRegistry,
+    val platform: PlatformPorts,
+    val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) {
+    val logService: LogService get() = platform.logService
+    val vmList: VmList get() = platform.vmList
+    val weightStore: WeightStore get() = platform.weightStore
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeFactory.kt
@@ -0,0 +1,31 @@
+package org.poplarshift.node
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import org.poplarshift.node.settings.NodeSettings
+import java.util.UUID
+
+/** Creates a node with its runtime. */
+object NodeFactory {
+    /** Creates a node; [platform] makes the ports to the platform on the node's Vert.x instance. */
+    fun create(settings: NodeSettings, platform: (Vertx) -> PlatformPorts): Node {
+        val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(WORKER_THREADS))
+        val eventLoop = vertx.orCreateContext
+        val context = NodeContext(
+            settings = settings,
+            incarnation = "${settings.vm}-${UUID.randomUUID()}",
+            vertx = vertx,
+            scope = CoroutineScope(SupervisorJob() + eventLoop.dispatcher()),
+            metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+            platform = platform(vertx),
+        )
+        return Node(context)
+    }
+
+    private const val WORKER_THREADS = 4
+}
--- a/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
@@ -1,4 +1,9 @@
 package org.poplarshift.node
 
+import picocli.CommandLine
+import kotlin.system.exitProcess
+
 /** Entry point of the program. */
-fun main() = Unit
+fun main(arguments: Array<String>) {
+    exitProcess(CommandLine(NodeCommand()).execute(*arguments))
+}
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/ConfigurationStore.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/ConfigurationStore.kt
@@ -9,6 +9,9 @@
     /** The newest configuration; its version never falls. */
     val current: StateFlow<Configuration>
 
+    /** How long ago this node last knew that it had the newest configuration, or null when it never did. */
+    val ageMillis: Long?
+
     /** The entry of a caller's key, or null when the key is unknown or withdrawn. */
     fun findKey(key: String): KeyEntry?
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/http/ErrorAnswer.kt
@@ -0,0 +1,38 @@
+package org.poplarshift.node.http
+
+import io.vertx.core.http.HttpServerResponse
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.wire.ErrorBody
+import org.poplarshift.wire.ErrorDetail
+import org.poplarshift.wire.WireJson
+
+/**
+ * An error as a caller sees it.
+ *
+ * @property retryAfterMillis when the caller may try again; used only for reasons that are retryable
+ */
+data class ErrorAnswer(
+    val reason: RefusalReason,
+    val message: String,
+    val ran: Ran,
+    val retryAfterMillis: Long = 1_000,
+) {
+    /** Writes the error as the whole response. */
+    fun send(response: HttpServerResponse) {
+        if (response.ended() || response.closed()) return
+        response.statusCode = reason.status
+        response.putHeader("Content-Type", "application/json")
+        if (reason.retryable) response.putHeader("Retry-After", "$retryAfterSeconds")
+        val body = ErrorBody(ErrorDetail(code = reason.code, message = message, ran = ran))
+        response.end(WireJson.strict.encodeToString(ErrorBody.serializer(), body))
+    }
+
+    // Retry-After has whole seconds; rounding down would invite a retry that is refused again.
+    private val retryAfterSeconds: Long
+        get() = maxOf(1, (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -0,0 +1,51 @@
+package org.poplarshift.node.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.ext.web.Router
+import io.vertx.kotlin.coroutines.coAwait
+import org.poplarshift.node.NodeContext
+import java.util.concurrent.TimeUnit
+
+/**
+ * One HTTP listener of a node. Parts mount their routes on [router] before [listen].
+ *
+ * @param name what the listener is for, used in log lines
+ * @param address IP number and port
+ */
+class NodeServer(private val context: NodeContext, private val name: String, private val address: String) {
+    val router: Router = Router.router(context.vertx)
+    private var server: HttpServer? = null
+
+    /** Starts to accept connections. */
+    suspend fun listen() {
+        val socket = SocketAddresses.parse(address)
+        val limits = context.settings.limits
+        val options = HttpServerOptions()
+            .setHost(socket.host())
+            .setPort(socket.port())
+            .setMaxInitialLineLength(limits.requestLineBytes)
+            .setMaxHeaderSize(limits.headerBytes)
+        server = context.vertx
+            .createHttpServer(options)
+            .requestHandler(router)
+            .invalidRequestHandler(InvalidRequestHandler(limits))
+            .listen()
+            .coAwait()
+        log.info { "server: $name listens on $address" }
+    }
+
+    /** Stops to accept connections and waits until the requests on the open ones have ended. */
+    suspend fun close() {
+        server?.shutdown(MAXIMUM_DRAIN_HOURS, TimeUnit.HOURS)?.coAwait()
+        log.info { "server: $name is closed" }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+
+        // Vert.x cuts connections after the time given to shutdown; running requests must never be cut.
+        const val MAXIMUM_DRAIN_HOURS = 24L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
@@ -0,0 +1,41 @@
+package org.poplarshift.node.http
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.ext.web.Route
+import io.vertx.ext.web.RoutingContext
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+
+private val log = KotlinLogging.logger {}
+
+/**
+ * Handles a route by a coroutine of [scope]. The request is paused until the coroutine reads its body with [readBody],
+ * because Vert.x drops the body of a request that has no handler when its event ends.
+ */
+fun Route.suspendingHandler(scope: CoroutineScope, handle: suspend (RoutingContext) -> Unit): Route =
+    handler { routing ->
+        routing.request().pause()
+        scope.launch {
+            try {
+                handle(routing)
+            } catch (exception: CancellationException) {
+                routing.request().connection().close()
+                throw exception
+            } catch (exception: Exception) {
+                log.error(exception) { "server: ${routing.request().method()} ${routing.request().path()} failed" }
+                fail(routing)
+            }
+        }
+    }
+
+private fun fail(routing: RoutingContext) {
+    val response = routing.response()
+    if (response.headWritten()) {
+        routing.request().connection().close()
+    } else {
+        ErrorAnswer(RefusalReason.INTERNAL, "internal error", Ran.MAY_HAVE_RUN).send(response)
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/log/LogFollower.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/log/LogFollower.kt
@@ -10,6 +10,9 @@
     /** When the newest successful read began, in monotonic milliseconds, or null before the first. */
     val lastReadStartedMillis: Long?
 
+    /** The oldest offset that the log kept at the newest successful read. */
+    val retentionStart: Long
+
     /** Reads until cancelled and passes every record, in order, to [apply]. */
     suspend fun follow(apply: suspend (LogRecord) -> Unit)
 
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
@@ -0,0 +1,71 @@
+package org.poplarshift.node.log
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.isActive
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.platform.LogRecord
+import org.poplarshift.platform.LogService
+import org.poplarshift.platform.ReadResult.Records
+import org.poplarshift.platform.ReadResult.Unavailable
+
+/** Follows [stream] by long polling and retries after [retryMillis] when the log is unavailable. */
+class TailingLogFollower(
+    private val logService: LogService,
+    private val stream: String,
+    private val clock: MonotonicClock,
+    private val waitMillis: Long = 5_000,
+    private val retryMillis: Long = 500,
+) : LogFollower {
+    private val applied = MutableStateFlow(0L)
+    private var isUnavailable = false
+
+    override val nextOffset: Long get() = applied.value
+
+    override var lastReadStartedMillis: Long? = null
+        private set
+
+    override var retentionStart: Long = 0
+        private set
+
+    override suspend fun follow(apply: suspend (LogRecord) -> Unit) {
+        while (currentCoroutineContext().isActive) {
+            val startedMillis = clock.millis()
+            when (val result = logService.read(stream, nextOffset, MAXIMUM_RECORDS, waitMillis)) {
+                is Records -> accept(result, startedMillis, apply)
+                is Unavailable -> pause(result)
+            }
+        }
+    }
+
+    override suspend fun awaitApplied(offset: Long) {
+        applied.first { it > offset }
+    }
+
+    private suspend fun accept(result: Records, startedMillis: Long, apply: suspend (LogRecord) -> Unit) {
+        if (isUnavailable) log.info { "log: stream $stream is readable again" }
+        isUnavailable = false
+        retentionStart = result.retentionStart
+        for (record in result.records) {
+            if (record.offset < nextOffset) continue
+            apply(record)
+            applied.value = record.offset + 1
+        }
+        applied.value = maxOf(nextOffset, result.nextOffset)
+        lastReadStartedMillis = startedMillis
+    }
+
+    private suspend fun pause(result: Unavailable) {
+        if (!isUnavailable) log.warn { "log: stream $stream can't be read: ${result.reason}" }
+        isUnavailable = true
+        delay(retryMillis)
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val MAXIMUM_RECORDS = 500
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/peer/PeerClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/PeerClient.kt
@@ -13,6 +13,14 @@
         responseSerializer: KSerializer<Response>,
         timeoutMillis: Long = 1_000,
     ): PeerResult<Response>
+
+    /** Gets [path] of the peer at [address] and waits at most [timeoutMillis] for the answer. */
+    suspend fun <Response> get(
+        address: String,
+        path: String,
+        responseSerializer: KSerializer<Response>,
+        timeoutMillis: Long = 1_000,
+    ): PeerResult<Response>
 }
 
 /** The outcome of a message to a peer. */
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/VmListReader.kt
@@ -0,0 +1,33 @@
+package org.poplarshift.node.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.NodePart
+import org.poplarshift.platform.VmListResult.Unavailable
+import org.poplarshift.platform.VmListResult.Vms
+
+/** Reads the platform's list of VMs every [periodMillis]; keeps the last reading while the platform is down. */
+class VmListReader(
+    private val context: NodeContext,
+    private val directory: DefaultPeerDirectory,
+    private val periodMillis: Long = 1_000,
+) : NodePart {
+    override suspend fun start() {
+        context.scope.launch {
+            while (isActive) {
+                when (val result = context.vmList.read()) {
+                    is Vms -> directory.listed(result.vms)
+                    is Unavailable -> log.debug { "peers: the list of VMs is unavailable: ${result.reason}" }
+                }
+                delay(periodMillis)
+            }
+        }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/LimitSettings.kt
@@ -0,0 +1,21 @@
+package org.poplarshift.node.settings
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Sizes in bytes that a request must not exceed.
+ *
+ * @property requestLineBytes method, path and query
+ * @property headerBytes all header fields together
+ * @property bodyBytes the body of an online request
+ * @property batchBodyBytes the body of an uploaded batch job
+ * @property itemBytes one line of an uploaded batch job
+ */
+@Serializable
+data class LimitSettings(
+    val requestLineBytes: Int = 4_096,
+    val headerBytes: Int = 16_384,
+    val bodyBytes: Int = 1_048_576,
+    val batchBodyBytes: Int = 134_217_728,
+    val itemBytes: Int = 262_144,
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
@@ -0,0 +1,31 @@
+package org.poplarshift.node.settings
+
+import kotlinx.serialization.Serializable
+
+/**
+ * The settings of one node, read from a JSON file. `settings.schema.json` gives ranges and required fields.
+ *
+ * Addresses are an IP number and a port, such as `10.0.0.4:8080`.
+ *
+ * @property vm the name of this VM in the platform's list
+ * @property callersAddress where callers connect
+ * @property peersAddress where other nodes, health checks and metrics connect
+ * @property seedPeers peers listeners that are tried before the platform's list is known
+ * @property batchControl whether batch yields to online requests; false is the baseline
+ */
+@Serializable
+data class NodeSettings(
+    val vm: String,
+    val availabilityZone: String,
+    val callersAddress: String,
+    val peersAddress: String,
+    val platform: PlatformSettings,
+    val seedPeers: List<String> = emptyList(),
+    val limits: LimitSettings = LimitSettings(),
+    val logFormat: LogFormat = LogFormat.TEXT,
+    val routing: RoutingSettings = RoutingSettings(),
+    val batchControl: Boolean = true,
+    val quotaMode: QuotaMode = QuotaMode.FLEET,
+    val configuration: ConfigurationSettings = ConfigurationSettings(),
+    val shutdown: ShutdownSettings = ShutdownSettings(),
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/ShutdownSettings.kt
@@ -0,0 +1,10 @@
+package org.poplarshift.node.settings
+
+import kotlinx.serialization.Serializable
+
+/**
+ * @property listLagMillis how long a leaving node continues to accept requests, because the balancer and the lists of
+ * VMs learn of it late
+ */
+@Serializable
+data class ShutdownSettings(val listLagMillis: Long = 5_000)
--- /dev/null
+++ b/wire/src/main/kotlin/org/poplarshift/wire/ConfigurationAnswer.kt
@@ -0,0 +1,12 @@
+package org.poplarshift.wire
+
+import kotlinx.serialization.Serializable
+import org.poplarshift.core.configuration.Configuration
+
+/**
+ * Response of `GET /peer/configuration?after=`.
+ *
+ * @property configuration the configuration in force at the peer, or null when it is not newer than asked
+ */
+@Serializable
+data class ConfigurationAnswer(val configuration: Configuration? = null)
