Add the retry decision and the retry budget

Callers need one place that decides whether a failed request may be sent again. RetrySequence takes the verdict of each attempt, remembers whether any attempt may have run, and stops on non-idempotent requests, on bytes passed on, after three attempts and when the upstream's budget is spent.

With a share of 0.1 and every attempt failing, 10,000 requests cause between 990 and 1,010 retries (RetrySequenceTest).

--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/retry/RetryDecision.kt
@@ -0,0 +1,22 @@
+package org.poplarshift.core.retry
+
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+
+/** What follows an attempt. */
+sealed interface RetryDecision {
+    /** The worker has answered; nothing follows. */
+    data object Complete : RetryDecision
+
+    /** Send the request to another worker. [reason] is why the last attempt failed. */
+    data class Retry(val reason: RefusalReason) : RetryDecision
+
+    /**
+     * End the request.
+     *
+     * @property reason why the last attempt failed
+     * @property ran whether any attempt of the request may have run
+     * @property stop why there is no further attempt
+     */
+    data class GiveUp(val reason: RefusalReason, val ran: Ran, val stop: RetryStop) : RetryDecision
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/retry/RetrySequence.kt
@@ -0,0 +1,61 @@
+package org.poplarshift.core.retry
+
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.core.verdict.Verdict
+
+/**
+ * Decides after each attempt of one request whether there is another one.
+ *
+ * The sequence remembers whether any earlier attempt may have run: a request whose first attempt may have run and whose
+ * second attempt did not run must not be reported as not run.
+ *
+ * @param idempotent whether the request may run twice
+ * @param budget the retry budget of the request's upstream
+ * @param maximumAttempts attempts including the first
+ */
+class RetrySequence(
+    private val idempotent: Boolean,
+    private val budget: RetryBudget,
+    private val maximumAttempts: Int = MAXIMUM_ATTEMPTS,
+) {
+    private var attempts = 0
+
+    /** Whether any attempt so far may have run; for a request that ends before its next attempt. */
+    var ran = Ran.NOT_RUN
+        private set
+
+    /** Takes the outcome of an attempt. [bytesPassedOn] tells whether the caller has received any byte of a response. */
+    fun afterAttempt(verdict: Verdict, bytesPassedOn: Boolean): RetryDecision {
+        attempts++
+        if (attempts == 1) budget.onFirstAttempt()
+        ran = maxOf(ran, verdict.ran)
+        val reason = when (verdict) {
+            is Verdict.Answered -> return RetryDecision.Complete
+            is Verdict.NotRun -> verdict.reason
+            is Verdict.MayHaveRun -> verdict.reason
+        }
+        val stop = stopFor(verdict, reason, bytesPassedOn)
+        return if (stop == null) RetryDecision.Retry(reason) else RetryDecision.GiveUp(reason, ran, stop)
+    }
+
+    private fun stopFor(verdict: Verdict, reason: RefusalReason, bytesPassedOn: Boolean): RetryStop? = when {
+        reason !in WORKER_FAILURES -> RetryStop.NOT_A_WORKER_FAILURE
+        bytesPassedOn -> RetryStop.BYTES_PASSED_ON
+        verdict.ran != Ran.NOT_RUN && !idempotent -> RetryStop.NOT_IDEMPOTENT
+        attempts >= maximumAttempts -> RetryStop.ATTEMPTS_SPENT
+        !budget.trySpend() -> RetryStop.BUDGET_SPENT
+        else -> null
+    }
+
+    private companion object {
+        const val MAXIMUM_ATTEMPTS = 3
+
+        val WORKER_FAILURES = setOf(
+            RefusalReason.CONNECT_FAILED,
+            RefusalReason.CONNECTION_LOST,
+            RefusalReason.UPSTREAM_TIMEOUT,
+            RefusalReason.UPSTREAM_REFUSED,
+        )
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/retry/RetrySequenceTest.kt
@@ -0,0 +1,89 @@
+package org.poplarshift.core.retry
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.poplarshift.core.retry.RetryDecision.Complete
+import org.poplarshift.core.retry.RetryDecision.GiveUp
+import org.poplarshift.core.retry.RetryDecision.Retry
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason.CANCELLED
+import org.poplarshift.core.verdict.RefusalReason.CONNECTION_LOST
+import org.poplarshift.core.verdict.RefusalReason.CONNECT_FAILED
+import org.poplarshift.core.verdict.Verdict
+import org.poplarshift.core.verdict.Verdict.MayHaveRun
+import org.poplarshift.core.verdict.Verdict.NotRun
+
+/** Guards against a second run of a request that must run at most once, and against false reports of "not run". */
+class RetrySequenceTest :
+    FunSpec({
+        data class Case(
+            val name: String,
+            val idempotent: Boolean,
+            val bytesPassedOn: Boolean,
+            val verdicts: List<Verdict>,
+            val expected: RetryDecision,
+            val share: Double = 0.1,
+        )
+
+        val lost = MayHaveRun(CONNECTION_LOST)
+        val refused = NotRun(CONNECT_FAILED)
+        listOf(
+            Case("an answer is final", true, false, listOf(Verdict.Answered(500)), Complete),
+            Case("not run, idempotent", true, false, listOf(refused), Retry(CONNECT_FAILED)),
+            Case("not run, not idempotent", false, false, listOf(refused), Retry(CONNECT_FAILED)),
+            Case("may have run, idempotent", true, false, listOf(lost), Retry(CONNECTION_LOST)),
+            Case(
+                "may have run, not idempotent",
+                false,
+                false,
+                listOf(lost),
+                GiveUp(CONNECTION_LOST, Ran.MAY_HAVE_RUN, RetryStop.NOT_IDEMPOTENT),
+            ),
+            Case(
+                "bytes passed on",
+                true,
+                true,
+                listOf(lost),
+                GiveUp(CONNECTION_LOST, Ran.MAY_HAVE_RUN, RetryStop.BYTES_PASSED_ON),
+            ),
+            Case(
+                "an earlier attempt may have run",
+                true,
+                false,
+                listOf(lost, refused, refused),
+                GiveUp(CONNECT_FAILED, Ran.MAY_HAVE_RUN, RetryStop.ATTEMPTS_SPENT),
+            ),
+            Case(
+                "no budget",
+                true,
+                false,
+                listOf(refused),
+                GiveUp(CONNECT_FAILED, Ran.NOT_RUN, RetryStop.BUDGET_SPENT),
+                share = 0.0,
+            ),
+            Case(
+                "the caller is gone",
+                true,
+                false,
+                listOf(NotRun(CANCELLED)),
+                GiveUp(CANCELLED, Ran.NOT_RUN, RetryStop.NOT_A_WORKER_FAILURE),
+            ),
+        ).forEach { case ->
+            test("${case.name}: ${case.expected}") {
+                val sequence = RetrySequence(case.idempotent, RetryBudget(case.share))
+                case.verdicts.map { sequence.afterAttempt(it, case.bytesPassedOn) }.last() shouldBe case.expected
+            }
+        }
+
+        test("retries stay within the share of traffic when every attempt fails") {
+            val budget = RetryBudget(share = 0.1)
+            val retries = (1..10_000).sumOf {
+                val sequence = RetrySequence(idempotent = true, budget = budget)
+                generateSequence { sequence.afterAttempt(refused, bytesPassedOn = false) }
+                    .takeWhile { it is Retry }
+                    .count()
+            }
+            // 10 is the initial balance of a budget.
+            (retries in 990..1_010) shouldBe true
+        }
+    })
