Add the SlotOwnership interface of a node

Routing, batch and orders need to know which slots a node may use and under which fencing token before the protocol behind it exists. Holding is checked at the call because the lease can end while the process is paused. Compiles; nothing implements the interface yet.

--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/ownership/SlotOwnership.kt
@@ -0,0 +1,33 @@
+package org.poplarshift.node.ownership
+
+import kotlinx.coroutines.flow.StateFlow
+import org.poplarshift.core.ownership.Slot
+import org.poplarshift.node.peer.Peer
+
+/** The slots that this node holds, and the holders of all others. */
+interface SlotOwnership {
+    /**
+     * The slots that this node may use, in no particular order. A lease can end before this value changes, for example
+     * after a pause of the process, so that a holder also calls [isHolding] immediately before each use.
+     */
+    val ownedSlots: StateFlow<Set<OwnedSlot>>
+
+    /** Whether this node may use [slot] at this instant; checks the age of the lease's last confirmation. */
+    fun isHolding(slot: Slot): Boolean
+
+    /**
+     * The offset of this node's claim of [slot], as fencing token, or null when [isHolding] is false. A later holder
+     * of the same slot has a greater token.
+     */
+    fun fencingTokenOf(slot: Slot): Long?
+
+    /** The other node that holds [slot] as far as this node knows, or null when it is this node, nobody or unknown. */
+    fun holderOf(slot: Slot): Peer?
+}
+
+/**
+ * A slot that this node may use.
+ *
+ * @property fencingToken the offset of the claim in the stream `ownership`
+ */
+data class OwnedSlot(val slot: Slot, val fencingToken: Long)
