--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/alloy/AlloyModelChecker.kt
@@ -0,0 +1,34 @@
+package org.poplarshift.verification.alloy
+
+import edu.mit.csail.sdg.alloy4.A4Reporter
+import edu.mit.csail.sdg.parser.CompUtil
+import edu.mit.csail.sdg.translator.A4Options
+import edu.mit.csail.sdg.translator.A4Solution
+import edu.mit.csail.sdg.translator.TranslateAlloyToKodkod
+import kodkod.engine.satlab.SATFactory
+
+/**
+ * Runs the commands of an Alloy 6 specification that lies in the resources folder `alloy`, with the SAT4J solver,
+ * which is pure Java.
+ */
+class AlloyModelChecker(resource: String) {
+    private val module =
+        CompUtil.parseEverything_fromString(
+            A4Reporter.NOP,
+            checkNotNull(javaClass.getResource("/alloy/$resource")) { "no specification /alloy/$resource" }.readText(),
+        )
+
+    /** The labels of all `check` and `run` commands. */
+    val commands: List<String> = module.allCommands.map { it.label }
+
+    /** Runs the command with the label [label]. A satisfiable `check` command means that the assertion is refuted. */
+    fun run(label: String): A4Solution {
+        val command = module.allCommands.first { it.label == label }
+        val options = A4Options()
+        options.solver = SATFactory.DEFAULT
+        return TranslateAlloyToKodkod.execute_command(A4Reporter.NOP, module.allReachableSigs, command, options)
+    }
+
+    /** Whether the assertion of the `check` command [label] holds within its scope. */
+    fun holds(label: String): Boolean = !run(label).satisfiable()
+}
--- /dev/null
+++ b/verification/src/test/kotlin/org/poplarshift/verification/configuration/ConfigurationSpecificationTest.kt
@@ -0,0 +1,22 @@
+package org.poplarshift.verification.configuration
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.poplarshift.verification.alloy.AlloyModelChecker
+
+/** Checks the specification of configuration and keys, and that the checker refutes its broken variant. */
+class ConfigurationSpecificationTest :
+    FunSpec({
+        val checker = AlloyModelChecker("configuration.als")
+
+        listOf("checkReverts" to true, "checkAgree" to true, "checkOneWinner" to true, "checkBroken" to false)
+            .forEach { (command, holds) ->
+                test("$command ${if (holds) "holds" else "is refuted"}") {
+                    checker.holds(command) shouldBe holds
+                }
+            }
+
+        test("the specification allows a run in which a catalogue and a withdrawn key come into force") {
+            checker.run("reachable").satisfiable() shouldBe true
+        }
+    })
