--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/configuration/ConfigurationReplay.kt
@@ -0,0 +1,65 @@
+package org.poplarshift.core.configuration
+
+import org.poplarshift.core.configuration.ConfigurationRecord.ConfigurationSnapshot
+
+/**
+ * Builds the configuration from the stream `configuration`, also when retention has dropped the first records.
+ *
+ * A reader that starts after offset 0 can't judge a record before it has a snapshot: the record may depend on one that
+ * is gone. Such records are kept until the first snapshot and are applied after it. Not safe for use by several
+ * threads.
+ */
+class ConfigurationReplay(private val reducer: ConfigurationReducer = ConfigurationReducer()) {
+    private val waiting = mutableListOf<OffsetRecord>()
+
+    /** The configuration in force; [Configuration.catalogue] is null before the first. */
+    var configuration = Configuration()
+        private set
+
+    /** The offset of the newest snapshot or, without one, of the first record; null before the first record. */
+    var baseOffset: Long? = null
+        private set
+
+    /** Applies the record at [offset]. Returns null for a record that waits for a snapshot. */
+    fun apply(offset: Long, record: ConfigurationRecord): ConfigurationResult? {
+        if (baseOffset == null && offset == FIRST_OFFSET) baseOffset = offset
+        if (record is ConfigurationSnapshot) return applySnapshot(offset, record)
+        if (!hasBase()) {
+            waiting += OffsetRecord(offset, record)
+            return null
+        }
+        return take(reducer.apply(configuration, offset, record))
+    }
+
+    /** Takes over the configuration of a peer if it is newer. */
+    fun adopt(other: Configuration): ConfigurationResult {
+        val result = take(reducer.adopt(configuration, other))
+        if (result is ConfigurationResult.Applied) applyWaiting()
+        return result
+    }
+
+    private fun hasBase(): Boolean = baseOffset != null || configuration.catalogue != null
+
+    private fun applySnapshot(offset: Long, record: ConfigurationSnapshot): ConfigurationResult {
+        val result = take(reducer.apply(configuration, offset, record))
+        baseOffset = offset
+        applyWaiting()
+        return result
+    }
+
+    private fun applyWaiting() {
+        waiting.forEach { take(reducer.apply(configuration, it.offset, it.record)) }
+        waiting.clear()
+    }
+
+    private fun take(result: ConfigurationResult): ConfigurationResult {
+        if (result is ConfigurationResult.Applied) configuration = result.configuration
+        return result
+    }
+
+    private data class OffsetRecord(val offset: Long, val record: ConfigurationRecord)
+
+    private companion object {
+        const val FIRST_OFFSET = 0L
+    }
+}
