--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/routing/PrefixAffinity.kt
@@ -0,0 +1,41 @@
+package org.poplarshift.core.routing
+
+import kotlin.math.ceil
+
+/**
+ * Sends prompts with the same prefix to the same worker, whose cache then holds the prefix, by rendezvous hashing with
+ * bounded load: the worker with the highest hash that carries at most [LOAD_FACTOR] times the mean utilisation. A
+ * worker that joins or leaves moves only its own share of the prefixes.
+ *
+ * @param withoutPrefix chooses for requests without a prefix
+ */
+class PrefixAffinity(private val withoutPrefix: RoutingPolicy) : RoutingPolicy() {
+    override fun choose(candidates: List<WorkerCandidate>, prefix: String, nowMillis: Long): WorkerCandidate {
+        if (prefix.isEmpty()) return withoutPrefix.choose(candidates, prefix, nowMillis)
+        val utilisation = candidates.sumOf { it.load + 1.0 / candidates.size } / candidates.sumOf { it.capacity }
+        val prefixHash = hash(FIRST_HASH, prefix)
+        return candidates
+            .filter { it.load < ceil(LOAD_FACTOR * utilisation * it.capacity) }
+            .maxByOrNull { mix(prefixHash xor hash(FIRST_HASH, it.worker)) }
+            ?: candidates.minBy { it.load.toDouble() / it.capacity }
+    }
+
+    // FNV-1a; the result is the same in every process, unlike a seeded hash.
+    private fun hash(start: Long, text: String): Long = text.fold(start) { hash, character ->
+        (hash xor character.code.toLong()) * FNV_PRIME
+    }
+
+    // The finalizer of MurmurHash3; FNV alone leaves the high bits of short names nearly equal.
+    private fun mix(value: Long): Long {
+        var mixed = value
+        mixed = (mixed xor (mixed ushr 33)) * -0xae502812aa7333L
+        mixed = (mixed xor (mixed ushr 33)) * -0x3b314601e57a13adL
+        return mixed xor (mixed ushr 33)
+    }
+
+    private companion object {
+        const val LOAD_FACTOR = 1.25
+        const val FIRST_HASH = -0x340d631b7bdddcdbL
+        const val FNV_PRIME = 0x100000001b3L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/routing/WorkerSelector.kt
@@ -0,0 +1,16 @@
+package org.poplarshift.core.routing
+
+/**
+ * Applies a routing policy within the local availability zone first, and to the other zones when no local worker has
+ * room.
+ */
+class WorkerSelector(private val localZone: String, private val policy: RoutingPolicy) {
+    /** Chooses among the usable workers [candidates]; workers without room may be among them. */
+    fun select(candidates: List<WorkerCandidate>, prefix: String, nowMillis: Long): WorkerSelection {
+        if (candidates.isEmpty()) return WorkerSelection.NoWorker
+        val withRoom = candidates.filter { it.hasRoom }
+        if (withRoom.isEmpty()) return WorkerSelection.AllFull
+        val local = withRoom.filter { it.zone == localZone }
+        return WorkerSelection.Chosen(policy.choose(local.ifEmpty { withRoom }, prefix, nowMillis).worker)
+    }
+}
