Add the caller path and the first end-to-end tests

Cause: callers need completions, plain services and models behind keys, limits, verdicts and retries. Change: package node.caller (authentication, key removal, completion parsing, attempts, open requests), the upstream client with all timeouts and the request id check, /status, the route table of the core, metrics by reason and class, and the HTTP adapters in the composition root. WRONG_RESPONSE counts as a worker failure in RetrySequence.

--- a/core/src/main/kotlin/org/poplarshift/core/retry/RetrySequence.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/retry/RetrySequence.kt
@@ -56,6 +56,7 @@
             RefusalReason.CONNECTION_LOST,
             RefusalReason.UPSTREAM_TIMEOUT,
             RefusalReason.UPSTREAM_REFUSED,
+            RefusalReason.WRONG_RESPONSE,
         )
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -3,11 +3,22 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import org.poplarshift.node.caller.AttemptLoop
+import org.poplarshift.node.caller.CallerAuthentication
+import org.poplarshift.node.caller.CallerMetrics
+import org.poplarshift.node.caller.CompletionRoutes
+import org.poplarshift.node.caller.ModelRoutes
+import org.poplarshift.node.caller.OnlineHandler
+import org.poplarshift.node.caller.OnlineRunner
+import org.poplarshift.node.caller.OpenRequests
+import org.poplarshift.node.caller.ServiceRoutes
 import org.poplarshift.node.configuration.ConfigurationExchange
 import org.poplarshift.node.configuration.ConfigurationFollower
 import org.poplarshift.node.configuration.DefaultConfigurationStore
 import org.poplarshift.node.dispatch.RoundRobinDispatcher
 import org.poplarshift.node.dispatch.UpstreamDispatcher
+import org.poplarshift.node.forward.DefaultUpstreamClient
+import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.http.NodeServer
 import org.poplarshift.node.idempotency.RefusingRequestLedger
 import org.poplarshift.node.idempotency.RequestLedger
@@ -19,6 +30,7 @@
 import org.poplarshift.node.quota.LocalQuotaGate
 import org.poplarshift.node.quota.QuotaGate
 import org.poplarshift.node.status.HealthRoutes
+import org.poplarshift.node.status.StatusRoute
 import org.poplarshift.wire.LogStream
 
 /** The composition root: constructs every part of a node once, starts the parts and ends them. */
@@ -37,6 +49,14 @@
     val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
     val ledger: RequestLedger = RefusingRequestLedger()
 
+    val callerMetrics = CallerMetrics(context.metrics)
+    val openRequests = OpenRequests(context, configuration)
+    val authentication = CallerAuthentication(configuration, context.settings.configuration)
+    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx)
+    private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
+    private val runner = OnlineRunner(quota, ledger, attempts)
+    private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock)
+
     private val exchangeParts = listOf(
         configurationExchange,
     )
@@ -46,6 +66,11 @@
         ConfigurationFollower(context, configuration, lifecycle),
         configurationExchange,
         VmListReader(context, peers),
+        openRequests,
+        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
+        ModelRoutes(callersServer.router, configuration, authentication, online),
+        CompletionRoutes(context, callersServer.router, configuration, authentication, online),
+        ServiceRoutes(context, callersServer.router, configuration, authentication, online),
         Gossip(context, lifecycle, peers, peerClient, peersServer.router, exchangeParts),
     )
 
--- a/node/src/main/kotlin/org/poplarshift/node/PlatformPortsFactory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/PlatformPortsFactory.kt
@@ -1,31 +1,28 @@
 package org.poplarshift.node
 
+import io.vertx.core.Vertx
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
 import org.poplarshift.node.settings.PlatformSettings
-import org.poplarshift.platform.AppendResult
-import org.poplarshift.platform.LogService
-import org.poplarshift.platform.ReadResult
-import org.poplarshift.platform.VmList
-import org.poplarshift.platform.VmListResult
-import org.poplarshift.platform.WeightStore
-import org.poplarshift.platform.WeightStoreResult
+import org.poplarshift.platform.HttpLogService
+import org.poplarshift.platform.HttpVmList
+import org.poplarshift.platform.HttpWeightStore
 
 /** Makes the ports to the platform that the settings name. */
 object PlatformPortsFactory {
-    /** Until the HTTP adapters are available, every port reports that the platform is unavailable. */
-    fun create(settings: PlatformSettings): PlatformPorts {
-        val reason = "no adapter for ${settings.logAddress}"
-        val logService = object : LogService {
-            override suspend fun append(stream: String, record: String) = AppendResult.Refused(reason)
-
-            override suspend fun read(stream: String, fromOffset: Long, maximumRecords: Int, waitMillis: Long) =
-                ReadResult.Unavailable(reason)
-        }
-        val vmList = object : VmList {
-            override suspend fun read() = VmListResult.Unavailable(reason)
-        }
-        val weightStore = object : WeightStore {
-            override suspend fun reserveLoad(model: String) = WeightStoreResult.Unavailable(reason)
-        }
-        return PlatformPorts(logService, vmList, weightStore)
+    /** Makes HTTP adapters that share one client on [vertx]. */
+    fun create(vertx: Vertx, settings: PlatformSettings): PlatformPorts {
+        val options = WebClientOptions().setConnectTimeout(
+            CONNECT_TIMEOUT_MILLIS,
+        ).setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+        val client = WebClient.create(vertx, options)
+        return PlatformPorts(
+            logService = HttpLogService(client, settings.logAddress),
+            vmList = HttpVmList(client, settings.vmListAddress),
+            weightStore = HttpWeightStore(client, settings.weightStoreAddress),
+        )
     }
+
+    private const val CONNECT_TIMEOUT_MILLIS = 1_000
+    private const val KEEP_ALIVE_SECONDS = 10
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/AttemptLoop.kt
@@ -0,0 +1,99 @@
+package org.poplarshift.node.caller
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.poplarshift.core.retry.RetryBudgets
+import org.poplarshift.core.retry.RetryDecision
+import org.poplarshift.core.retry.RetrySequence
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.core.verdict.Verdict
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.node.dispatch.DispatchDecision
+import org.poplarshift.node.dispatch.UpstreamDispatcher
+import org.poplarshift.node.dispatch.WorkerGrant
+import org.poplarshift.node.forward.UpstreamClient
+import org.poplarshift.node.forward.UpstreamRequest
+import org.poplarshift.node.http.ErrorAnswer
+
+/** Sends a request to one worker after another, as far as the core allows retries. */
+class AttemptLoop(
+    private val dispatcher: UpstreamDispatcher,
+    private val client: UpstreamClient,
+    private val metrics: CallerMetrics,
+    private val clock: MonotonicClock,
+    private val budgets: RetryBudgets = RetryBudgets(),
+) {
+    /** Runs [request] and passes the response to [sink]. */
+    suspend fun run(request: OnlineRequest, sink: CallerSink, progress: AttemptProgress): OnlineResult {
+        val sequence = RetrySequence(request.isIdempotent, budgets.budgetOf(request.upstream))
+        val failedWorkers = LinkedHashSet<String>()
+        var lastFailure: RefusalReason? = null
+        while (true) {
+            val decision = dispatcher.acquire(request.upstream, request.ticket(failedWorkers))
+            if (decision is DispatchDecision.Refused) {
+                return OnlineResult.Failed(refusal(decision, lastFailure, sequence))
+            }
+            val grant = (decision as DispatchDecision.Granted).grant
+            val verdict = attempt(request, grant, failedWorkers.size, sink, progress)
+            val next = sequence.afterAttempt(verdict, sink.hasPassedBytes)
+            progress.end(sequence.ran)
+            when (next) {
+                is RetryDecision.Complete -> return OnlineResult.Passed
+                is RetryDecision.GiveUp -> return OnlineResult.Failed(failure(request, grant, next))
+                is RetryDecision.Retry -> metrics.retried(next.reason)
+            }
+            lastFailure = next.reason
+            failedWorkers += grant.worker.id
+        }
+    }
+
+    private suspend fun attempt(
+        request: OnlineRequest,
+        grant: WorkerGrant,
+        earlierAttempts: Int,
+        sink: CallerSink,
+        progress: AttemptProgress,
+    ): Verdict {
+        val startedMillis = clock.millis()
+        var verdict: Verdict = Verdict.MayHaveRun(RefusalReason.CANCELLED)
+        val timedSink = FirstByteSink(sink, clock)
+        try {
+            progress.begin()
+            // Each attempt has an id of its own, so that the response to an earlier one is not taken for this one's.
+            verdict = client.send(grant.worker, upstreamRequest(request, earlierAttempts), timedSink)
+        } finally {
+            grant.release(verdict, timedSink.firstByteMillis?.let { it - startedMillis })
+        }
+        return verdict
+    }
+
+    private fun upstreamRequest(request: OnlineRequest, earlierAttempts: Int) = UpstreamRequest(
+        requestId = "${request.requestId}-$earlierAttempts",
+        method = request.method,
+        path = request.path,
+        headers = request.headers,
+        body = request.body,
+        timeouts = request.upstream.timeouts,
+        kind = request.upstream.kind,
+    )
+
+    private fun failure(request: OnlineRequest, grant: WorkerGrant, next: RetryDecision.GiveUp): ErrorAnswer {
+        metrics.stopped(next.stop)
+        log.info {
+            "caller: request ${request.requestId} failed at ${grant.worker.id}: ${next.reason.code}, ${next.stop.code}"
+        }
+        return ErrorAnswer(next.reason, "the upstream gave no complete response", next.ran)
+    }
+
+    // After a failed attempt its reason says more than the lack of a second worker.
+    private fun refusal(decision: DispatchDecision.Refused, lastFailure: RefusalReason?, sequence: RetrySequence) =
+        ErrorAnswer(
+            reason = lastFailure ?: decision.reason,
+            message = if (lastFailure == null) "no worker has room" else "no other worker has room for a retry",
+            ran = sequence.ran,
+            retryAfterMillis = decision.retryAfterMillis,
+        )
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
@@ -0,0 +1,81 @@
+package org.poplarshift.node.caller
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerResponse
+import kotlinx.coroutines.CompletableDeferred
+import org.poplarshift.node.forward.AnswerSink
+
+/**
+ * Passes a response to the caller.
+ *
+ * The head is written with the first part of the body, so that a response that fails before it can be replaced by that
+ * of another attempt.
+ *
+ * @param recorder takes a copy of the response when it must be recorded
+ */
+class CallerSink(
+    private val response: HttpServerResponse,
+    private val requestId: String,
+    private val recorder: ResponseRecorder? = null,
+    private val onFirstByte: () -> Unit = {},
+) : AnswerSink {
+    private var added = emptySet<String>()
+    private var callerIsGone = false
+    private var drained: CompletableDeferred<Unit>? = null
+
+    /** Whether the caller has received any byte of a response. */
+    val hasPassedBytes: Boolean get() = response.headWritten()
+
+    override suspend fun start(status: Int, headers: MultiMap) {
+        reset()
+        response.statusCode = status
+        val passed = HopByHopHeaders.remove(headers, OWN_HEADERS)
+        for ((name, value) in passed) response.headers().add(name, value)
+        added = passed.names()
+        response.putHeader("X-Request-Id", requestId)
+        response.isChunked = !passed.contains("Content-Length")
+        recorder?.start(status, headers)
+    }
+
+    override suspend fun write(chunk: Buffer) {
+        recorder?.write(chunk)
+        if (isGone()) return
+        if (!response.headWritten()) onFirstByte()
+        response.write(chunk)
+        if (response.writeQueueFull()) awaitDrain()
+    }
+
+    override suspend fun end() {
+        if (isGone()) return
+        if (!response.headWritten()) onFirstByte()
+        response.end()
+    }
+
+    /** Removes what an attempt without any body has set. */
+    fun reset() {
+        if (response.headWritten()) return
+        added.forEach { response.headers().remove(it) }
+        response.isChunked = false
+        added = emptySet()
+    }
+
+    /** Stops to write because the caller has closed its connection. */
+    fun callerGone() {
+        callerIsGone = true
+        drained?.complete(Unit)
+    }
+
+    private fun isGone(): Boolean = callerIsGone || response.closed()
+
+    private suspend fun awaitDrain() {
+        val pending = CompletableDeferred<Unit>()
+        drained = pending
+        response.drainHandler { pending.complete(Unit) }
+        pending.await()
+    }
+
+    private companion object {
+        val OWN_HEADERS = setOf("x-request-id")
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/FirstByteSink.kt
@@ -0,0 +1,22 @@
+package org.poplarshift.node.caller
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.node.forward.AnswerSink
+
+/** Notes when the first byte of a response body arrived. */
+class FirstByteSink(private val sink: AnswerSink, private val clock: MonotonicClock) : AnswerSink {
+    /** In monotonic milliseconds, or null when none has arrived. */
+    var firstByteMillis: Long? = null
+        private set
+
+    override suspend fun start(status: Int, headers: MultiMap) = sink.start(status, headers)
+
+    override suspend fun write(chunk: Buffer) {
+        if (firstByteMillis == null) firstByteMillis = clock.millis()
+        sink.write(chunk)
+    }
+
+    override suspend fun end() = sink.end()
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/HopByHopHeaders.kt
@@ -0,0 +1,29 @@
+package org.poplarshift.node.caller
+
+import io.vertx.core.MultiMap
+
+/** Removes header fields that are meant for one connection only (RFC 9110, section 7.6.1). */
+object HopByHopHeaders {
+    /** Returns [headers] without hop-by-hop fields, those that `Connection` names, and [alsoDropped] (lower case). */
+    fun remove(headers: MultiMap, alsoDropped: Set<String>): MultiMap {
+        val named = headers.getAll("Connection").flatMap { it.split(',') }.map { it.trim().lowercase() }
+        val dropped = FIELDS + named + alsoDropped
+        val remaining = MultiMap.caseInsensitiveMultiMap()
+        for ((name, value) in headers) {
+            if (name.lowercase() !in dropped) remaining.add(name, value)
+        }
+        return remaining
+    }
+
+    private val FIELDS = setOf(
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
@@ -0,0 +1,108 @@
+package org.poplarshift.node.caller
+
+import io.vertx.ext.web.RoutingContext
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.node.http.ErrorAnswer
+import org.poplarshift.node.http.refuse
+import org.poplarshift.node.idempotency.LedgerDecision
+import java.util.UUID
+
+/** Runs a caller's request from its first byte to the last of its response. */
+class OnlineHandler(
+    private val openRequests: OpenRequests,
+    private val runner: OnlineRunner,
+    private val metrics: CallerMetrics,
+    private val clock: MonotonicClock,
+) {
+    /** Refuses a request before it is opened. */
+    fun refuse(routing: RoutingContext, answer: ErrorAnswer) {
+        metrics.refused(answer.reason)
+        routing.refuse(answer)
+    }
+
+    /**
+     * Prepares and runs a request. Must be called in the same event in which the key was checked.
+     *
+     * @param keyId the key of the caller, or null on an open route
+     * @param prepare reads and checks the request, which gets the identifier in its parameter
+     */
+    suspend fun handle(routing: RoutingContext, keyId: String?, prepare: suspend (String) -> PreparedRequest) {
+        val requestId = UUID.randomUUID().toString()
+        val open = OpenRequest(requestId, keyId, currentCoroutineContext().job)
+        val progress = AttemptProgress()
+        openRequests.add(open)
+        try {
+            routing.response().closeHandler { open.end(RefusalReason.CANCELLED) }
+            when (val prepared = prepare(requestId)) {
+                is PreparedRequest.Rejected -> refuse(routing, prepared.answer)
+                is PreparedRequest.Ready -> run(routing, prepared.request, open, progress)
+            }
+        } catch (exception: CancellationException) {
+            val reason = open.endReason ?: throw exception
+            fail(routing, ErrorAnswer(reason, "the request was ended", progress.ran))
+        } finally {
+            openRequests.remove(open)
+        }
+    }
+
+    private suspend fun run(
+        routing: RoutingContext,
+        request: OnlineRequest,
+        open: OpenRequest,
+        progress: AttemptProgress,
+    ) {
+        val startedMillis = clock.millis()
+        val recorder = request.idempotencyKey?.let { ResponseRecorder(MAXIMUM_RECORDED_BYTES) }
+        val sink = CallerSink(routing.response(), request.requestId, recorder) {
+            metrics.firstByte(request.requestClass, clock.millis() - startedMillis)
+        }
+        // A request with an idempotency key runs to its end even when the caller is gone, so that a resend gets the
+        // response.
+        if (recorder != null) routing.response().closeHandler { sink.callerGone() }
+        if (routing.response().closed()) open.end(RefusalReason.CANCELLED)
+        when (val result = runner.run(request, sink, recorder, progress)) {
+            is OnlineResult.Passed -> metrics.completed(request.requestClass, clock.millis() - startedMillis)
+            is OnlineResult.Replayed -> replay(routing, request.requestId, result.response)
+            is OnlineResult.Failed -> {
+                sink.reset()
+                if (!sink.hasPassedBytes) routing.response().putHeader("X-Request-Id", request.requestId)
+                fail(routing, result.answer)
+            }
+        }
+    }
+
+    private fun replay(routing: RoutingContext, requestId: String, recorded: LedgerDecision.Replay) {
+        val response = routing.response()
+        response.statusCode = recorded.status
+        response.putHeader("X-Request-Id", requestId)
+        response.putHeader("Idempotency-Replayed", "true")
+        if (recorded.contentType.isNotEmpty()) response.putHeader("Content-Type", recorded.contentType)
+        response.end(recorded.body)
+    }
+
+    // A response that has begun can't be turned into an error. The connection is closed without the final chunk, so
+    // that the caller can't take the part for the whole.
+    private fun fail(routing: RoutingContext, answer: ErrorAnswer) {
+        metrics.refused(answer.reason)
+        val response = routing.response()
+        when {
+            response.closed() -> return
+            response.headWritten() -> routing.request().connection().close()
+            else -> routing.refuse(answer)
+        }
+    }
+
+    companion object {
+        // A recorded response is one record of the log.
+        private const val MAXIMUM_RECORDED_BYTES = 262_144
+
+        /** The answer to a request that breaks a rule of form. */
+        fun badRequest(message: String) =
+            PreparedRequest.Rejected(ErrorAnswer(RefusalReason.BAD_REQUEST, message, Ran.NOT_RUN))
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/OnlineRunner.kt
@@ -0,0 +1,76 @@
+package org.poplarshift.node.caller
+
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.node.http.ErrorAnswer
+import org.poplarshift.node.idempotency.LedgerDecision
+import org.poplarshift.node.idempotency.RequestLedger
+import org.poplarshift.node.quota.QuotaDecision
+import org.poplarshift.node.quota.QuotaGate
+
+/**
+ * Runs an online request: quota, then the ledger for requests with an `Idempotency-Key`, then attempts at workers.
+ *
+ * Quota comes first, so that an organisation over its rate can't use up the appends of the log.
+ */
+class OnlineRunner(
+    private val quota: QuotaGate,
+    private val ledger: RequestLedger,
+    private val attempts: AttemptLoop,
+) {
+    /** Runs [request]; [recorder] is the one of [sink] when the request has an idempotency key. */
+    suspend fun run(
+        request: OnlineRequest,
+        sink: CallerSink,
+        recorder: ResponseRecorder?,
+        progress: AttemptProgress,
+    ): OnlineResult {
+        val admission = request.organisation?.let { quota.admit(it) } ?: QuotaDecision.Admitted
+        if (admission is QuotaDecision.Refused) {
+            val message = "the organisation's rate is used up"
+            val answer = ErrorAnswer(admission.reason, message, Ran.NOT_RUN, admission.retryAfterMillis)
+            return OnlineResult.Failed(answer)
+        }
+        val idempotencyKey = request.idempotencyKey ?: return attempts.run(request, sink, progress)
+        return when (val decision = ledger.begin(request.organisationId, idempotencyKey, request.digest)) {
+            is LedgerDecision.Replay -> OnlineResult.Replayed(decision)
+            is LedgerDecision.Refused -> OnlineResult.Failed(refusal(decision))
+            is LedgerDecision.Run -> runRecorded(request, sink, recorder, progress, decision)
+        }
+    }
+
+    private suspend fun runRecorded(
+        request: OnlineRequest,
+        sink: CallerSink,
+        recorder: ResponseRecorder?,
+        progress: AttemptProgress,
+        started: LedgerDecision.Run,
+    ): OnlineResult {
+        var result: OnlineResult? = null
+        try {
+            result = attempts.run(request, sink, progress)
+            return result
+        } finally {
+            withContext(NonCancellable) { record(started, result, recorder, progress) }
+        }
+    }
+
+    private suspend fun record(
+        started: LedgerDecision.Run,
+        result: OnlineResult?,
+        recorder: ResponseRecorder?,
+        progress: AttemptProgress,
+    ) {
+        val response = recorder?.recorded()
+        when {
+            result is OnlineResult.Passed && response != null ->
+                ledger.finish(started, response.status, response.contentType, response.body)
+
+            progress.ran == Ran.NOT_RUN -> ledger.abandon(started)
+        }
+    }
+
+    private fun refusal(decision: LedgerDecision.Refused) =
+        ErrorAnswer(decision.reason, "the request with this Idempotency-Key was not run again", decision.ran)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/PreparedRequest.kt
@@ -0,0 +1,12 @@
+package org.poplarshift.node.caller
+
+import org.poplarshift.node.http.ErrorAnswer
+
+/** A caller's request after all checks that need no other part of the node. */
+sealed interface PreparedRequest {
+    /** The request may be run. */
+    data class Ready(val request: OnlineRequest) : PreparedRequest
+
+    /** The request breaks a rule. */
+    data class Rejected(val answer: ErrorAnswer) : PreparedRequest
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/PresentedKeys.kt
@@ -0,0 +1,15 @@
+package org.poplarshift.node.caller
+
+import io.vertx.core.MultiMap
+
+/** Reads callers' keys from request headers. */
+object PresentedKeys {
+    /** Every key in `Authorization: Bearer` and `X-Api-Key`, in this order. The first is the one that counts. */
+    fun read(headers: MultiMap): List<String> {
+        val bearers = headers.getAll("Authorization").filter { it.startsWith(BEARER, ignoreCase = true) }
+        val keys = bearers.map { it.substring(BEARER.length) } + headers.getAll("X-Api-Key")
+        return keys.map { it.trim() }.filter { it.isNotEmpty() }
+    }
+
+    private const val BEARER = "Bearer "
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/RequestPreparation.kt
@@ -0,0 +1,46 @@
+package org.poplarshift.node.caller
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerRequest
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.http.ErrorAnswer
+import org.poplarshift.node.http.readBody
+import org.poplarshift.node.settings.LimitSettings
+
+/** Reads a caller's request and removes the caller's key and what belongs to one connection only. */
+class RequestPreparation(private val limits: LimitSettings) {
+    /** Reads [request] completely. */
+    suspend fun read(request: HttpServerRequest): ReadRequest {
+        val body = request.readBody(limits.bodyBytes)
+            ?: return ReadRequest.Refused(
+                ErrorAnswer(RefusalReason.BODY_TOO_LARGE, "the body exceeds ${limits.bodyBytes} bytes", Ran.NOT_RUN),
+            )
+        val scrubber = KeyScrubber(PresentedKeys.read(request.headers()))
+        if (scrubber.containsKey(request.path())) return badRequest("the path must not contain a key")
+        if (scrubber.containsPresentedKey(body.toString())) return badRequest("the body must not contain the key")
+        val query = scrubber.scrubQuery(request.query())
+        return ReadRequest.Complete(
+            path = if (query == null) request.path() else "${request.path()}?$query",
+            headers = HopByHopHeaders.remove(scrubber.scrub(request.headers()), REPLACED_HEADERS),
+            body = body,
+        )
+    }
+
+    private fun badRequest(message: String) =
+        ReadRequest.Refused(ErrorAnswer(RefusalReason.BAD_REQUEST, message, Ran.NOT_RUN))
+
+    private companion object {
+        val REPLACED_HEADERS = setOf("host", "content-length", "expect", "x-request-id")
+    }
+}
+
+/** The outcome of reading a caller's request. */
+sealed interface ReadRequest {
+    /** Path with query, headers and body as an upstream may see them. */
+    data class Complete(val path: String, val headers: MultiMap, val body: Buffer) : ReadRequest
+
+    /** The request must not run. */
+    data class Refused(val answer: ErrorAnswer) : ReadRequest
+}
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
@@ -6,9 +6,8 @@
 import kotlinx.serialization.SerializationException
 import org.poplarshift.core.configuration.Configuration
 import org.poplarshift.core.configuration.ConfigurationRecord
-import org.poplarshift.core.configuration.ConfigurationReducer
+import org.poplarshift.core.configuration.ConfigurationReplay
 import org.poplarshift.core.configuration.ConfigurationResult
-import org.poplarshift.core.configuration.ConfigurationResult.Applied
 import org.poplarshift.core.configuration.KeyDirectory
 import org.poplarshift.core.configuration.KeyEntry
 import org.poplarshift.node.MonotonicClock
@@ -21,7 +20,7 @@
 class DefaultConfigurationStore(
     private val follower: LogFollower,
     private val clock: MonotonicClock,
-    private val reducer: ConfigurationReducer = ConfigurationReducer(),
+    private val replay: ConfigurationReplay = ConfigurationReplay(),
 ) : ConfigurationStore {
     private val mutableCurrent = MutableStateFlow(Configuration())
     private var directory = KeyDirectory(emptyList())
@@ -40,7 +39,7 @@
     suspend fun follow() = follower.follow { apply(it) }
 
     /** Takes over the configuration of a peer if it is newer. */
-    fun adopt(configuration: Configuration) = install(reducer.adopt(current.value, configuration))
+    fun adopt(configuration: Configuration) = install(replay.adopt(configuration))
 
     /** Notes that at [currentAtMillis] of this node's clock no version after [version] was known to exist. */
     fun confirm(version: Long, currentAtMillis: Long) {
@@ -55,17 +54,18 @@
             log.warn { "configuration: record ${record.offset} is not readable: ${exception.message}" }
             return
         }
-        install(reducer.apply(current.value, record.offset, envelope.record))
+        install(replay.apply(record.offset, envelope.record))
     }
 
-    private fun install(result: ConfigurationResult) {
-        if (result !is Applied) {
+    private fun install(result: ConfigurationResult?) {
+        val configuration = replay.configuration
+        if (configuration.version == current.value.version) {
             log.debug { "configuration: not applied: $result" }
             return
         }
-        directory = KeyDirectory(result.configuration.keys)
-        mutableCurrent.value = result.configuration
-        log.info { "configuration: version ${result.configuration.version} is in force" }
+        directory = KeyDirectory(configuration.keys)
+        mutableCurrent.value = configuration
+        log.info { "configuration: version ${configuration.version} is in force" }
     }
 
     private companion object {
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
@@ -0,0 +1,133 @@
+package org.poplarshift.node.forward
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.core.catalogue.UpstreamKind
+import org.poplarshift.core.catalogue.Worker
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.core.verdict.Verdict
+import org.poplarshift.node.http.SocketAddresses
+
+/**
+ * Sends requests over pooled HTTP connections.
+ *
+ * A connection goes back to the pool only after a complete response to the right request. In all other cases it is
+ * closed, because a later request on it could receive what belongs to this one.
+ */
+class DefaultUpstreamClient(vertx: Vertx) : UpstreamClient {
+    private val canceller = StreamCanceller(vertx)
+    private val client = vertx.createHttpClient(
+        HttpClientOptions().setKeepAliveTimeout(KEEP_ALIVE_SECONDS).setMaxHeaderSize(MAXIMUM_HEADER_BYTES),
+        PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_WORKER),
+    )
+
+    override suspend fun send(worker: Worker, request: UpstreamRequest, sink: AnswerSink): Verdict {
+        val sent = connect(worker, request) ?: return Verdict.NotRun(RefusalReason.CONNECT_FAILED)
+        var isComplete = false
+        try {
+            val verdict = exchange(sent, request, sink)
+            isComplete = verdict is Verdict.Answered
+            return verdict
+        } finally {
+            if (!isComplete) abandon(worker, request, sent)
+        }
+    }
+
+    private suspend fun connect(worker: Worker, request: UpstreamRequest): HttpClientRequest? {
+        val socket = SocketAddresses.parse(worker.address)
+        val options = RequestOptions()
+            .setHost(socket.host())
+            .setPort(socket.port())
+            .setMethod(request.method)
+            .setURI(request.path)
+            .setHeaders(request.headers)
+            .putHeader(REQUEST_ID, request.requestId)
+            .setConnectTimeout(request.timeouts.connectMillis)
+        val pending = client.request(options)
+        val connected = try {
+            withTimeoutOrNull(request.timeouts.connectMillis) { pending.coAwait() }
+        } catch (exception: CancellationException) {
+            pending.onSuccess { it.connection().close() }
+            throw exception
+        } catch (exception: Exception) {
+            log.debug { "forward: no connection to ${worker.id}: ${exception.message}" }
+            return null
+        }
+        if (connected == null) pending.onSuccess { it.connection().close() }
+        return connected
+    }
+
+    private suspend fun exchange(sent: HttpClientRequest, request: UpstreamRequest, sink: AnswerSink): Verdict {
+        val response = try {
+            withTimeoutOrNull(request.timeouts.firstByteMillis) { respond(sent, request) }
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            log.debug { "forward: request ${request.requestId} lost: ${exception.message}" }
+            return Verdict.MayHaveRun(RefusalReason.CONNECTION_LOST)
+        }
+        if (response == null) return Verdict.MayHaveRun(RefusalReason.UPSTREAM_TIMEOUT)
+        if (!belongsTo(request, response)) return Verdict.MayHaveRun(RefusalReason.WRONG_RESPONSE)
+        if (request.kind == UpstreamKind.MODEL && response.statusCode() == UNAVAILABLE) {
+            return Verdict.MayHaveRun(RefusalReason.UPSTREAM_REFUSED)
+        }
+        return passOn(response, request, sink)
+    }
+
+    // The response is paused in the event that delivers it; the coroutine resumes in a later event.
+    private suspend fun respond(sent: HttpClientRequest, request: UpstreamRequest): HttpClientResponse {
+        val pending = if (request.body.length() == 0) sent.send() else sent.send(request.body)
+        return pending.onSuccess { it.pause() }.coAwait()
+    }
+
+    private fun belongsTo(request: UpstreamRequest, response: HttpClientResponse): Boolean {
+        val echoed = response.getHeader(REQUEST_ID)
+        val isRight = echoed == request.requestId || (echoed == null && request.kind == UpstreamKind.SERVICE)
+        if (!isRight) log.warn { "forward: request ${request.requestId} got the response to $echoed; dropped" }
+        return isRight
+    }
+
+    private suspend fun passOn(response: HttpClientResponse, request: UpstreamRequest, sink: AnswerSink): Verdict {
+        val body = ResponseBody(response)
+        sink.start(response.statusCode(), response.headers())
+        while (true) {
+            when (val part = body.next(request.timeouts.idleMillis)) {
+                is ResponsePart.Chunk -> sink.write(part.bytes)
+                is ResponsePart.Lost -> return Verdict.MayHaveRun(RefusalReason.CONNECTION_LOST)
+                null -> return Verdict.MayHaveRun(RefusalReason.UPSTREAM_TIMEOUT)
+                ResponsePart.End -> {
+                    if (!body.hasDefiniteEnd()) return Verdict.MayHaveRun(RefusalReason.CONNECTION_LOST)
+                    sink.end()
+                    return Verdict.Answered(response.statusCode())
+                }
+            }
+        }
+    }
+
+    private fun abandon(worker: Worker, request: UpstreamRequest, sent: HttpClientRequest) {
+        sent.connection()?.close()
+        if (request.kind == UpstreamKind.MODEL) canceller.cancel(worker, request.requestId)
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val REQUEST_ID = "X-Request-Id"
+        const val UNAVAILABLE = 503
+
+        // Shorter than the idle limits of common HTTP servers, so that a pooled connection is rarely closed by the
+        // worker while a request is on its way.
+        const val KEEP_ALIVE_SECONDS = 4
+        const val MAXIMUM_HEADER_BYTES = 65_536
+
+        // The dispatcher bounds the requests of a worker; the pool must not queue behind it.
+        const val CONNECTIONS_PER_WORKER = 4_096
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
@@ -0,0 +1,29 @@
+package org.poplarshift.node.forward
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import io.vertx.ext.web.client.WebClient
+import io.vertx.ext.web.client.WebClientOptions
+import org.poplarshift.core.catalogue.Worker
+import org.poplarshift.node.http.SocketAddresses
+
+/** Tells engines to stop streams. It does not wait for the result: an engine that is gone has stopped as well. */
+class StreamCanceller(vertx: Vertx) {
+    private val client = WebClient.create(vertx, WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS))
+
+    /** Cancels the stream [requestId] at [worker]. */
+    fun cancel(worker: Worker, requestId: String) {
+        val socket = SocketAddresses.parse(worker.address)
+        client
+            .request(HttpMethod.DELETE, socket.port(), socket.host(), "/streams/$requestId")
+            .timeout(TIMEOUT_MILLIS.toLong())
+            .send()
+            .onFailure { log.debug { "forward: stream $requestId not cancelled at ${worker.id}: ${it.message}" } }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val TIMEOUT_MILLIS = 1_000
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/forward/UpstreamClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/UpstreamClient.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
+import org.poplarshift.core.catalogue.UpstreamKind
 import org.poplarshift.core.catalogue.UpstreamTimeouts
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.verdict.Verdict
@@ -19,6 +20,8 @@
 /**
  * A request to a worker, without the caller's key.
  *
+ * @property kind only model engines have streams to cancel, and must echo the request id; a plain service may leave the
+ * id out of its responses
  * @property requestId sent as `X-Request-Id`; an answer with another value is dropped
  */
 data class UpstreamRequest(
@@ -28,6 +31,7 @@
     val headers: MultiMap,
     val body: Buffer,
     val timeouts: UpstreamTimeouts,
+    val kind: UpstreamKind = UpstreamKind.MODEL,
 )
 
 /** Takes the parts of an answer. */
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -27,6 +27,7 @@
             .setPort(socket.port())
             .setMaxInitialLineLength(limits.requestLineBytes)
             .setMaxHeaderSize(limits.headerBytes)
+            .setHandle100ContinueAutomatically(true)
         server = context.vertx
             .createHttpServer(options)
             .requestHandler(router)
--- a/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
@@ -5,6 +5,7 @@
 import io.vertx.ext.web.RoutingContext
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
 import org.poplarshift.core.verdict.Ran
 import org.poplarshift.core.verdict.RefusalReason
@@ -18,7 +19,8 @@
 fun Route.suspendingHandler(scope: CoroutineScope, handle: suspend (RoutingContext) -> Unit): Route =
     handler { routing ->
         routing.request().pause()
-        scope.launch {
+        // Undispatched, so that handlers for the end of the connection are set before its next event.
+        scope.launch(start = CoroutineStart.UNDISPATCHED) {
             try {
                 handle(routing)
             } catch (exception: CancellationException) {
@@ -36,6 +38,6 @@
     if (response.headWritten()) {
         routing.request().connection().close()
     } else {
-        ErrorAnswer(RefusalReason.INTERNAL, "internal error", Ran.MAY_HAVE_RUN).send(response)
+        routing.refuse(ErrorAnswer(RefusalReason.INTERNAL, "internal error", Ran.MAY_HAVE_RUN))
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.node.settings
 
 import kotlinx.serialization.Serializable
+import org.poplarshift.core.routing.RoutingPolicyChoice
 
 /**
  * The settings of one node, read from a JSON file. `settings.schema.json` gives ranges and required fields.
@@ -23,7 +24,7 @@
     val seedPeers: List<String> = emptyList(),
     val limits: LimitSettings = LimitSettings(),
     val logFormat: LogFormat = LogFormat.TEXT,
-    val routing: RoutingSettings = RoutingSettings(),
+    val routing: RoutingPolicyChoice = RoutingPolicyChoice.PowerOfTwo,
     val batchControl: Boolean = true,
     val quotaMode: QuotaMode = QuotaMode.FLEET,
     val configuration: ConfigurationSettings = ConfigurationSettings(),
--- /dev/null
+++ b/node/src/test/kotlin/org/poplarshift/node/caller/HopByHopHeadersTest.kt
@@ -0,0 +1,25 @@
+package org.poplarshift.node.caller
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.vertx.core.MultiMap
+
+/** Guards against header fields of one connection that change the meaning of a message on another. */
+class HopByHopHeadersTest :
+    FunSpec({
+        test("fields of the connection and those that Connection names are removed, repeated fields are kept") {
+            val headers = MultiMap.caseInsensitiveMultiMap()
+                .add("Connection", "close, X-Trace")
+                .add("Connection", "X-Second")
+                .add("x-trace", "1")
+                .add("X-Second", "2")
+                .add("Transfer-Encoding", "chunked")
+                .add("TE", "trailers")
+                .add("Upgrade", "h2c")
+                .add("Host", "shop")
+                .add("Accept", "text/html")
+                .add("Accept", "text/plain")
+            val remaining = HopByHopHeaders.remove(headers, setOf("host"))
+            remaining.map { "${it.key}: ${it.value}" } shouldBe listOf("Accept: text/html", "Accept: text/plain")
+        }
+    })
--- /dev/null
+++ b/node/src/test/kotlin/org/poplarshift/node/configuration/ConfigurationSpreadTest.kt
@@ -0,0 +1,65 @@
+package org.poplarshift.node.configuration
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.poplarshift.node.fixture.Fleet
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against configuration that does not reach all nodes or is rolled back (R13). */
+class ConfigurationSpreadTest :
+    FunSpec({
+        test("a node that can't reach the log takes the configuration and withdrawn keys from its peers") {
+            Fleet().use { fleet ->
+                val engine = fleet.worker()
+                val connected = fleet.node("node-1")
+                val cutOff = fleet.node("node-2", seedPeers = listOf(connected.peersAddress), isCutOff = true)
+                fleet.publish(Fleet.catalogue(listOf(engine)))
+                val key = fleet.giveKey("office")
+                eventually(5.seconds) { cutOff.complete(key).statusCode() shouldBe 200 }
+
+                fleet.withdraw("key-office")
+                eventually(5.seconds) { cutOff.complete(key).statusCode() shouldBe 401 }
+                connected.inspect("/status").body() shouldContain "\"node-2\""
+            }
+        }
+
+        test("a node that reads the log again after a newer peer keeps the newer version") {
+            Fleet().use { fleet ->
+                val engine = fleet.worker()
+                val connected = fleet.node("node-1")
+                fleet.publish(Fleet.catalogue(listOf(engine)))
+                fleet.giveKey("office")
+                fleet.withdraw("key-office")
+                connected.awaitVersion(2)
+                val cutOff = fleet.node("node-2", seedPeers = listOf(connected.peersAddress), isCutOff = true)
+                cutOff.awaitVersion(2)
+                val versions = mutableListOf(2L)
+                cutOff.log.isCutOff = false
+                fleet.giveKey("office", "second")
+                eventually(5.seconds) {
+                    versions += cutOff.node.configuration.current.value.version
+                    versions.last() shouldBe 3L
+                }
+                versions shouldBe versions.sorted()
+            }
+        }
+
+        test("a node with a stale limit refuses keys once nobody confirms its configuration") {
+            Fleet().use { fleet ->
+                val engine = fleet.worker()
+                val limited = fleet.node(staleLimitSeconds = 1)
+                val unlimited = fleet.node("node-2")
+                fleet.publish(Fleet.catalogue(listOf(engine)))
+                val key = fleet.giveKey("office")
+                limited.awaitVersion(1)
+                unlimited.awaitVersion(1)
+                limited.complete(key).statusCode() shouldBe 200
+                limited.log.isCutOff = true
+                unlimited.log.isCutOff = true
+                eventually(5.seconds) { limited.complete(key).statusCode() shouldBe 503 }
+                unlimited.complete(key).statusCode() shouldBe 200
+            }
+        }
+    })
