--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withContext
 import org.poplarshift.node.configuration.ConfigurationExchange
 import org.poplarshift.node.configuration.ConfigurationFollower
+import org.poplarshift.node.configuration.ConfigurationSnapshotWriter
 import org.poplarshift.node.configuration.DefaultConfigurationStore
 import org.poplarshift.node.dispatch.RoundRobinDispatcher
 import org.poplarshift.node.dispatch.UpstreamDispatcher
@@ -45,6 +46,7 @@
         HealthRoutes(context, lifecycle, peersServer.router),
         ConfigurationFollower(context, configuration, lifecycle),
         configurationExchange,
+        ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
         Gossip(context, lifecycle, peers, peerClient, peersServer.router, exchangeParts),
     )
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.SerializationException
 import org.poplarshift.core.configuration.Configuration
 import org.poplarshift.core.configuration.ConfigurationRecord
-import org.poplarshift.core.configuration.ConfigurationReducer
+import org.poplarshift.core.configuration.ConfigurationReplay
 import org.poplarshift.core.configuration.ConfigurationResult
 import org.poplarshift.core.configuration.ConfigurationResult.Applied
 import org.poplarshift.core.configuration.KeyDirectory
@@ -21,7 +21,7 @@
 class DefaultConfigurationStore(
     private val follower: LogFollower,
     private val clock: MonotonicClock,
-    private val reducer: ConfigurationReducer = ConfigurationReducer(),
+    private val replay: ConfigurationReplay = ConfigurationReplay(),
 ) : ConfigurationStore {
     private val mutableCurrent = MutableStateFlow(Configuration())
     private var directory = KeyDirectory(emptyList())
@@ -36,11 +36,17 @@
 
     override fun findKey(key: String): KeyEntry? = directory.find(key)
 
+    /** The offset of the newest snapshot or, without one, of the first record; null before the first record. */
+    val baseOffset: Long? get() = replay.baseOffset
+
+    /** The offset after the newest record that was read. */
+    val nextOffset: Long get() = follower.nextOffset
+
     /** Follows the log until cancelled. */
     suspend fun follow() = follower.follow { apply(it) }
 
     /** Takes over the configuration of a peer if it is newer. */
-    fun adopt(configuration: Configuration) = install(reducer.adopt(current.value, configuration))
+    fun adopt(configuration: Configuration) = install(replay.adopt(configuration))
 
     /** Notes that at [currentAtMillis] of this node's clock no version after [version] was known to exist. */
     fun confirm(version: Long, currentAtMillis: Long) {
@@ -55,7 +61,7 @@
             log.warn { "configuration: record ${record.offset} is not readable: ${exception.message}" }
             return
         }
-        install(reducer.apply(current.value, record.offset, envelope.record))
+        replay.apply(record.offset, envelope.record)?.let { install(it) }
     }
 
     private fun install(result: ConfigurationResult) {
@@ -63,9 +69,10 @@
             log.debug { "configuration: not applied: $result" }
             return
         }
-        directory = KeyDirectory(result.configuration.keys)
-        mutableCurrent.value = result.configuration
-        log.info { "configuration: version ${result.configuration.version} is in force" }
+        val configuration = replay.configuration
+        directory = KeyDirectory(configuration.keys)
+        mutableCurrent.value = configuration
+        log.info { "configuration: version ${configuration.version} is in force" }
     }
 
     private companion object {
