--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -14,6 +14,7 @@
 import org.poplarshift.node.caller.ServiceRoutes
 import org.poplarshift.node.configuration.ConfigurationExchange
 import org.poplarshift.node.configuration.ConfigurationFollower
+import org.poplarshift.node.configuration.ConfigurationSnapshotWriter
 import org.poplarshift.node.configuration.DefaultConfigurationStore
 import org.poplarshift.node.dispatch.RoundRobinDispatcher
 import org.poplarshift.node.dispatch.UpstreamDispatcher
@@ -42,7 +43,7 @@
     private val configurationLog = TailingLogFollower(context.logService, LogStream.CONFIGURATION, context.clock)
     val configuration = DefaultConfigurationStore(configurationLog, context.clock)
     val peerClient = HttpPeerClient(context.vertx)
-    val peers = DefaultPeerDirectory(context.settings.peersAddress, context.settings.seedPeers, context.clock)
+    val peers = DefaultPeerDirectory(context.self, context.settings.seedPeers, context.clock)
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
     val quota: QuotaGate = LocalQuotaGate(context.clock)
@@ -65,6 +66,7 @@
         HealthRoutes(context, lifecycle, peersServer.router),
         ConfigurationFollower(context, configuration, lifecycle),
         configurationExchange,
+        ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
@@ -35,6 +35,12 @@
 
     override fun findKey(key: String): KeyEntry? = directory.find(key)
 
+    /** The offset of the newest snapshot or, without one, of the first record; null before the first record. */
+    val baseOffset: Long? get() = replay.baseOffset
+
+    /** The offset after the newest record that was read. */
+    val nextOffset: Long get() = follower.nextOffset
+
     /** Follows the log until cancelled. */
     suspend fun follow() = follower.follow { apply(it) }
 
--- a/node/src/main/kotlin/org/poplarshift/node/peer/Gossip.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/Gossip.kt
@@ -17,7 +17,6 @@
 import org.poplarshift.node.http.readBody
 import org.poplarshift.node.http.suspendingHandler
 import org.poplarshift.wire.ExchangeMessage
-import org.poplarshift.wire.NodeAnnouncement
 import org.poplarshift.wire.WireJson
 
 /** Push-pull gossip: each [periodMillis] a full exchange with [fanOut] random peers. */
@@ -35,6 +34,7 @@
         peersRouter.post(PATH).suspendingHandler(context.scope) { answer(it) }
         context.scope.launch {
             while (isActive) {
+                directory.beat(lifecycle.isLeaving)
                 directory.contacts().shuffled().take(fanOut).forEach { launch { exchange(it) } }
                 delay(periodMillis)
             }
@@ -43,15 +43,26 @@
 
     /** Tells all peers at once that this node leaves, so that none learns it only by gossip. */
     override suspend fun leave() {
+        directory.beat(isLeaving = true)
         directory.contacts().forEach { context.scope.launch { exchange(it) } }
     }
 
     private suspend fun exchange(address: String) {
         val sentMillis = context.clock.millis()
+        val response = post(address, message().copy(digest = directory.digest())) ?: return
+        accept(response, sentMillis)
+        val wanted = response.delta.wanted
+        if (wanted.isNotEmpty()) post(address, message().copy(delta = directory.entriesFor(wanted)))
+    }
+
+    private suspend fun post(address: String, message: ExchangeMessage): ExchangeMessage? {
         val serializer = ExchangeMessage.serializer()
-        when (val result = client.post(address, PATH, message(), serializer, serializer)) {
-            is PeerResult.Answered -> accept(result.response, sentMillis)
-            is PeerResult.Unreachable -> log.debug { "peers: no exchange with $address: ${result.reason}" }
+        return when (val result = client.post(address, PATH, message, serializer, serializer)) {
+            is PeerResult.Answered -> result.response
+            is PeerResult.Unreachable -> {
+                log.debug { "peers: no exchange with $address: ${result.reason}" }
+                null
+            }
         }
     }
 
@@ -68,26 +79,18 @@
             ErrorAnswer(RefusalReason.BAD_REQUEST, "not an exchange message", Ran.NOT_RUN).send(routing.response())
             return
         }
-        routing.json(ExchangeMessage.serializer(), message())
+        val response = message().copy(delta = directory.answer(message.digest))
+        routing.json(ExchangeMessage.serializer(), response)
         accept(message, receivedMillis)
     }
 
     private suspend fun accept(message: ExchangeMessage, sentMillis: Long) {
-        directory.learn(message.nodes + message.sender)
+        directory.merge(message.sender, message.delta)
         parts.forEach { it.accept(message, sentMillis) }
     }
 
-    private fun message(): ExchangeMessage {
-        val own = NodeAnnouncement(
-            vm = context.settings.vm,
-            incarnation = context.incarnation,
-            availabilityZone = context.settings.availabilityZone,
-            address = context.settings.peersAddress,
-            isLeaving = lifecycle.isLeaving,
-        )
-        val message = ExchangeMessage(sender = own, nodes = directory.announcements())
-        return parts.fold(message) { built, part -> part.contribute(built) }
-    }
+    private fun message(): ExchangeMessage =
+        parts.fold(ExchangeMessage(sender = directory.self)) { built, part -> part.contribute(built) }
 
     private companion object {
         val log = KotlinLogging.logger {}
