Cut callers that fall silent

Cause: a caller that stops within its body or stops to read kept its request, a worker and a shutdown waiting; Vert.x closes a connection only after all written bytes were taken. Change: limits.callerIdleMillis (default 30 s) bounds both; cutConnection closes the channel when flushing takes more than a second; a leaving node sends Connection: close; HTTP/2 without TLS is off, because one connection would carry several requests that are cut together. The wait of a configuration read is a fifth of the stale limit.

--- a/core/src/main/kotlin/org/poplarshift/core/verdict/RefusalReason.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/verdict/RefusalReason.kt
@@ -15,6 +15,7 @@
     UNKNOWN_KEY("unknown_key", 401),
     FORBIDDEN_ROUTE("forbidden_route", 403),
     UNKNOWN_ROUTE("unknown_route", 404),
+    CALLER_TIMEOUT("caller_timeout", 408),
     UNKNOWN_JOB("unknown_job", 404),
     JOB_CONFLICT("job_conflict", 409),
     REQUEST_IN_PROGRESS("request_in_progress", 409),
--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -20,6 +20,7 @@
 import org.poplarshift.node.dispatch.UpstreamDispatcher
 import org.poplarshift.node.forward.DefaultUpstreamClient
 import org.poplarshift.node.forward.UpstreamClient
+import org.poplarshift.node.http.LeavingHeader
 import org.poplarshift.node.http.NodeServer
 import org.poplarshift.node.idempotency.RefusingRequestLedger
 import org.poplarshift.node.idempotency.RequestLedger
@@ -40,7 +41,12 @@
     val callersServer = NodeServer(context, "callers", context.settings.callersAddress)
     val peersServer = NodeServer(context, "peers", context.settings.peersAddress)
 
-    private val configurationLog = TailingLogFollower(context.logService, LogStream.CONFIGURATION, context.clock)
+    private val configurationLog = TailingLogFollower(
+        logService = context.logService,
+        stream = LogStream.CONFIGURATION,
+        clock = context.clock,
+        waitMillis = context.settings.configuration.readWaitMillis,
+    )
     val configuration = DefaultConfigurationStore(configurationLog, context.clock)
     val peerClient = HttpPeerClient(context.vertx)
     val peers = DefaultPeerDirectory(context.self, context.settings.seedPeers, context.clock)
@@ -56,7 +62,8 @@
     val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx)
     private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
     private val runner = OnlineRunner(quota, ledger, attempts)
-    private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock)
+    private val callerIdleMillis = context.settings.limits.callerIdleMillis
+    private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock, callerIdleMillis)
 
     private val exchangeParts = listOf(
         configurationExchange,
@@ -68,6 +75,7 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        LeavingHeader(lifecycle, callersServer.router),
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
         ModelRoutes(callersServer.router, configuration, authentication, online),
--- a/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.node.forward.AnswerSink
 
 /**
@@ -12,12 +13,15 @@
  * The head is written with the first part of the body, so that a response that fails before it can be replaced by that
  * of another attempt.
  *
+ * @param idleMillis how long the caller may take no part of the response before [onStalled] is called
  * @param recorder takes a copy of the response when it must be recorded
  */
 class CallerSink(
     private val response: HttpServerResponse,
     private val requestId: String,
+    private val idleMillis: Long,
     private val recorder: ResponseRecorder? = null,
+    private val onStalled: () -> Unit = {},
     private val onFirstByte: () -> Unit = {},
 ) : AnswerSink {
     private var added = emptySet<String>()
@@ -72,6 +76,8 @@
         val pending = CompletableDeferred<Unit>()
         drained = pending
         response.drainHandler { pending.complete(Unit) }
+        if (withTimeoutOrNull(idleMillis) { pending.await() } != null) return
+        onStalled()
         pending.await()
     }
 
--- a/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
@@ -8,6 +8,7 @@
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.node.MonotonicClock
 import org.poplarshift.node.http.ErrorAnswer
+import org.poplarshift.node.http.cutConnection
 import org.poplarshift.node.http.refuse
 import org.poplarshift.node.idempotency.LedgerDecision
 import java.util.UUID
@@ -18,6 +19,7 @@
     private val runner: OnlineRunner,
     private val metrics: CallerMetrics,
     private val clock: MonotonicClock,
+    private val callerIdleMillis: Long,
 ) {
     /** Refuses a request before it is opened. */
     fun refuse(routing: RoutingContext, answer: ErrorAnswer) {
@@ -58,9 +60,14 @@
     ) {
         val startedMillis = clock.millis()
         val recorder = request.idempotencyKey?.let { ResponseRecorder(MAXIMUM_RECORDED_BYTES) }
-        val sink = CallerSink(routing.response(), request.requestId, recorder) {
-            metrics.firstByte(request.requestClass, clock.millis() - startedMillis)
-        }
+        val sink = CallerSink(
+            response = routing.response(),
+            requestId = request.requestId,
+            idleMillis = callerIdleMillis,
+            recorder = recorder,
+            onStalled = { routing.cutConnection() },
+            onFirstByte = { metrics.firstByte(request.requestClass, clock.millis() - startedMillis) },
+        )
         // A request with an idempotency key runs to its end even when the caller is gone, so that a resend gets the
         // response.
         if (recorder != null) routing.response().closeHandler { sink.callerGone() }
@@ -92,7 +99,7 @@
         val response = routing.response()
         when {
             response.closed() -> return
-            response.headWritten() -> routing.request().connection().close()
+            response.headWritten() -> routing.cutConnection()
             else -> routing.refuse(answer)
         }
     }
--- a/node/src/main/kotlin/org/poplarshift/node/caller/RequestPreparation.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/RequestPreparation.kt
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerRequest
 import org.poplarshift.core.verdict.Ran
 import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.http.BodyResult
 import org.poplarshift.node.http.ErrorAnswer
 import org.poplarshift.node.http.readBody
 import org.poplarshift.node.settings.LimitSettings
@@ -13,10 +14,17 @@
 class RequestPreparation(private val limits: LimitSettings) {
     /** Reads [request] completely. */
     suspend fun read(request: HttpServerRequest): ReadRequest {
-        val body = request.readBody(limits.bodyBytes)
-            ?: return ReadRequest.Refused(
-                ErrorAnswer(RefusalReason.BODY_TOO_LARGE, "the body exceeds ${limits.bodyBytes} bytes", Ran.NOT_RUN),
-            )
+        val body = when (val result = request.readBody(limits.bodyBytes, limits.callerIdleMillis)) {
+            is BodyResult.Complete -> result.body
+            BodyResult.TooLarge ->
+                return refused(RefusalReason.BODY_TOO_LARGE, "the body exceeds ${limits.bodyBytes} bytes")
+
+            BodyResult.Stalled ->
+                return refused(
+                    RefusalReason.CALLER_TIMEOUT,
+                    "no part of the body came in ${limits.callerIdleMillis} ms",
+                )
+        }
         val scrubber = KeyScrubber(PresentedKeys.read(request.headers()))
         if (scrubber.containsKey(request.path())) return badRequest("the path must not contain a key")
         if (scrubber.containsPresentedKey(body.toString())) return badRequest("the body must not contain the key")
@@ -28,8 +36,10 @@
         )
     }
 
-    private fun badRequest(message: String) =
-        ReadRequest.Refused(ErrorAnswer(RefusalReason.BAD_REQUEST, message, Ran.NOT_RUN))
+    private fun badRequest(message: String) = refused(RefusalReason.BAD_REQUEST, message)
+
+    private fun refused(reason: RefusalReason, message: String) =
+        ReadRequest.Refused(ErrorAnswer(reason, message, Ran.NOT_RUN))
 
     private companion object {
         val REPLACED_HEADERS = setOf("host", "content-length", "expect", "x-request-id")
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/http/CutConnection.kt
@@ -0,0 +1,22 @@
+package org.poplarshift.node.http
+
+import io.vertx.core.http.impl.HttpServerConnection
+import io.vertx.ext.web.RoutingContext
+
+/**
+ * Closes the caller's connection without completing the response.
+ *
+ * Vert.x closes a connection only after all written bytes were taken, which never happens when the caller is silent.
+ * The channel is therefore closed, with what it still holds, when that takes more than a second.
+ */
+fun RoutingContext.cutConnection() {
+    val connection = request().connection()
+    var isClosed = false
+    connection.close().onComplete { isClosed = true }
+    if (isClosed) return
+    vertx().setTimer(FLUSH_MILLIS) {
+        if (!isClosed) (connection as? HttpServerConnection)?.channelHandlerContext()?.close()
+    }
+}
+
+private const val FLUSH_MILLIS = 1_000L
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -28,6 +28,7 @@
             .setMaxInitialLineLength(limits.requestLineBytes)
             .setMaxHeaderSize(limits.headerBytes)
             .setHandle100ContinueAutomatically(true)
+            .setHttp2ClearTextEnabled(false)
         server = context.vertx
             .createHttpServer(options)
             .requestHandler(router)
--- a/node/src/main/kotlin/org/poplarshift/node/http/Refusals.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/Refusals.kt
@@ -15,7 +15,7 @@
     if (request.isEnded) return
     request.handler { }
     request.resume()
-    if (mayHaveUnreadBody) vertx().setTimer(DISCARD_MILLIS) { request.connection().close() }
+    if (mayHaveUnreadBody) vertx().setTimer(DISCARD_MILLIS) { cutConnection() }
 }
 
 private fun HttpServerRequest.hasBody(): Boolean =
--- a/node/src/main/kotlin/org/poplarshift/node/http/RequestBodies.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/RequestBodies.kt
@@ -2,19 +2,36 @@
 
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
 
-/** Reads the body of [this] request, or returns null as soon as it exceeds [limitBytes]. */
-suspend fun HttpServerRequest.readBody(limitBytes: Int): Buffer? {
+/** The outcome of reading the body of a request. */
+sealed interface BodyResult {
+    /** The whole body. */
+    data class Complete(val body: Buffer) : BodyResult
+
+    /** The body exceeds the limit; it was not read to its end. */
+    data object TooLarge : BodyResult
+
+    /** The sender stopped to send within the body. */
+    data object Stalled : BodyResult
+}
+
+/** Reads a body of at most [limitBytes], of which a part must arrive every [idleMillis]. */
+suspend fun HttpServerRequest.readBody(limitBytes: Int, idleMillis: Long): BodyResult {
     val declared = getHeader("Content-Length")?.toLongOrNull() ?: 0
-    if (declared > limitBytes) return null
+    if (declared > limitBytes) return BodyResult.TooLarge
     val body = Buffer.buffer()
-    val result = CompletableDeferred<Buffer?>()
-    handler { chunk ->
-        if (body.length() + chunk.length() > limitBytes) result.complete(null) else body.appendBuffer(chunk)
-    }
-    exceptionHandler { result.completeExceptionally(it) }
-    endHandler { result.complete(body) }
+    val chunks = Channel<Buffer>(Channel.UNLIMITED)
+    handler { chunks.trySend(it) }
+    exceptionHandler { chunks.close(it) }
+    endHandler { chunks.close() }
     resume()
-    return result.await()
+    while (true) {
+        val received = withTimeoutOrNull(idleMillis) { chunks.receiveCatching() } ?: return BodyResult.Stalled
+        received.exceptionOrNull()?.let { throw it }
+        val chunk = received.getOrNull() ?: return BodyResult.Complete(body)
+        if (body.length() + chunk.length() > limitBytes) return BodyResult.TooLarge
+        body.appendBuffer(chunk)
+    }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
@@ -24,7 +24,7 @@
             try {
                 handle(routing)
             } catch (exception: CancellationException) {
-                routing.request().connection().close()
+                routing.cutConnection()
                 throw exception
             } catch (exception: Exception) {
                 log.error(exception) { "server: ${routing.request().method()} ${routing.request().path()} failed" }
@@ -36,7 +36,7 @@
 private fun fail(routing: RoutingContext) {
     val response = routing.response()
     if (response.headWritten()) {
-        routing.request().connection().close()
+        routing.cutConnection()
     } else {
         routing.refuse(ErrorAnswer(RefusalReason.INTERNAL, "internal error", Ran.MAY_HAVE_RUN))
     }
--- a/node/src/main/kotlin/org/poplarshift/node/peer/Gossip.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/Gossip.kt
@@ -12,6 +12,7 @@
 import org.poplarshift.node.NodeContext
 import org.poplarshift.node.NodeLifecycle
 import org.poplarshift.node.NodePart
+import org.poplarshift.node.http.BodyResult
 import org.poplarshift.node.http.ErrorAnswer
 import org.poplarshift.node.http.json
 import org.poplarshift.node.http.readBody
@@ -68,9 +69,11 @@
 
     private suspend fun answer(routing: RoutingContext) {
         val receivedMillis = context.clock.millis()
-        val body = routing.request().readBody(MAXIMUM_BYTES)
+        val read = routing.request().readBody(MAXIMUM_BYTES, idleMillis = periodMillis)
         val message = try {
-            body?.let { WireJson.lenient.decodeFromString(ExchangeMessage.serializer(), it.toString()) }
+            (read as? BodyResult.Complete)?.let {
+                WireJson.lenient.decodeFromString(ExchangeMessage.serializer(), it.body.toString())
+            }
         } catch (exception: SerializationException) {
             log.warn { "peers: an exchange message is not readable: ${exception.message}" }
             null
--- a/node/src/main/kotlin/org/poplarshift/node/settings/ConfigurationSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/ConfigurationSettings.kt
@@ -7,4 +7,21 @@
  * 0 means no limit, so that a partitioned availability zone continues to serve
  */
 @Serializable
-data class ConfigurationSettings(val staleLimitSeconds: Long = 0)
+data class ConfigurationSettings(val staleLimitSeconds: Long = 0) {
+    /**
+     * How long a read of the configuration stream may wait for a record. The age of the configuration counts from the
+     * start of the newest complete read, so that the wait must be well within the limit.
+     */
+    val readWaitMillis: Long
+        get() = if (staleLimitSeconds ==
+            0L
+        ) {
+            LONGEST_WAIT_MILLIS
+        } else {
+            minOf(LONGEST_WAIT_MILLIS, staleLimitSeconds * 200)
+        }
+
+    private companion object {
+        const val LONGEST_WAIT_MILLIS = 5_000L
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/settings/LimitSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/LimitSettings.kt
@@ -3,13 +3,15 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Sizes in bytes that a request must not exceed.
+ * What a request must not exceed: sizes in bytes, times in milliseconds.
  *
  * @property requestLineBytes method, path and query
  * @property headerBytes all header fields together
  * @property bodyBytes the body of an online request
  * @property batchBodyBytes the body of an uploaded batch job
  * @property itemBytes one line of an uploaded batch job
+ * @property callerIdleMillis how long a caller may neither send a part of its body nor take a part of its response; a
+ * connection that has gone silent would otherwise keep a worker busy and a shutdown waiting
  */
 @Serializable
 data class LimitSettings(
@@ -18,4 +20,5 @@
     val bodyBytes: Int = 1_048_576,
     val batchBodyBytes: Int = 134_217_728,
     val itemBytes: Int = 262_144,
+    val callerIdleMillis: Long = 30_000,
 )
--- a/node/src/test/kotlin/org/poplarshift/node/ShutdownTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/ShutdownTest.kt
@@ -39,7 +39,9 @@
                     val shutdown = async { node.node.shutdown() }
                     eventually(1.seconds) { node.inspect("/health/ready").statusCode() shouldBe 503 }
                     engine.answer = { FakeWorker.echo(it) }
-                    node.complete(key).statusCode() shouldBe 200
+                    val late = node.complete(key)
+                    late.statusCode() shouldBe 200
+                    late.headers().firstValue("Connection").get() shouldBe "close"
                     eventually(1.seconds) { peer.inspect("/status").body() shouldContain "\"isLeaving\":true" }
                     delay(2_000)
                     shutdown.isCompleted shouldBe false
