Add slot ownership, the fleet-wide rate limit and a simulation of both

A slot needs one holder at a time without a second coordination service, and an organisation's requests must stay within its rate and burst over all VMs without tolerance. The pure core has the records, reducer, leases, votes and takeovers of the stream `ownership`, and token buckets with leases that are debited before they are granted. The simulation runs 9 VMs in virtual time with loss, duplicates, delays, pauses, restarts, partitions and clocks that differ by up to 1%, and checks the bound and the single holder at each step.

--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/ownership/SlotKeeper.kt
@@ -0,0 +1,138 @@
+package org.poplarshift.core.ownership
+
+import org.poplarshift.core.ownership.OwnershipRecord.SlotReleased
+import org.poplarshift.core.ownership.OwnershipRecord.VmLeft
+
+/**
+ * The ownership protocol of one process: what it has read, the leases on its slots and its votes. It decides and
+ * returns what is to be sent; the caller does the input and output and passes in monotonic milliseconds.
+ */
+class SlotKeeper(
+    private val identity: VmIdentity,
+    private val times: SlotTimes = SlotTimes(),
+    private val reducer: OwnershipReducer = OwnershipReducer(),
+) {
+    /** What the records read so far say. */
+    var state: OwnershipState = OwnershipState()
+        private set
+
+    private var lastReadStartedMillis: Long? = null
+    private val leases = mutableMapOf<Slot, SlotLease>()
+    private val voter = SlotVoter(identity.incarnation, times)
+    private val confirmations = SlotConfirmations(identity.incarnation)
+    private val claimant = SlotClaimant(identity, times)
+    private val reaffirmation = SlotReaffirmation(identity, times)
+    private var isLeaving = false
+
+    /** Sets the first offset that the log still had when this process began to read. */
+    fun begin(firstOffset: Long) {
+        check(state.nextOffset == 0L) { "ownership: reading began at offset ${state.firstOffset} already" }
+        state = OwnershipState(firstOffset = firstOffset)
+    }
+
+    /** Applies one record. */
+    fun apply(offset: Long, record: OwnershipRecord, nowMillis: Long) {
+        state = reducer.apply(state, offset, record)
+        val own = state.claims.values.filter { it.incarnation == identity.incarnation }
+        leases.values.removeIf { lease -> own.none { it.offset == lease.claim.offset } }
+        own.filter { it.slot !in leases && !isLeaving }.forEach { leases[it.slot] = SlotLease(it, nowMillis, times) }
+        confirmations.retain(own.map { SlotVersion(it.slot, it.version) }.toSet())
+    }
+
+    /** Takes a read that began at [startedMillis] and reached the end of the log, after its records were applied. */
+    fun readToEnd(startedMillis: Long) {
+        lastReadStartedMillis = maxOf(startedMillis, lastReadStartedMillis ?: startedMillis)
+        leases.values.forEach { it.confirmFromLog(startedMillis) }
+    }
+
+    /** The leases of this process, usable or not. */
+    fun leases(): Collection<SlotLease> = leases.values
+
+    /** The lease on [slot], or null. */
+    fun lease(slot: Slot): SlotLease? = leases[slot]
+
+    /**
+     * What to append and to send now; called about once a second.
+     *
+     * @param slots the number of slots of this process's zone, or 0 when it is unknown
+     * @param listedAddresses peer addresses in the platform's list, or null when the list is unavailable
+     */
+    fun tick(slots: Int, listedAddresses: Set<String>?, nowMillis: Long): List<SlotAction> {
+        if (isLeaving) return confirmRequests(nowMillis)
+        return reaffirmation.step(state, leases.values, nowMillis) +
+            voteItself(claimant.step(state, slots, listedAddresses, nowMillis), nowMillis) +
+            confirmRequests(nowMillis)
+    }
+
+    /** Takes the answer to a request that was sent at [sentMillis]. */
+    fun confirmed(response: SlotConfirmResponse, sentMillis: Long, nowMillis: Long) {
+        confirmations.add(response, sentMillis)
+        leases.values.forEach { lease ->
+            val claim = state.claims[lease.claim.slot] ?: return@forEach
+            val age = response.readAgeMillis
+            if (age != null && SlotVersion(claim.slot, claim.version) in response.inLog) {
+                lease.confirmFromLog(sentMillis - times.safely(age))
+            }
+            confirmations.majoritySentMillis(claim, state, nowMillis)?.let { lease.confirmByMajority(it) }
+        }
+    }
+
+    /** Votes on a holder's claims. */
+    fun confirm(request: SlotConfirmRequest, nowMillis: Long): SlotConfirmResponse =
+        voter.confirm(request, state, lastReadStartedMillis, nowMillis)
+
+    /** Votes on a takeover; a holder doesn't promise its own slot, since it counts itself when it is confirmed. */
+    fun promise(request: SlotPromiseRequest, nowMillis: Long): SlotPromiseResponse {
+        if (request.claim.slot in
+            leases
+        ) {
+            return SlotPromiseResponse(identity.incarnation, request.claim, promised = false)
+        }
+        return voter.promise(request, nowMillis)
+    }
+
+    /** Takes a voter's answer. */
+    fun promised(response: SlotPromiseResponse, nowMillis: Long) = claimant.answer(response, nowMillis)
+
+    /** Ends claiming; the leases go on until [leave]. */
+    fun startLeaving() {
+        isLeaving = true
+    }
+
+    /**
+     * Ends all leases and votes and returns the records to append. A slot that was not in use yet is not released: its
+     * next holder has to wait out the earlier holders.
+     */
+    fun leave(nowMillis: Long): List<OwnershipRecord> {
+        isLeaving = true
+        val inUse = leases.values.filter { nowMillis >= it.usableFromMillis }.map { it.claim.slot }
+        leases.clear()
+        voter.close()
+        return inUse.map { SlotReleased(it, identity.incarnation) } + VmLeft(identity.vm, identity.incarnation)
+    }
+
+    /** Gives this process's own vote on its takeovers and returns the other actions. */
+    private fun voteItself(actions: List<SlotAction>, nowMillis: Long): List<SlotAction> {
+        val own = actions.filterIsInstance<SlotAction.Promise>().filter { it.voter.incarnation == identity.incarnation }
+        own.forEach { promised(promise(it.request, nowMillis), nowMillis) }
+        return actions - own.toSet()
+    }
+
+    private fun confirmRequests(nowMillis: Long): List<SlotAction> {
+        val isDue = leases.values.any { lease ->
+            val age = lease.confirmationAgeMillis(nowMillis)
+            age == null || age >= times.slotLeaseMillis * ASK_PEERS_AFTER_SHARE
+        }
+        if (!isDue) return emptyList()
+        val claims = leases.keys.mapNotNull { state.claims[it] }.map { SlotVersion(it.slot, it.version) }
+        val request = SlotConfirmRequest(identity.incarnation, claims)
+        return state.liveMembers(identity.availabilityZone)
+            .filter { it.incarnation != identity.incarnation }
+            .map { SlotAction.Confirm(it, request) }
+    }
+
+    private companion object {
+        /** A read of the log each second confirms all slots at once; peers are asked when it is overdue. */
+        const val ASK_PEERS_AFTER_SHARE = 0.4
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/ownership/SlotTakeover.kt
@@ -0,0 +1,47 @@
+package org.poplarshift.core.ownership
+
+/**
+ * The attempt to take over [claim] from a holder that seems to be gone, begun at [startedMillis]. The holder itself is
+ * asked first, since the platform's list lags: a holder that still answers keeps its slot.
+ */
+class SlotTakeover(val claim: SlotClaim, val startedMillis: Long) {
+    private val promisedBy = mutableSetOf<String>()
+    private var refusedMillis: Long = startedMillis
+    private var holderAnsweredMillis: Long = startedMillis
+
+    /** Takes a voter's answer. */
+    fun answer(response: SlotPromiseResponse, nowMillis: Long) {
+        if (response.claim.version != claim.version) return
+        if (response.incarnation == claim.incarnation) holderAnsweredMillis = nowMillis
+        if (response.promised) promisedBy += response.incarnation else refusedMillis = nowMillis
+    }
+
+    /** What is known at [nowMillis]. */
+    fun decide(state: OwnershipState, times: SlotTimes, nowMillis: Long): TakeoverDecision {
+        val isSilent = nowMillis - holderAnsweredMillis >= times.silenceMillis
+        if (state.isLive(claim.incarnation) && !isSilent) return TakeoverDecision.ASK_HOLDER
+        if (state.isPromised(claim, promisedBy)) return TakeoverDecision.CLAIM_PROMISED
+        val hasGivenUp = nowMillis - refusedMillis >= times.promiseTimeoutMillis
+        return if (hasGivenUp) TakeoverDecision.CLAIM_ISOLATED else TakeoverDecision.ASK_VOTERS
+    }
+
+    /** The living voters that have not promised yet, and the holder. */
+    fun open(state: OwnershipState): List<Member> = (state.electorate(claim) + claim.incarnation)
+        .filter { it !in promisedBy && state.isLive(it) }
+        .mapNotNull { state.members[it] }
+}
+
+/** How a takeover goes on. */
+enum class TakeoverDecision {
+    /** The holder has not been silent for long enough. */
+    ASK_HOLDER,
+
+    /** More promises are needed. */
+    ASK_VOTERS,
+
+    /** A majority has promised. */
+    CLAIM_PROMISED,
+
+    /** A majority can't be reached; the claim counts only after the isolation limit. */
+    CLAIM_ISOLATED,
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/KeeperSlotHolding.kt
@@ -0,0 +1,20 @@
+package org.poplarshift.core.quota
+
+import org.poplarshift.core.ownership.Slot
+import org.poplarshift.core.ownership.SlotKeeper
+import org.poplarshift.core.ownership.VmIdentity
+
+/** The slots as [keeper] knows them. */
+class KeeperSlotHolding(private val identity: VmIdentity, private val keeper: SlotKeeper) : SlotHolding {
+    override fun usable(nowMillis: Long): List<UsableSlot> = keeper.leases().mapNotNull { lease ->
+        val remaining = lease.remainingMillis(nowMillis)
+        if (remaining <= 0) return@mapNotNull null
+        UsableSlot(lease.claim.slot, lease.claim.offset, lease.usableFromMillis, remaining)
+    }
+
+    override fun holder(slot: Slot): SlotHolder? {
+        val incarnation = keeper.state.claims[slot]?.incarnation ?: return null
+        if (incarnation == identity.incarnation) return null
+        return SlotHolder(incarnation, isLocal = slot.availabilityZone == identity.availabilityZone)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/QuotaTimes.kt
@@ -0,0 +1,29 @@
+package org.poplarshift.core.quota
+
+import kotlin.math.ceil
+
+/**
+ * Durations of token leases and of the demand policy, in milliseconds.
+ *
+ * @property leaseMillis how long a receiver may spend a token lease
+ * @property driftShare the largest difference in rate between two monotonic clocks
+ * @property prefetchMillis how much expected demand a receiver holds in advance
+ * @property idleReturnMillis after how long without requests a receiver returns its tokens
+ * @property settleMillis how long a settlement waits for a request that can carry it
+ */
+data class QuotaTimes(
+    val leaseMillis: Long = 2_000,
+    val driftShare: Double = 0.01,
+    val prefetchMillis: Long = 200,
+    val idleReturnMillis: Long = 500,
+    val settleMillis: Long = 50,
+) {
+    /** How long the giver waits to be sure that [durationMillis] have passed at the receiver. */
+    fun restoreMillis(durationMillis: Long): Long =
+        ceil(durationMillis * (1 + 2 * driftShare)).toLong() + ROUNDING_MILLIS
+
+    private companion object {
+        /** Two readings of a millisecond clock each lose up to one millisecond. */
+        const val ROUNDING_MILLIS = 2L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/SlotHolding.kt
@@ -0,0 +1,18 @@
+package org.poplarshift.core.quota
+
+import org.poplarshift.core.ownership.Slot
+
+/** A slot that this VM may use now, as the quota needs it. */
+data class UsableSlot(val slot: Slot, val claimOffset: Long, val usableFromMillis: Long, val remainingMillis: Long)
+
+/** Which slots this VM may use and who holds the others. */
+interface SlotHolding {
+    /** The slots that this VM may use at [nowMillis]; checked at each call. */
+    fun usable(nowMillis: Long): List<UsableSlot>
+
+    /** The other VM that holds [slot], or null. */
+    fun holder(slot: Slot): SlotHolder?
+}
+
+/** Another VM that holds a slot. */
+data class SlotHolder(val incarnation: String, val isLocal: Boolean)
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/SlotShare.kt
@@ -0,0 +1,12 @@
+package org.poplarshift.core.quota
+
+/**
+ * The part of an organisation's limits that a slot carries, in micro-tokens.
+ *
+ * @property refillPerSecond by the holder's clock
+ */
+data class SlotShare(val refillPerSecond: Long, val capacity: Long) {
+    companion object {
+        val NONE = SlotShare(refillPerSecond = 0, capacity = 0)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/TokenMessages.kt
@@ -0,0 +1,43 @@
+package org.poplarshift.core.quota
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Asks a slot holder for tokens. Amounts are micro-tokens.
+ *
+ * @property needed for requests that wait now
+ * @property wanted including what the next requests are expected to need; at least [needed]
+ * @property settled leases of this giver that have ended
+ */
+@Serializable
+data class TokenRequest(
+    val organisation: String,
+    val needed: Long,
+    val wanted: Long,
+    val settled: List<SettledLease> = emptyList(),
+)
+
+/**
+ * A lease that its receiver will not spend from any more.
+ *
+ * @property returned what was not spent
+ */
+@Serializable
+data class SettledLease(val leaseId: Long, val returned: Long = 0)
+
+/**
+ * The giver's answer.
+ *
+ * @property leases at most one for each slot of the giver
+ * @property surplus what the giver has left
+ */
+@Serializable
+data class TokenGrant(val leases: List<TokenLease>, val surplus: Long)
+
+/**
+ * Tokens that the receiver may spend until [durationMillis] after it sent the request.
+ *
+ * @property leaseId unique at the giver's incarnation
+ */
+@Serializable
+data class TokenLease(val leaseId: Long, val amount: Long, val durationMillis: Long)
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/TokenWallet.kt
@@ -0,0 +1,64 @@
+package org.poplarshift.core.quota
+
+/** The token leases that a VM has received for one organisation. The giver of a lease is named by its incarnation. */
+class TokenWallet {
+    private val held = mutableListOf<HeldLease>()
+    private val settled = LinkedHashMap<String, MutableList<SettledLease>>()
+    private var settledSinceMillis: Long? = null
+
+    /** Takes leases that were asked for at [sentMillis]. */
+    fun add(giver: String, leases: List<TokenLease>, sentMillis: Long) {
+        leases.forEach { held += HeldLease(giver, it.leaseId, it.amount, sentMillis + it.durationMillis) }
+        held.sortBy { it.expiresAtMillis }
+    }
+
+    /** What can be spent now. */
+    fun available(nowMillis: Long): Long {
+        held.removeAll { it.expiresAtMillis <= nowMillis }
+        return held.sumOf { it.amount }
+    }
+
+    /** Spends at most [amount], first from what expires first, and returns how much was spent. */
+    fun spend(amount: Long, nowMillis: Long): Long {
+        available(nowMillis)
+        var missing = amount
+        while (missing > 0 && held.isNotEmpty()) {
+            val lease = held.first()
+            val part = minOf(missing, lease.amount)
+            lease.amount -= part
+            missing -= part
+            if (lease.amount == 0L) end(lease, nowMillis)
+        }
+        return amount - missing
+    }
+
+    /** Gives up all leases; their tokens are gone before the givers hear of it. */
+    fun returnAll(nowMillis: Long) {
+        held.toList().filter { it.expiresAtMillis > nowMillis }.forEach { end(it, nowMillis) }
+        held.clear()
+    }
+
+    /** Removes and returns the settlements for [giver]. */
+    fun takeSettled(giver: String): List<SettledLease> {
+        val taken = settled.remove(giver).orEmpty()
+        if (settled.isEmpty()) settledSinceMillis = null
+        return taken
+    }
+
+    /** The givers with settlements, when the oldest settlement is at least [ageMillis] old. */
+    fun giversToSettle(ageMillis: Long, nowMillis: Long): List<String> {
+        val since = settledSinceMillis ?: return emptyList()
+        return if (nowMillis - since >= ageMillis) settled.keys.toList() else emptyList()
+    }
+
+    /** Whether there are neither leases nor settlements. */
+    fun isEmpty(nowMillis: Long): Boolean = available(nowMillis) == 0L && settled.isEmpty()
+
+    private fun end(lease: HeldLease, nowMillis: Long) {
+        held.remove(lease)
+        settled.getOrPut(lease.giver) { mutableListOf() } += SettledLease(lease.leaseId, lease.amount)
+        if (settledSinceMillis == null) settledSinceMillis = nowMillis
+    }
+
+    private class HeldLease(val giver: String, val leaseId: Long, var amount: Long, val expiresAtMillis: Long)
+}
--- /dev/null
+++ b/verification/src/test/kotlin/org/poplarshift/verification/fleet/FleetBoundTest.kt
@@ -0,0 +1,77 @@
+package org.poplarshift.verification.fleet
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import org.poplarshift.core.catalogue.Organisation
+import org.poplarshift.core.ownership.SlotTimes
+import org.poplarshift.core.quota.QuotaTimes
+import org.poplarshift.core.quota.TokenGrant
+import org.poplarshift.core.quota.TokenLease
+
+/**
+ * Guards against admissions above an organisation's rate and burst, and against two holders of a slot, under random
+ * faults. Replay one seed with `-Dpoplarshift.seed=`.
+ */
+class FleetBoundTest :
+    FunSpec({
+        val seeds = System.getProperty("poplarshift.seed")?.let { listOf(it.toLong()) } ?: (1L..SEEDS).toList()
+
+        seeds.forEach { seed ->
+            test("no organisation exceeds its limits, seed $seed") {
+                val fleet = FleetSimulation(seed, FleetSettings(ORGANISATIONS)).run(SECONDS)
+                fleet.violation shouldBe null
+                fleet.results.values.forEach { (it.admitted > 0) shouldBe true }
+            }
+        }
+
+        val broken = listOf(
+            "credit before debit" to FleetSettings(ORGANISATIONS, giver = ::creditBeforeDebit),
+            "takeover without waiting" to
+                FleetSettings(
+                    ORGANISATIONS,
+                    slotTimes = SlotTimes(isolationLimitMillis = 20_000, driftShare = NO_WAIT),
+                ),
+            "capacity restored too early" to
+                FleetSettings(ORGANISATIONS, quotaTimes = QuotaTimes(driftShare = NO_WAIT)),
+        )
+        broken.forEach { (variant, settings) ->
+            test("the check finds $variant") {
+                val found = (1L..BROKEN_SEEDS).firstNotNullOfOrNull {
+                    FleetSimulation(it, settings).run(SECONDS).violation
+                }
+                println("$variant: $found")
+                found shouldNotBe null
+            }
+        }
+    }) {
+    private companion object {
+        const val SEEDS = 30L
+        const val BROKEN_SEEDS = 30L
+        const val SECONDS = 120
+
+        /** Makes 1 + 2 x drift zero, so that a giver or a new holder waits no time. */
+        const val NO_WAIT = -0.5
+
+        val ORGANISATIONS = listOf(
+            Organisation("small", owner = "owner", ratePerSecond = 5.0, burst = 10.0),
+            Organisation("large", owner = "owner", ratePerSecond = 60.0, burst = 90.0),
+        )
+
+        /** Answers with a lease at once and debits the bucket one message later. */
+        fun creditBeforeDebit(call: GiverCall): TokenGrant {
+            val surplus = call.book.grant(
+                call.shares,
+                call.organisation,
+                call.request.copy(needed = 0, wanted = 0),
+                call.nowMillis,
+            )
+            val amount = minOf(call.request.wanted, surplus.surplus)
+            call.later(30_000) { call.book.grant(call.shares, call.organisation, call.request, call.nowMillis + 30) }
+            return TokenGrant(
+                listOf(TokenLease(leaseId = -call.nowMillis, amount, durationMillis = 2_000)),
+                surplus.surplus,
+            )
+        }
+    }
+}
