Add the pure core of batch jobs and of the idempotency ledger

Cause: batch jobs and keyed requests need decisions that every node takes alike from the log alone. The sequences found two faults of the design, both fixed: a reader that starts late took a resent upload for a job whose acceptance had left retention (JobAccepted now says through which offset its writer knew the log), and a writer that lagged far behind could accept a job that was about to leave retention (it now reads up to its own items first).

--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/ItemOutcome.kt
@@ -0,0 +1,14 @@
+package org.poplarshift.core.batch
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** The recorded end of an item. Items of a cancelled job without a recorded end are cancelled. */
+@Serializable
+enum class ItemOutcome {
+    @SerialName("done")
+    DONE,
+
+    @SerialName("failed")
+    FAILED,
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/RunVerdictMapper.kt
@@ -0,0 +1,34 @@
+package org.poplarshift.core.batch
+
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.core.verdict.Verdict
+
+/** Decides from the verdict of a run whether its item is done, has failed or runs again. */
+class RunVerdictMapper(private val maximumAttempts: Int) {
+    fun map(run: BatchRun, verdict: Verdict): RunOutcome = when (verdict) {
+        is Verdict.NotRun -> RunOutcome.Retry(verdict.reason)
+        is Verdict.MayHaveRun -> unknown(run, verdict.reason)
+        is Verdict.Answered -> answered(run, verdict.status)
+    }
+
+    private fun unknown(run: BatchRun, reason: RefusalReason): RunOutcome = when {
+        !run.idempotent -> RunOutcome.Failed(RefusalReason.OUTCOME_UNKNOWN, Ran.MAY_HAVE_RUN)
+        isLastAttempt(run) -> RunOutcome.Failed(reason, Ran.MAY_HAVE_RUN)
+        else -> RunOutcome.Retry(reason)
+    }
+
+    private fun answered(run: BatchRun, status: Int): RunOutcome = when {
+        status in SUCCESS -> RunOutcome.Done(status)
+        status in PERMANENT || !run.idempotent || isLastAttempt(run) ->
+            RunOutcome.Failed(RefusalReason.UPSTREAM_REFUSED, Ran.RAN, status)
+        else -> RunOutcome.Retry(RefusalReason.UPSTREAM_REFUSED)
+    }
+
+    private fun isLastAttempt(run: BatchRun) = run.attempt >= maximumAttempts
+
+    private companion object {
+        val SUCCESS = 200..399
+        val PERMANENT = 400..422
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/batch/sequence/SimulatedLog.kt
@@ -0,0 +1,50 @@
+package org.poplarshift.core.batch.sequence
+
+import kotlin.random.Random
+
+/** A log in virtual time whose appends may be lost, delayed or lack an acknowledgement. */
+class SimulatedLog<Record>(private val random: Random) {
+    private class Stamped<Record>(val record: Record, val atMillis: Long)
+
+    private val records = ArrayList<Stamped<Record>>()
+    private val delayed = ArrayList<Record>()
+    var isFaulty = true
+    var retentionStart = 0L
+        private set
+    val end: Long
+        get() = records.size.toLong()
+
+    /** Returns the offset, or null when the outcome is unknown. */
+    fun append(record: Record, nowMillis: Long): Long? = when (if (isFaulty) random.nextInt(12) else -1) {
+        0 -> null
+        1 -> null.also { land(record, nowMillis) }
+        2 -> null.also { delayed += record }
+        3 -> land(record, nowMillis).also { land(record, nowMillis) }
+        else -> land(record, nowMillis)
+    }
+
+    fun landDelayed(nowMillis: Long) {
+        if (delayed.isEmpty()) return
+        land(delayed.removeAt(random.nextInt(delayed.size)), nowMillis)
+    }
+
+    fun expire(nowMillis: Long) {
+        while (retentionStart < end && records[retentionStart.toInt()].atMillis < nowMillis - RETENTION_MILLIS) {
+            retentionStart++
+        }
+    }
+
+    fun read(offset: Long): Record {
+        check(offset >= retentionStart) { "offset $offset has left retention, which starts at $retentionStart" }
+        return records[offset.toInt()].record
+    }
+
+    private fun land(record: Record, nowMillis: Long): Long {
+        records += Stamped(record, nowMillis)
+        return end - 1
+    }
+
+    companion object {
+        const val RETENTION_MILLIS = 6 * 3_600_000L
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/batch/sequence/SimulatedNode.kt
@@ -0,0 +1,223 @@
+package org.poplarshift.core.batch.sequence
+
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonPrimitive
+import org.poplarshift.core.batch.BatchIndex
+import org.poplarshift.core.batch.BatchItem
+import org.poplarshift.core.batch.BatchRecord
+import org.poplarshift.core.batch.BatchResult
+import org.poplarshift.core.batch.BatchRun
+import org.poplarshift.core.batch.BatchScheduler
+import org.poplarshift.core.batch.CarryPlanner
+import org.poplarshift.core.batch.ChunkReference
+import org.poplarshift.core.batch.ItemOutcome
+import org.poplarshift.core.batch.ItemResult
+import org.poplarshift.core.batch.JobKey
+import org.poplarshift.core.batch.JobPhase
+import org.poplarshift.core.batch.JobState
+import org.poplarshift.core.batch.RunOutcome
+import org.poplarshift.core.batch.RunVerdictMapper
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.core.verdict.Verdict
+
+/** A node of the sequence: one reader of the log and, while it holds the slot, the runner of all jobs. */
+class SimulatedNode(val incarnation: String, private val world: BatchWorld) {
+    private class Outgoing(val record: BatchRecord, val onAppended: (Long) -> Unit)
+
+    private class Starting(val run: BatchRun, var offset: Long? = null)
+
+    var index = BatchIndex(world.log.retentionStart)
+        private set
+    val inFlight = ArrayList<BatchRun>()
+    var isPaused = false
+    private var scheduler = BatchScheduler(RunVerdictMapper(maximumAttempts = 3))
+    private val outgoing = ArrayDeque<Outgoing>()
+    private val starting = ArrayList<Starting>()
+    private val results = LinkedHashMap<String, MutableList<ItemResult>>()
+    private val unacknowledged = ArrayList<Pair<Long, BatchRecord.JobAccepted>>()
+    private val uploaded = ArrayList<BatchRecord.JobAccepted>()
+    private val carrying = HashSet<String>()
+    private var tenure = -1
+    private var isReady = false
+    private val holderName: String
+        get() = "$incarnation/$tenure"
+
+    fun send(record: BatchRecord, onAppended: (Long) -> Unit = {}) {
+        outgoing += Outgoing(record, onAppended)
+    }
+
+    /** Sends the chunks one after the other and the acceptance last. */
+    fun upload(accepted: BatchRecord.JobAccepted, chunkSize: Int) {
+        val chunks = ArrayList<ChunkReference>()
+        (0 until accepted.itemCount).chunked(chunkSize).forEachIndexed { chunk, indexes ->
+            val items = indexes.map { BatchItem(it, "item$it", JsonNull) }
+            send(BatchRecord.ItemsUploaded(accepted.uploadId, chunk, items)) { offset ->
+                chunks += ChunkReference(offset, indexes.first())
+                if (indexes.last() == accepted.itemCount - 1) uploaded += accepted.copy(chunks = chunks)
+            }
+        }
+    }
+
+    /** Accepts uploads whose items this node has read, so that it knows all jobs before them. */
+    private fun acceptUploaded() {
+        val ready = uploaded.filter { it.chunks.last().offset < index.nextOffset }
+        uploaded.removeAll(ready)
+        ready.forEach(::accept)
+    }
+
+    private fun accept(accepted: BatchRecord.JobAccepted) {
+        val earlier = index.find(JobKey(accepted.organisation, accepted.jobId))
+        if (earlier != null && !BatchIndex.isExpired(earlier, world.nowMillis)) return
+        val complete = accepted.copy(acceptedAtMillis = world.nowMillis, through = index.nextOffset - 1)
+        send(complete) { unacknowledged += it to complete }
+    }
+
+    fun read(maximumRecords: Int) {
+        if (index.nextOffset < world.log.retentionStart) index = BatchIndex(world.log.retentionStart)
+        val end = minOf(world.log.end, index.nextOffset + maximumRecords)
+        for (offset in index.nextOffset until end) applied(index.apply(offset, world.log.read(offset)))
+        index.forget(world.nowMillis, world.log.retentionStart)
+        val visible = unacknowledged.filter { it.first < index.nextOffset }
+        visible.forEach { (_, accepted) -> world.acknowledge(accepted, index) }
+        unacknowledged.removeAll(visible)
+        acceptUploaded()
+    }
+
+    private fun applied(result: BatchResult) {
+        if (result is BatchResult.Recorded) scheduler.ended(result.job.uploadId, result.results.map { it.item })
+        if (result is BatchResult.Carried) carrying -= result.job.uploadId
+        val job = (result as? BatchResult.Cancelled)?.job ?: return
+        stop(scheduler.remove(job.uploadId))
+    }
+
+    private fun stop(runs: List<BatchRun>) {
+        inFlight.removeAll(runs)
+        starting.removeIf { it.run in runs }
+    }
+
+    fun flush() {
+        val next = outgoing.firstOrNull() ?: return
+        val offset = world.log.append(next.record, world.nowMillis) ?: return
+        outgoing.removeFirst()
+        next.onAppended(offset)
+    }
+
+    /** Follows the ownership of the slot; a holder starts only when it has read the log to its end. */
+    fun follow(holder: SimulatedNode?, currentTenure: Int) {
+        if (holder !== this) {
+            giveUp()
+            return
+        }
+        if (tenure != currentTenure) giveUp()
+        tenure = currentTenure
+        if (index.nextOffset == world.log.end) isReady = true
+        if (!isReady) return
+        index.allJobs.filter { it.phase == JobPhase.RUNNING && !scheduler.isScheduling(it.uploadId) }.forEach { job ->
+            scheduler.add(job).forEach { fail(job, it) }
+        }
+    }
+
+    private fun giveUp() {
+        if (!isReady) return
+        isReady = false
+        carrying.clear()
+        stop(starting.map { it.run } + inFlight)
+        scheduler = BatchScheduler(RunVerdictMapper(maximumAttempts = 3))
+    }
+
+    private fun fail(job: JobState, item: Int) = record(
+        job.uploadId,
+        ItemResult(
+            item = item,
+            id = "item$item",
+            outcome = ItemOutcome.FAILED,
+            ran = Ran.MAY_HAVE_RUN,
+            reason = RefusalReason.OUTCOME_UNKNOWN,
+        ),
+    )
+
+    fun startRun() {
+        if (!isReady || carrying.isNotEmpty() || inFlight.size + starting.size >= MAXIMUM_RUNS) return
+        val run = scheduler.next { true } ?: return
+        val isStarted = index.findUpload(run.uploadId)?.starterOf(run.item) == holderName
+        if (run.idempotent || isStarted || !world.rules.startBeforeDispatch) return dispatch(run)
+        val start = Starting(run)
+        starting += start
+        send(BatchRecord.ItemsStarted(run.uploadId, listOf(run.item), holderName)) { start.offset = it }
+    }
+
+    /** Sends the items whose start is in the log. */
+    fun dispatchStarted() {
+        val known = starting.filter { start -> start.offset?.let { it < index.nextOffset } ?: false }
+        starting.removeAll(known)
+        for (start in known) {
+            val run = start.run
+            val starter = index.findUpload(run.uploadId)?.takeUnless { it.hasEnded(run.item) }?.starterOf(run.item)
+            if (starter == holderName) dispatch(run) else end(run, Verdict.MayHaveRun(RefusalReason.OUTCOME_UNKNOWN))
+        }
+    }
+
+    private fun dispatch(run: BatchRun) {
+        inFlight += run
+        world.dispatched(this, run)
+    }
+
+    fun end(run: BatchRun, verdict: Verdict) {
+        inFlight -= run
+        val outcome = scheduler.finish(run, verdict)
+        val result =
+            ItemResult(run.item, "item${run.item}", ItemOutcome.DONE, Ran.RAN, 200, JsonPrimitive(world.next()))
+        when (outcome) {
+            is RunOutcome.Done -> record(run.uploadId, result)
+            is RunOutcome.Failed ->
+                record(
+                    run.uploadId,
+                    result.copy(outcome = ItemOutcome.FAILED, ran = outcome.ran, reason = outcome.reason),
+                )
+            is RunOutcome.Retry, RunOutcome.Dropped -> Unit
+        }
+    }
+
+    private fun record(uploadId: String, result: ItemResult) {
+        results.getOrPut(uploadId) { ArrayList() } += result
+    }
+
+    fun flushResults() {
+        val due = results.keys.filterNot { it in carrying }
+        due.forEach { send(BatchRecord.ResultsRecorded(it, results.remove(it).orEmpty(), world.nowMillis)) }
+    }
+
+    /** Repeats what jobs need before it leaves the log's retention. */
+    fun carry() {
+        val isQuiet = outgoing.isEmpty() && starting.isEmpty() && index.nextOffset == world.log.end
+        if (!isReady || !isQuiet) return
+        val slots = setOf(BatchWorld.SLOT)
+        val job = CarryPlanner(BatchWorld.CARRY_AFTER_MILLIS).due(index, slots, world.nowMillis).firstOrNull() ?: return
+        carrying += job.uploadId
+        val through = index.nextOffset - 1
+        val chunks = Array(job.chunkCount) { job.chunk(it) }
+        val segments = Array(job.segmentCount) { job.segment(it) }
+        val snapshot = job.snapshot(emptyList(), emptyList())
+        chunks.indices.filter(job::hasOpenItems).forEach { chunk ->
+            val original = world.log.read(chunks[chunk].offset) as BatchRecord.ItemsUploaded
+            send(original.copy(carried = true)) { chunks[chunk] = chunks[chunk].copy(offset = it) }
+        }
+        segments.indices.forEach { position ->
+            val original = world.log.read(segments[position].offset) as BatchRecord.ResultsRecorded
+            val valid = original.results.filterIndexed { at, _ -> at !in segments[position].dropped }
+            send(original.copy(results = valid, carried = true)) {
+                segments[position] = segments[position].copy(offset = it, dropped = emptyList())
+            }
+        }
+        send(BatchRecord.ItemsUploaded(job.uploadId, chunk = -1, items = emptyList(), carried = true)) {
+            val accepted = snapshot.accepted.copy(chunks = chunks.toList())
+            val moved = snapshot.copy(accepted = accepted, segments = segments.toList())
+            send(BatchRecord.JobCarried(moved, through, world.nowMillis)) { carrying -= job.uploadId }
+        }
+    }
+
+    private companion object {
+        const val MAXIMUM_RUNS = 4
+    }
+}
