Test the program's exit codes and keep paths out of the error log

Cause: a path can carry a caller's key, and keys must never reach a log. Change: the error log of a failed handler has only the method; NodeProgramTest starts the real program; hashes use HexFormat, which takes the place of 32 calls of String.format for each request.

--- a/core/src/main/kotlin/org/poplarshift/core/configuration/KeyDirectory.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/configuration/KeyDirectory.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.core.configuration
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /**
  * Finds the organisation of a caller's key by the key's hash. Built once for each version of the configuration.
@@ -13,9 +14,7 @@
 
     companion object {
         /** The SHA-256 hash of [key] in hexadecimal digits. */
-        fun hash(key: String): String = MessageDigest
-            .getInstance("SHA-256")
-            .digest(key.toByteArray())
-            .joinToString("") { "%02x".format(it) }
+        fun hash(key: String): String =
+            HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.toByteArray()))
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/caller/Digests.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/Digests.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.node.caller
 
 import java.security.MessageDigest
+import java.util.HexFormat
 
 /** SHA-256 over several parts. */
 object Digests {
@@ -12,6 +13,6 @@
             digest.update("${bytes.size}:".toByteArray())
             digest.update(bytes)
         }
-        return digest.digest().joinToString("") { "%02x".format(it) }
+        return HexFormat.of().formatHex(digest.digest())
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/SuspendingHandler.kt
@@ -27,7 +27,8 @@
                 routing.cutConnection()
                 throw exception
             } catch (exception: Exception) {
-                log.error(exception) { "server: ${routing.request().method()} ${routing.request().path()} failed" }
+                // Without the path, which a caller may have filled with a key.
+                log.error(exception) { "server: a ${routing.request().method()} request failed" }
                 fail(routing)
             }
         }
--- /dev/null
+++ b/node/src/test/kotlin/org/poplarshift/node/NodeProgramTest.kt
@@ -0,0 +1,67 @@
+package org.poplarshift.node
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.engine.spec.tempfile
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.poplarshift.node.fixture.Fleet
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against wrong exit codes of the program and settings that are checked only after it listens. */
+class NodeProgramTest :
+    FunSpec({
+        val settings = tempfile(suffix = ".json")
+
+        fun start(vararg arguments: String): Process = ProcessBuilder(
+            listOf(
+                "java",
+                "-Xmx256m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.poplarshift.node.NodeMainKt",
+            ) +
+                arguments,
+        ).redirectErrorStream(true).start()
+
+        fun Process.exitCode(): Int {
+            check(waitFor(20, TimeUnit.SECONDS)) { "the program did not end" }
+            return exitValue()
+        }
+
+        fun write(callersAddress: String, peersAddress: String) = settings.writeText(
+            """{"vm":"v","availabilityZone":"z","callersAddress":"$callersAddress","peersAddress":"$peersAddress",
+            "platform":{"logAddress":"127.0.0.1:9","vmListAddress":"127.0.0.1:9","weightStoreAddress":"127.0.0.1:9"},
+            "shutdown":{"listLagMillis":100}}""",
+        )
+
+        test("help and version end with 0, wrong usage and settings with 2") {
+            start("--help").exitCode() shouldBe 0
+            start("--version").exitCode() shouldBe 0
+            start("--setting", "x").exitCode() shouldBe 2
+            settings.writeText("""{"vm":"v"}""")
+            val refused = start("--settings", settings.path)
+            val output = refused.inputStream.reader().readText()
+            refused.exitCode() shouldBe 2
+            output shouldContain "${settings.path}: callersAddress: found no value, expected a value"
+        }
+
+        test("an address in use ends the program with 1") {
+            Fleet().use { fleet ->
+                val node = fleet.node()
+                write(node.callersAddress, node.peersAddress)
+                start("--settings", settings.path).exitCode() shouldBe 1
+            }
+        }
+
+        test("SIGTERM ends the program with 0") {
+            val peers = Fleet.freeAddress()
+            write(Fleet.freeAddress(), peers)
+            val process = start("--settings", settings.path)
+            eventually(20.seconds) { Socket("127.0.0.1", peers.substringAfter(':').toInt()).close() }
+            process.destroy()
+            process.exitCode() shouldBe 0
+        }
+    })
