Let a log follower survive a record that can't be applied

Cause: an exception ended the follower for good, so that the node kept an old configuration; a log that does not hold its response back was read in a tight loop; errors of the router had a format of their own. Change: such a record is logged and skipped on every node alike, empty reads are at least 100 ms apart, background failures are logged, and router errors use the common error body. Result: verify passes; TailingLogFollowerTest covers the skip, an outage and the read rate.

--- a/node/src/main/kotlin/org/poplarshift/node/NodeFactory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeFactory.kt
@@ -1,10 +1,12 @@
 package org.poplarshift.node
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import org.poplarshift.node.settings.NodeSettings
@@ -20,12 +22,16 @@
             settings = settings,
             incarnation = "${settings.vm}-${UUID.randomUUID()}",
             vertx = vertx,
-            scope = CoroutineScope(SupervisorJob() + eventLoop.dispatcher()),
+            scope = CoroutineScope(SupervisorJob() + eventLoop.dispatcher() + failureHandler),
             metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
             platform = platform(vertx),
         )
         return Node(context)
     }
 
+    private val log = KotlinLogging.logger {}
+    private val failureHandler = CoroutineExceptionHandler { _, exception ->
+        log.error(exception) { "node: a background task has failed" }
+    }
     private const val WORKER_THREADS = 4
 }
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -5,6 +5,8 @@
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.ext.web.Router
 import io.vertx.kotlin.coroutines.coAwait
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.node.NodeContext
 import java.util.concurrent.TimeUnit
 
@@ -18,6 +20,12 @@
     val router: Router = Router.router(context.vertx)
     private var server: HttpServer? = null
 
+    init {
+        for ((status, reason) in ROUTER_ERRORS) {
+            router.errorHandler(status) { it.refuse(ErrorAnswer(reason, "the request can't be served", Ran.NOT_RUN)) }
+        }
+    }
+
     /** Starts to accept connections. */
     suspend fun listen() {
         val socket = SocketAddresses.parse(address)
@@ -47,6 +55,13 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
+        // Errors that Vert.x Web finds itself, such as a path that can't be decoded, before a handler runs.
+        val ROUTER_ERRORS = mapOf(
+            400 to RefusalReason.BAD_REQUEST,
+            404 to RefusalReason.UNKNOWN_ROUTE,
+            405 to RefusalReason.UNKNOWN_ROUTE,
+        )
+
         // Vert.x cuts connections after the time given to shutdown; running requests must never be cut.
         const val MAXIMUM_DRAIN_HOURS = 24L
     }
--- a/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.node.log
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -51,11 +52,29 @@
         retentionStart = result.retentionStart
         for (record in result.records) {
             if (record.offset < nextOffset) continue
-            apply(record)
+            applyOrSkip(record, apply)
             applied.value = record.offset + 1
         }
         applied.value = maxOf(nextOffset, result.nextOffset)
         lastReadStartedMillis = startedMillis
+        // A log that does not hold its response back must not be read in a tight loop.
+        if (result.records.isEmpty() &&
+            clock.millis() - startedMillis < SHORTEST_WAIT_MILLIS
+        ) {
+            delay(SHORTEST_WAIT_MILLIS)
+        }
+    }
+
+    // Applying is deterministic, so that every node skips the same record. A follower that ended instead would leave
+    // this node with an old configuration for good.
+    private suspend fun applyOrSkip(record: LogRecord, apply: suspend (LogRecord) -> Unit) {
+        try {
+            apply(record)
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            log.error(exception) { "log: record ${record.offset} of stream $stream is skipped" }
+        }
     }
 
     private suspend fun pause(result: Unavailable) {
@@ -67,5 +86,6 @@
     private companion object {
         val log = KotlinLogging.logger {}
         const val MAXIMUM_RECORDS = 500
+        const val SHORTEST_WAIT_MILLIS = 100L
     }
 }
--- a/node/src/test/kotlin/org/poplarshift/node/caller/RefusalTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/caller/RefusalTest.kt
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest
 import org.poplarshift.core.catalogue.Route
 import org.poplarshift.node.fixture.Fleet
+import org.poplarshift.node.fixture.RawCaller
 import org.poplarshift.node.fixture.RunningNode
 
 /** Guards against refusals that say "not run" of a request that ran (R9), and against wrong retries (R10). */
@@ -102,6 +103,7 @@
                 val large = RunningNode.COMPLETION.replace("a quilt", "a".repeat(1_100_000))
                 node.complete(office, large).statusCode() shouldBe 413
                 node.call("GET", "/" + "a".repeat(5_000)).statusCode() shouldBe 413
+                RawCaller(node.callersAddress).use { it.get("/%zz").readUntil("}}") shouldContain "\"bad_request\"" }
                 node.call("GET", "/", headers = mapOf("X-Long" to "a".repeat(20_000))).statusCode() shouldBe 413
                 node.complete(office, """{"model":3,"prompt":""}""").body() shouldContain "model must be a string"
 
--- /dev/null
+++ b/node/src/test/kotlin/org/poplarshift/node/log/TailingLogFollowerTest.kt
@@ -0,0 +1,66 @@
+package org.poplarshift.node.log
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.node.fixture.FakeLogService
+import org.poplarshift.platform.AppendResult
+import org.poplarshift.platform.LogService
+import org.poplarshift.platform.ReadResult
+
+/** Guards against a follower that stops, applies a record twice or reads in a tight loop. */
+class TailingLogFollowerTest :
+    FunSpec({
+        test("a record that can't be applied is skipped, and an outage ends without loss or repetition") {
+            val connection = FakeLogService().Connection()
+            repeat(5) { connection.append("s", "record $it") }
+            val follower = TailingLogFollower(connection, "s", MonotonicClock.SYSTEM, waitMillis = 50, retryMillis = 10)
+            val applied = mutableListOf<Long>()
+            coroutineScope {
+                val following = launch {
+                    follower.follow {
+                        check(it.offset != 2L) { "the record with the offset 2 is broken" }
+                        applied += it.offset
+                    }
+                }
+                withTimeout(5_000) {
+                    follower.awaitApplied(4)
+                    connection.isCutOff = true
+                    delay(300)
+                    connection.isCutOff = false
+                    connection.append("s", "after the outage")
+                    follower.awaitApplied(5)
+                }
+                following.cancel()
+            }
+            applied shouldBe listOf(0L, 1L, 3L, 4L, 5L)
+        }
+
+        test("a log that does not wait is not read in a tight loop") {
+            var reads = 0
+            val impatient = object : LogService {
+                override suspend fun append(stream: String, record: String) = AppendResult.Refused("")
+
+                override suspend fun read(
+                    stream: String,
+                    fromOffset: Long,
+                    maximumRecords: Int,
+                    waitMillis: Long,
+                ): ReadResult {
+                    reads++
+                    return ReadResult.Records(emptyList(), fromOffset, 0)
+                }
+            }
+            coroutineScope {
+                val following = launch { TailingLogFollower(impatient, "s", MonotonicClock.SYSTEM).follow { } }
+                delay(500)
+                following.cancel()
+            }
+            reads shouldBeLessThan 10
+        }
+    })
