--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -38,11 +38,11 @@
 class Node(val context: NodeContext) {
     val lifecycle = NodeLifecycle()
     val callersServer = NodeServer(context, "callers", context.settings.callersAddress)
-    val peersServer = NodeServer(context, "peers", context.settings.peersAddress)
+    val peersServer = NodeServer(context, "peers", context.settings.listenAddressForPeers)
 
     private val configurationLog = TailingLogFollower(context.logService, LogStream.CONFIGURATION, context.clock)
     val configuration = DefaultConfigurationStore(configurationLog, context.clock)
-    val peerClient = HttpPeerClient(context.vertx)
+    val peerClient = HttpPeerClient(context.vertx, context.settings.outgoingHost)
     val peers = DefaultPeerDirectory(context.self, context.settings.seedPeers, context.clock)
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
@@ -53,7 +53,7 @@
     val callerMetrics = CallerMetrics(context.metrics)
     val openRequests = OpenRequests(context, configuration)
     val authentication = CallerAuthentication(configuration, context.settings.configuration)
-    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx)
+    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx, context.settings.outgoingHost)
     private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
     private val runner = OnlineRunner(quota, ledger, attempts)
     private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock)
--- a/node/src/main/kotlin/org/poplarshift/node/NodeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeCommand.kt
@@ -37,7 +37,7 @@
 
     private fun run(settings: NodeSettings): Int {
         Logging.configure(settings.logFormat)
-        val node = NodeFactory.create(settings) { PlatformPortsFactory.create(it, settings.platform) }
+        val node = NodeFactory.create(settings) { PlatformPortsFactory.create(it, settings) }
         Runtime.getRuntime().addShutdownHook(Thread { leave(node) })
         try {
             runBlocking { node.start() }
--- a/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
@@ -22,10 +22,13 @@
  * A connection goes back to the pool only after a complete response to the right request. In all other cases it is
  * closed, because a later request on it could receive what belongs to this one.
  */
-class DefaultUpstreamClient(vertx: Vertx) : UpstreamClient {
-    private val canceller = StreamCanceller(vertx)
+class DefaultUpstreamClient(vertx: Vertx, localHost: String) : UpstreamClient {
+    private val canceller = StreamCanceller(vertx, localHost)
     private val client = vertx.createHttpClient(
-        HttpClientOptions().setKeepAliveTimeout(KEEP_ALIVE_SECONDS).setMaxHeaderSize(MAXIMUM_HEADER_BYTES),
+        HttpClientOptions()
+            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+            .setLocalAddress(localHost),
         PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_WORKER),
     )
 
--- a/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
@@ -9,8 +9,11 @@
 import org.poplarshift.node.http.SocketAddresses
 
 /** Tells engines to stop streams. It does not wait for the result: an engine that is gone has stopped as well. */
-class StreamCanceller(vertx: Vertx) {
-    private val client = WebClient.create(vertx, WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS))
+class StreamCanceller(vertx: Vertx, localHost: String) {
+    private val client = WebClient.create(
+        vertx,
+        WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS).setLocalAddress(localHost),
+    )
 
     /** Cancels the stream [requestId] at [worker]. */
     fun cancel(worker: Worker, requestId: String) {
--- a/node/src/main/kotlin/org/poplarshift/node/peer/HttpPeerClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/HttpPeerClient.kt
@@ -17,10 +17,13 @@
  * Sends peer messages with a deadline for each. The deadline also covers the time in which a connection is made, and a
  * connection on which it passed is closed, so that a silent connection is not used again.
  */
-class HttpPeerClient(vertx: Vertx) : PeerClient {
+class HttpPeerClient(vertx: Vertx, localHost: String) : PeerClient {
     private val client = WebClient.create(
         vertx,
-        WebClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
+        WebClientOptions()
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setLocalAddress(localHost),
     )
 
     override suspend fun <Request, Response> post(
--- a/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.poplarshift.core.routing.RoutingPolicyChoice
+import org.poplarshift.node.http.SocketAddresses
 
 /**
  * The settings of one node, read from a JSON file. `settings.schema.json` gives ranges and required fields.
@@ -11,6 +12,7 @@
  * @property vm the name of this VM in the platform's list
  * @property callersAddress where callers connect
  * @property peersAddress where other nodes, health checks and metrics connect
+ * @property peersListenAddress where the node listens for them when that differs, as behind a forwarded port
  * @property seedPeers peers listeners that are tried before the platform's list is known
  * @property batchControl whether batch yields to online requests; false is the baseline
  */
@@ -20,6 +22,7 @@
     val availabilityZone: String,
     val callersAddress: String,
     val peersAddress: String,
+    val peersListenAddress: String? = null,
     val platform: PlatformSettings,
     val seedPeers: List<String> = emptyList(),
     val limits: LimitSettings = LimitSettings(),
@@ -29,4 +32,10 @@
     val quotaMode: QuotaMode = QuotaMode.FLEET,
     val configuration: ConfigurationSettings = ConfigurationSettings(),
     val shutdown: ShutdownSettings = ShutdownSettings(),
-)
+) {
+    /** Where the node listens for peers. */
+    val listenAddressForPeers: String get() = peersListenAddress ?: peersAddress
+
+    /** The IP number from which the node connects to others, so that they see which VM connects. */
+    val outgoingHost: String get() = SocketAddresses.parse(listenAddressForPeers).host()
+}
