--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -3,12 +3,23 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import org.poplarshift.node.caller.AttemptLoop
+import org.poplarshift.node.caller.CallerAuthentication
+import org.poplarshift.node.caller.CallerMetrics
+import org.poplarshift.node.caller.CompletionRoutes
+import org.poplarshift.node.caller.ModelRoutes
+import org.poplarshift.node.caller.OnlineHandler
+import org.poplarshift.node.caller.OnlineRunner
+import org.poplarshift.node.caller.OpenRequests
+import org.poplarshift.node.caller.ServiceRoutes
 import org.poplarshift.node.configuration.ConfigurationExchange
 import org.poplarshift.node.configuration.ConfigurationFollower
 import org.poplarshift.node.configuration.ConfigurationSnapshotWriter
 import org.poplarshift.node.configuration.DefaultConfigurationStore
 import org.poplarshift.node.dispatch.RoundRobinDispatcher
 import org.poplarshift.node.dispatch.UpstreamDispatcher
+import org.poplarshift.node.forward.DefaultUpstreamClient
+import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.http.NodeServer
 import org.poplarshift.node.idempotency.RefusingRequestLedger
 import org.poplarshift.node.idempotency.RequestLedger
@@ -20,6 +31,7 @@
 import org.poplarshift.node.quota.LocalQuotaGate
 import org.poplarshift.node.quota.QuotaGate
 import org.poplarshift.node.status.HealthRoutes
+import org.poplarshift.node.status.StatusRoute
 import org.poplarshift.wire.LogStream
 
 /** The composition root: constructs every part of a node once, starts the parts and ends them. */
@@ -31,13 +43,21 @@
     private val configurationLog = TailingLogFollower(context.logService, LogStream.CONFIGURATION, context.clock)
     val configuration = DefaultConfigurationStore(configurationLog, context.clock)
     val peerClient = HttpPeerClient(context.vertx)
-    val peers = DefaultPeerDirectory(context.settings.peersAddress, context.settings.seedPeers, context.clock)
+    val peers = DefaultPeerDirectory(context.self, context.settings.seedPeers, context.clock)
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
     val quota: QuotaGate = LocalQuotaGate(context.clock)
     val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
     val ledger: RequestLedger = RefusingRequestLedger()
 
+    val callerMetrics = CallerMetrics(context.metrics)
+    val openRequests = OpenRequests(context, configuration)
+    val authentication = CallerAuthentication(configuration, context.settings.configuration)
+    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx)
+    private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
+    private val runner = OnlineRunner(quota, ledger, attempts)
+    private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock)
+
     private val exchangeParts = listOf(
         configurationExchange,
     )
@@ -48,6 +68,11 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        openRequests,
+        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
+        ModelRoutes(callersServer.router, configuration, authentication, online),
+        CompletionRoutes(context, callersServer.router, configuration, authentication, online),
+        ServiceRoutes(context, callersServer.router, configuration, authentication, online),
         Gossip(context, lifecycle, peers, peerClient, peersServer.router, exchangeParts),
     )
 
--- a/node/src/main/kotlin/org/poplarshift/node/peer/DefaultPeerDirectory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/DefaultPeerDirectory.kt
@@ -2,80 +2,80 @@
 
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import org.poplarshift.core.membership.Member
+import org.poplarshift.core.membership.MemberState
+import org.poplarshift.core.membership.MembershipDelta
+import org.poplarshift.core.membership.MembershipDigest
+import org.poplarshift.core.membership.MembershipSettings
+import org.poplarshift.core.membership.MembershipView
+import org.poplarshift.core.membership.ViewedVm
+import org.poplarshift.core.membership.VmCondition
 import org.poplarshift.node.MonotonicClock
 import org.poplarshift.platform.ListedVm
 import org.poplarshift.platform.VmState
-import org.poplarshift.wire.NodeAnnouncement
 
-/**
- * Merges what the platform's list, the settings and other nodes say about the nodes. What a node said about itself
- * takes precedence over the list, which lags; a node that said nothing for [forgetMillis] is known by the list alone.
- */
+/** Publishes what [MembershipView] knows of the other nodes. */
 class DefaultPeerDirectory(
-    private val ownAddress: String,
+    self: Member,
     private val seedPeers: List<String>,
     private val clock: MonotonicClock,
-    private val forgetMillis: Long = 10_000,
+    settings: MembershipSettings = MembershipSettings(),
 ) : PeerDirectory {
-    private val announced = HashMap<String, Known>()
-    private var listed = emptyList<ListedVm>()
+    private val view = MembershipView(settings, self)
     private val mutablePeers = MutableStateFlow(emptyList<Peer>())
 
     override val peers: StateFlow<List<Peer>> = mutablePeers
 
-    /** The announcements to pass on to other nodes. */
-    fun announcements(): List<NodeAnnouncement> {
-        val now = clock.millis()
-        return announced.values
-            .filter { now - it.saidMillis < forgetMillis }
-            .map { it.announcement.copy(ageMillis = now - it.saidMillis) }
+    /** The entry of this node. */
+    val self: Member get() = view.self
+
+    /**
+     * Addresses of other nodes to exchange with. Lost nodes are included, because they may have been partitioned from
+     * this one, and seeds, because nothing else may be known.
+     */
+    fun contacts(): List<String> =
+        (view.others(clock.millis()).map { it.address } + seedPeers).distinct() - view.self.address
+
+    /** Increases this node's heartbeat. Called once for each round of gossip. */
+    fun beat(isLeaving: Boolean) {
+        view.beat(if (isLeaving) MemberState.LEAVING else MemberState.LIVE, clock.millis())
+        publish()
     }
 
-    /** Addresses of other nodes to exchange with, including seeds about which nothing else is known. */
-    fun contacts(): List<String> = (peers.value.map { it.address } + seedPeers).distinct() - ownAddress
+    /** What this node knows, by heartbeats. */
+    fun digest(): MembershipDigest = view.digest(clock.millis())
+
+    /** The entries that a peer with [digest] lacks, and a request for those that this node lacks. */
+    fun answer(digest: MembershipDigest): MembershipDelta = view.answer(digest, clock.millis())
+
+    /** The entries that a peer asked for. */
+    fun entriesFor(wanted: List<String>): MembershipDelta = view.entriesFor(wanted, clock.millis())
 
     /** Takes in a new reading of the platform's list. */
     fun listed(vms: List<ListedVm>) {
-        listed = vms
+        vms.forEach { view.onListed(it.vm, it.availabilityZone, it.peerAddress, it.state == VmState.LEAVING) }
+        view.retainListed(vms.mapTo(HashSet()) { it.vm })
         publish()
     }
 
-    /** Takes in what other nodes say; the youngest announcement for an address wins. */
-    fun learn(announcements: List<NodeAnnouncement>) {
-        val now = clock.millis()
-        for (announcement in announcements.filter { it.address != ownAddress }) {
-            val said = now - announcement.ageMillis
-            val known = announced[announcement.address]
-            if (known == null || said > known.saidMillis) announced[announcement.address] = Known(announcement, said)
-        }
-        announced.values.removeIf { now - it.saidMillis >= forgetMillis }
+    /** Takes in what another node says. */
+    fun merge(sender: Member, delta: MembershipDelta) {
+        view.merge(delta.copy(newer = delta.newer + sender), clock.millis())
         publish()
     }
 
     private fun publish() {
-        val fromList = listed.filter { it.peerAddress != ownAddress }.associate { it.peerAddress to peer(it) }
-        val fromPeers = announced.mapValues { peer(it.value.announcement) }
-        mutablePeers.value = (fromList + fromPeers).values.sortedBy { it.address }
+        mutablePeers.value = view.others(clock.millis()).filter { it.condition != VmCondition.LOST }.map { peer(it) }
     }
 
-    private fun peer(vm: ListedVm) = Peer(
+    private fun peer(vm: ViewedVm) = Peer(
         vm = vm.vm,
-        incarnation = UNKNOWN_INCARNATION,
+        incarnation = vm.incarnation ?: UNKNOWN_INCARNATION,
         availabilityZone = vm.availabilityZone,
-        address = vm.peerAddress,
-        isLeaving = vm.state == VmState.LEAVING,
-    )
-
-    private fun peer(announcement: NodeAnnouncement) = Peer(
-        vm = announcement.vm,
-        incarnation = announcement.incarnation,
-        availabilityZone = announcement.availabilityZone,
-        address = announcement.address,
-        isLeaving = announcement.isLeaving,
+        address = vm.address,
+        isLeaving = vm.condition == VmCondition.LEAVING,
     )
 
-    private class Known(val announcement: NodeAnnouncement, val saidMillis: Long)
-
     companion object {
         /** The incarnation of a peer that is known only from the platform's list. */
         const val UNKNOWN_INCARNATION = ""
--- a/wire/src/main/kotlin/org/poplarshift/wire/ExchangeMessage.kt
+++ b/wire/src/main/kotlin/org/poplarshift/wire/ExchangeMessage.kt
@@ -1,19 +1,25 @@
 package org.poplarshift.wire
 
 import kotlinx.serialization.Serializable
+import org.poplarshift.core.membership.Member
+import org.poplarshift.core.membership.MembershipDelta
+import org.poplarshift.core.membership.MembershipDigest
 
 /**
  * Request and response of `POST /peer/exchange`.
  *
+ * The request has the sender's [digest]. The response's [delta] has the entries that the digest lacks, and asks for
+ * those that the responder lacks; the requester sends them as the [delta] of a second request.
+ *
  * @property sender the node that sends this message
- * @property nodes the other nodes that the sender knows
  * @property configurationVersion the version in force at the sender
  * @property configurationAgeMillis how long ago the sender knew that no newer version existed; null when it never did
  */
 @Serializable
 data class ExchangeMessage(
-    val sender: NodeAnnouncement,
-    val nodes: List<NodeAnnouncement> = emptyList(),
+    val sender: Member,
+    val digest: MembershipDigest = MembershipDigest(emptyMap()),
+    val delta: MembershipDelta = MembershipDelta(emptyList()),
     val configurationVersion: Long = -1,
     val configurationAgeMillis: Long? = null,
 )
