Let a leaving node exit although a caller does not take the end of its response

Cause: Vert.x ends a shutdown only when every connection has taken all written bytes, and peers and cancels shared pools of five connections for each host. Change: NodeServer counts its active requests, waits for them without limit and then gives connections limits.callerIdleMillis to flush; 32 connections for each peer and for cancels at each worker; resets of callers' connections are logged at DEBUG.

--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -98,13 +98,14 @@
         lifecycle.leave()
         parts.forEach { it.leave() }
         delay(context.settings.shutdown.listLagMillis)
-        callersServer.close()
+        callersServer.close(context.settings.limits.callerIdleMillis)
         parts.asReversed().forEach { it.stop() }
-        peersServer.close()
+        peersServer.close(PEER_FLUSH_MILLIS)
         log.info { "node: left" }
     }
 
     private companion object {
         val log = KotlinLogging.logger {}
+        const val PEER_FLUSH_MILLIS = 1_000L
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
 import io.vertx.ext.web.client.WebClient
 import io.vertx.ext.web.client.WebClientOptions
 import org.poplarshift.core.catalogue.Worker
@@ -13,6 +14,7 @@
     private val client = WebClient.create(
         vertx,
         WebClientOptions().setConnectTimeout(TIMEOUT_MILLIS).setLocalAddress(localHost),
+        PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_WORKER),
     )
 
     /** Cancels the stream [requestId] at [worker]. */
@@ -28,5 +30,8 @@
     private companion object {
         val log = KotlinLogging.logger {}
         const val TIMEOUT_MILLIS = 1_000
+
+        // Batch cancels several streams of a worker at once and must yield within 100 ms.
+        const val CONNECTIONS_PER_WORKER = 32
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -5,6 +5,8 @@
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.ext.web.Router
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.verdict.Ran
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.node.NodeContext
@@ -19,8 +21,14 @@
 class NodeServer(private val context: NodeContext, private val name: String, private val address: String) {
     val router: Router = Router.router(context.vertx)
     private var server: HttpServer? = null
+    private var activeRequests = 0
 
     init {
+        router.route().order(FIRST).handler { routing ->
+            activeRequests++
+            routing.addEndHandler { activeRequests-- }
+            routing.next()
+        }
         for ((status, reason) in ROUTER_ERRORS) {
             router.errorHandler(status) { it.refuse(ErrorAnswer(reason, "the request can't be served", Ran.NOT_RUN)) }
         }
@@ -39,6 +47,7 @@
             .setHttp2ClearTextEnabled(false)
         server = context.vertx
             .createHttpServer(options)
+            .connectionHandler { it.exceptionHandler { cause -> log.debug { "server: $name: ${cause.message}" } } }
             .requestHandler(router)
             .invalidRequestHandler(InvalidRequestHandler(limits))
             .listen()
@@ -46,13 +55,21 @@
         log.info { "server: $name listens on $address" }
     }
 
-    /** Stops to accept connections and waits until the requests on the open ones have ended. */
-    suspend fun close() {
-        server?.shutdown(MAXIMUM_DRAIN_HOURS, TimeUnit.HOURS)?.coAwait()
+    /**
+     * Stops to accept connections and waits until the requests on the open ones have ended, however long they take.
+     * Connections whose peer does not take the end of its last response are closed after [flushMillis].
+     */
+    suspend fun close(flushMillis: Long) {
+        val listening = server ?: return
+        val closed = listening.shutdown(MAXIMUM_DRAIN_HOURS, TimeUnit.HOURS)
+        while (activeRequests > 0) delay(POLL_MILLIS)
+        withTimeoutOrNull(flushMillis) { closed.coAwait() } ?: listening.close()
         log.info { "server: $name is closed" }
     }
 
     private companion object {
+        const val FIRST = -2
+        const val POLL_MILLIS = 20L
         val log = KotlinLogging.logger {}
 
         // Errors that Vert.x Web finds itself, such as a path that can't be decoded, before a handler runs.
--- a/node/src/main/kotlin/org/poplarshift/node/peer/HttpPeerClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/HttpPeerClient.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.ext.web.client.WebClient
 import io.vertx.ext.web.client.WebClientOptions
@@ -24,6 +25,7 @@
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
             .setLocalAddress(localHost),
+        PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER),
     )
 
     override suspend fun <Request, Response> post(
@@ -79,5 +81,8 @@
         const val CONNECT_TIMEOUT_MILLIS = 500
         const val KEEP_ALIVE_SECONDS = 10
         const val OK = 200
+
+        // Slot and token messages must not wait behind an exchange with a peer that is slow.
+        const val CONNECTIONS_PER_PEER = 32
     }
 }
