Add stand-ins for the platform, model engines and plain services

Change: PlatformStandIn, EngineStandIn, ServiceStandIn and FederationStandIn run in a test or through the program's subcommands.

--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/StandInsCommand.kt
@@ -0,0 +1,88 @@
+package org.poplarshift.standins
+
+import io.vertx.core.Vertx
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.poplarshift.standins.engine.EngineSettings
+import org.poplarshift.standins.engine.EngineStandIn
+import org.poplarshift.standins.federation.FederationDescription
+import org.poplarshift.standins.federation.FederationStandIn
+import org.poplarshift.standins.platform.PlatformSettings
+import org.poplarshift.standins.platform.PlatformStandIn
+import org.poplarshift.standins.service.ServiceSettings
+import org.poplarshift.standins.service.ServiceStandIn
+import org.poplarshift.wire.WireJson
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.ParameterException
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.Spec
+import java.io.File
+import java.io.IOException
+
+/** The command line of the stand-ins. Each subcommand starts servers and prints one line for each with its port. */
+@Command(
+    name = "poplarshift-stand-ins",
+    description = ["Plays the platform, the model engines and the plain services of a federation."],
+    mixinStandardHelpOptions = true,
+    version = ["poplarshift-stand-ins 0.1.0"],
+)
+internal class StandInsCommand {
+    @Spec
+    private lateinit var spec: CommandSpec
+
+    private val vertx by lazy { Vertx.vertx() }
+
+    @Command(description = ["Starts the log service, the list of VMs and the weight store."])
+    fun platform(
+        @Option(names = ["--port"], defaultValue = "0") port: Int,
+        @Option(names = ["--settings"], description = ["JSON file with PlatformSettings."]) file: File?,
+    ) {
+        val settings = file?.let { decode(it, PlatformSettings.serializer()) } ?: PlatformSettings()
+        run(PlatformStandIn(vertx, if (port == 0) settings else settings.copy(port = port)))
+    }
+
+    @Command(description = ["Starts a model engine."])
+    fun engine(
+        @Option(names = ["--worker"], defaultValue = "engine-1") worker: String,
+        @Option(names = ["--port"], defaultValue = "0") port: Int,
+        @Option(names = ["--settings"], description = ["JSON file with EngineSettings."]) file: File?,
+    ) {
+        val settings = file?.let { decode(it, EngineSettings.serializer()) } ?: EngineSettings(worker)
+        run(EngineStandIn(vertx, if (port == 0) settings else settings.copy(port = port)))
+    }
+
+    @Command(description = ["Starts a plain service."])
+    fun service(
+        @Option(names = ["--worker"], defaultValue = "service-1") worker: String,
+        @Option(names = ["--port"], defaultValue = "0") port: Int,
+        @Option(names = ["--settings"], description = ["JSON file with ServiceSettings."]) file: File?,
+    ) {
+        val settings = file?.let { decode(it, ServiceSettings.serializer()) } ?: ServiceSettings(worker)
+        run(ServiceStandIn(vertx, if (port == 0) settings else settings.copy(port = port)))
+    }
+
+    @Command(description = ["Starts all stand-ins of a description."])
+    fun federation(
+        @Parameters(paramLabel = "FILE", description = ["JSON file with a FederationDescription."]) file: File,
+    ) {
+        run(*FederationStandIn(vertx, decode(file, FederationDescription.serializer())).all.toTypedArray())
+    }
+
+    private fun run(vararg standIns: StandIn) = runBlocking {
+        standIns.forEach {
+            it.start()
+            println("stand-ins: ${it.name} listens on port ${it.port}")
+        }
+    }
+
+    private fun <T> decode(file: File, serializer: KSerializer<T>): T = try {
+        WireJson.strict.decodeFromString(serializer, file.readText())
+    } catch (exception: SerializationException) {
+        throw ParameterException(spec.commandLine(), "$file is not valid: ${exception.message}", exception)
+    } catch (exception: IOException) {
+        throw ParameterException(spec.commandLine(), "$file can't be read: ${exception.message}", exception)
+    }
+}
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/StandInsMain.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/StandInsMain.kt
@@ -1,4 +1,10 @@
 package org.poplarshift.standins
 
+import picocli.CommandLine
+import kotlin.system.exitProcess
+
 /** Entry point of the program. */
-fun main() = Unit
+fun main(arguments: Array<String>) {
+    val exitCode = CommandLine(StandInsCommand()).execute(*arguments)
+    if (exitCode != 0) exitProcess(exitCode)
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/engine/CompletionResponse.kt
@@ -0,0 +1,45 @@
+package org.poplarshift.standins.engine
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A complete response or one part of a stream. */
+@Serializable
+internal data class CompletionResponse(
+    val id: String,
+    @SerialName("object") val kind: String,
+    val created: Long,
+    val model: String,
+    val choices: List<Choice>,
+    val usage: Usage? = null,
+)
+
+/** The one choice of a response: [message] or [text] when complete, [delta] or [text] in a stream. */
+@Serializable
+internal data class Choice(
+    val index: Int = 0,
+    val message: Content? = null,
+    val delta: Content? = null,
+    val text: String? = null,
+    @SerialName("finish_reason") val finishReason: String? = null,
+)
+
+/** Text of a chat response. */
+@Serializable
+internal data class Content(val role: String? = null, val content: String? = null)
+
+/** Token counts of a request. */
+@Serializable
+internal data class Usage(
+    @SerialName("prompt_tokens") val promptTokens: Int,
+    @SerialName("completion_tokens") val completionTokens: Int,
+    @SerialName("total_tokens") val totalTokens: Int,
+)
+
+/** The body of an error. */
+@Serializable
+internal data class EngineError(val error: EngineErrorDetail)
+
+/** What went wrong. */
+@Serializable
+internal data class EngineErrorDetail(val message: String, val type: String)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/engine/HttpRunOutput.kt
@@ -0,0 +1,64 @@
+package org.poplarshift.standins.engine
+
+import io.vertx.ext.web.RoutingContext
+import org.poplarshift.standins.http.RunRecorder
+
+/**
+ * Writes what a run produces to its caller, as a stream or as one response.
+ *
+ * @param echoedId the value of `X-Request-Id` in the response; differs from the request's when responses are crossed
+ * @param isSilent whether nothing may be written to the connection any more
+ */
+internal class HttpRunOutput(
+    private val context: RoutingContext,
+    private val request: CompletionRequest,
+    private val echoedId: String,
+    private val faults: EngineFaults,
+    private val recorder: RunRecorder,
+    private val isSilent: () -> Boolean,
+) : RunOutput {
+    private val response = context.response()
+    private val format = ResponseFormat(echoedId, request, isChat = context.request().path().contains("/chat/"))
+    private val text = StringBuilder()
+
+    override fun token(run: EngineRun, text: String) {
+        this.text.append(text)
+        if (isWritable(run) && request.stream) {
+            if (!response.headWritten()) startStream()
+            response.write(format.tokenPart(run.generated - 1, text))
+        }
+        if (run.generated == faults.cutAfterTokens) context.request().connection().close()
+    }
+
+    override fun finished(run: EngineRun) {
+        recorder.finished(run.requestId)
+        if (!isWritable(run)) return
+        if (request.stream) response.end(format.endParts(run)) else end(format.complete(run, text.toString()))
+    }
+
+    override fun cancelled(run: EngineRun) {
+        if (isSilent() || response.ended() || response.closed()) return
+        // A cancelled stream must not look complete, so that the connection closes without the last chunk.
+        if (response.headWritten()) context.request().connection().close() else end(CANCELLED, status = 499)
+    }
+
+    private fun isWritable(run: EngineRun): Boolean {
+        val silentFrom = faults.silentAfterTokens ?: Int.MAX_VALUE
+        return run.generated <= silentFrom && !isSilent() && !response.ended() && !response.closed()
+    }
+
+    private fun startStream() {
+        response.putHeader("X-Request-Id", echoedId).putHeader("Content-Type", "text/event-stream")
+        response.setChunked(true)
+    }
+
+    private fun end(body: String, status: Int = 200) {
+        response.setStatusCode(status)
+        response.putHeader("X-Request-Id", echoedId).putHeader("Content-Type", "application/json")
+        response.end(body)
+    }
+
+    private companion object {
+        const val CANCELLED = """{"error":{"message":"cancelled","type":"cancelled"}}"""
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/federation/FederationStandIn.kt
@@ -0,0 +1,32 @@
+package org.poplarshift.standins.federation
+
+import io.vertx.core.Vertx
+import org.poplarshift.standins.StandIn
+import org.poplarshift.standins.engine.EngineStandIn
+import org.poplarshift.standins.platform.PlatformStandIn
+import org.poplarshift.standins.service.ServiceStandIn
+
+/** Runs all stand-ins of a federation in one process. */
+class FederationStandIn(vertx: Vertx, description: FederationDescription) : StandIn {
+    /** The platform. */
+    val platform = PlatformStandIn(vertx, description.platform)
+
+    /** The engines by worker. */
+    val engines = description.engines.associate { it.worker to EngineStandIn(vertx, it) }
+
+    /** The plain services by worker. */
+    val services = description.services.associate { it.worker to ServiceStandIn(vertx, it) }
+
+    /** All stand-ins. */
+    val all: List<StandIn> = listOf(platform) + engines.values + services.values
+
+    override val name = "federation"
+
+    /** The port of the platform. */
+    override val port: Int
+        get() = platform.port
+
+    override suspend fun start() = all.forEach { it.start() }
+
+    override suspend fun stop() = all.forEach { it.stop() }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/http/Monotonic.kt
@@ -0,0 +1,4 @@
+package org.poplarshift.standins.http
+
+/** Monotonic milliseconds. */
+internal fun monotonicMillis(): Long = System.nanoTime() / 1_000_000
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/http/RunRecorder.kt
@@ -0,0 +1,72 @@
+package org.poplarshift.standins.http
+
+import io.vertx.core.http.HttpServerRequest
+import kotlinx.serialization.Serializable
+import org.poplarshift.core.configuration.KeyDirectory
+
+/**
+ * Counts the runs of each request, so that a test can show that a request ran exactly once or not at all.
+ *
+ * Safe for use from several threads. The oldest requests are dropped beyond [maximumRequests].
+ */
+class RunRecorder(private val maximumRequests: Int = 100_000) {
+    private val requests = object : LinkedHashMap<String, RunEntry>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, RunEntry>): Boolean = size > maximumRequests
+    }
+    private var started = 0L
+
+    /** Records that the request [requestId] starts to run and returns how often it has started. */
+    @Synchronized
+    internal fun started(requestId: String, request: HttpServerRequest, body: String): Int {
+        started++
+        val runs = (requests[requestId]?.runs ?: 0) + 1
+        requests[requestId] = RunEntry(
+            requestId = requestId,
+            method = request.method().name(),
+            path = request.uri(),
+            bodySha256 = KeyDirectory.hash(body),
+            runs = runs,
+            finished = requests[requestId]?.finished ?: 0,
+            headers = request.headers().map { HeaderSeen(it.key, it.value) },
+        )
+        return runs
+    }
+
+    /** Records that a run of [requestId] came to its end. */
+    @Synchronized
+    internal fun finished(requestId: String) {
+        requests.computeIfPresent(requestId) { _, entry -> entry.copy(finished = entry.finished + 1) }
+    }
+
+    /** All requests seen, oldest first; only the one with [requestId] when it is given. */
+    @Synchronized
+    fun report(requestId: String? = null): RunReport =
+        RunReport(total = started, requests = requests.values.filter { requestId == null || it.requestId == requestId })
+}
+
+/** The body of `GET /runs`. */
+@Serializable
+data class RunReport(val total: Long, val requests: List<RunEntry>)
+
+/**
+ * The runs of one request.
+ *
+ * @property requestId the value of `X-Request-Id`
+ * @property runs how often it started to run
+ * @property finished how often it came to its end
+ * @property headers the headers of the last run
+ */
+@Serializable
+data class RunEntry(
+    val requestId: String,
+    val method: String,
+    val path: String,
+    val bodySha256: String,
+    val runs: Int,
+    val finished: Int,
+    val headers: List<HeaderSeen>,
+)
+
+/** A request header as it arrived. */
+@Serializable
+data class HeaderSeen(val name: String, val value: String)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/http/StandInServer.kt
@@ -0,0 +1,92 @@
+package org.poplarshift.standins.http
+
+import io.vertx.core.Promise
+import io.vertx.core.VerticleBase
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.ext.web.Router
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * An HTTP listener whose connections can go silent, and that can close and listen again on the same port.
+ *
+ * All requests run on one event loop, so that the handlers need no locks.
+ */
+internal class StandInServer(private val vertx: Vertx, private val host: String, private val requestedPort: Int) {
+    private val home = EventLoopHome()
+    private val connections = ConcurrentHashMap.newKeySet<HttpConnection>()
+    private val silenced = ConcurrentHashMap.newKeySet<HttpConnection>()
+
+    @Volatile
+    private var server: HttpServer? = null
+
+    @Volatile
+    var port: Int = requestedPort
+        private set
+
+    /** Requests whose remote IP number starts with one of these texts get no response. */
+    @Volatile
+    var partitionedSources: List<String> = emptyList()
+
+    /** Listens with [router]; a second start uses the port of the first. */
+    suspend fun start(router: Router) {
+        val options = HttpServerOptions().setHost(host).setPort(port).setMaxInitialLineLength(MAXIMUM_LINE)
+        val created = vertx.createHttpServer(options)
+        created.connectionHandler { connection -> track(connection) }
+        created.requestHandler { request -> if (isReachable(request)) router.handle(request) }
+        if (!home.isDeployed) vertx.deployVerticle(home).coAwait()
+        val listening = Promise.promise<HttpServer>()
+        home.run { created.listen().onComplete(listening) }
+        server = listening.future().coAwait()
+        port = created.actualPort()
+    }
+
+    /** Closes the listener and cuts all connections. */
+    suspend fun stop() {
+        server?.close()?.coAwait()
+        server = null
+    }
+
+    /** Makes every established connection but [except] silent for good; new connections work. */
+    fun silenceEstablished(except: HttpConnection?) {
+        silenced += connections.filter { it != except }
+    }
+
+    /** Whether nothing may be written to [connection] any more. */
+    fun isSilent(connection: HttpConnection): Boolean = connection in silenced
+
+    /** Runs [action] on the event loop of this server. */
+    fun run(action: () -> Unit) = home.run(action)
+
+    private fun track(connection: HttpConnection) {
+        connections += connection
+        connection.closeHandler {
+            connections -= connection
+            silenced -= connection
+        }
+    }
+
+    private fun isReachable(request: HttpServerRequest): Boolean {
+        if (isSilent(request.connection())) return false
+        if (request.path() == FAULTS_PATH) return true
+        val source = request.remoteAddress()?.hostAddress().orEmpty()
+        return partitionedSources.none { source.startsWith(it) }
+    }
+
+    /** Gives each server an event loop of its own; `Vertx.orCreateContext` would give all of a thread the same one. */
+    private class EventLoopHome : VerticleBase() {
+        val isDeployed: Boolean
+            get() = context != null
+
+        fun run(action: () -> Unit) = context.runOnContext { action() }
+    }
+
+    private companion object {
+        const val MAXIMUM_LINE = 16_384
+        const val FAULTS_PATH = "/faults"
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/platform/LogRoutes.kt
@@ -0,0 +1,116 @@
+package org.poplarshift.standins.platform
+
+import io.vertx.core.Vertx
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import org.poplarshift.standins.http.Outage
+import org.poplarshift.standins.http.monotonicMillis
+import org.poplarshift.standins.http.respond
+import java.util.Random
+
+/** The log service: appends, reads with long polling, and their faults. */
+internal class LogRoutes(private val vertx: Vertx) {
+    private val streams = mutableMapOf<String, StoredStream>()
+    private val waiters = mutableMapOf<String, MutableList<Waiter>>()
+    private val appendRate = RateLimit()
+    private var random = Random(1)
+    private var lostResponsesLeft = 0
+    private var faults = PlatformFaults()
+
+    /** Adds the routes of the log to [router]. */
+    fun mount(router: Router) {
+        router.post("/log/:stream/records").handler(::append)
+        router.get("/log/:stream/records").handler(::read)
+    }
+
+    /** Puts [newFaults] in force. */
+    fun use(newFaults: PlatformFaults) {
+        faults = newFaults
+        lostResponsesLeft = newFaults.lostAppendResponses
+        random = Random(newFaults.seed)
+    }
+
+    private fun append(context: RoutingContext) {
+        val name = context.pathParam("stream")
+        if (outage(name).intercepts(context)) return
+        val rate = faults.appendsPerSecond
+        if (!appendRate.tryTake(rate / MILLIS_PER_SECOND, capacity = maxOf(1.0, rate / 2), monotonicMillis())) {
+            context.response().setStatusCode(503).putHeader("Retry-After", "1").end("append rate exceeded")
+            return
+        }
+        val offset = stream(name).append(context.body().asString().orEmpty(), monotonicMillis())
+        wake(name)
+        if (isResponseLost()) {
+            context.request().connection().close()
+        } else {
+            later(faults.appendDelayMillis) { context.respond(AppendBody(offset)) }
+        }
+    }
+
+    private fun read(context: RoutingContext) {
+        val name = context.pathParam("stream")
+        if (outage(name).intercepts(context)) return
+        val query = context.queryParams()
+        val waiter = Waiter(
+            context = context,
+            from = query["from"]?.toLongOrNull() ?: 0,
+            limit = query["limit"]?.toIntOrNull() ?: DEFAULT_LIMIT,
+        )
+        val waitMillis = query["waitMillis"]?.toLongOrNull() ?: 0
+        if (waitMillis > 0 && stream(name).read(waiter.from, 1).records.isEmpty()) {
+            park(name, waiter, waitMillis)
+        } else {
+            complete(name, waiter)
+        }
+    }
+
+    private fun park(name: String, waiter: Waiter, waitMillis: Long) {
+        val parked = waiters.getOrPut(name) { mutableListOf() }
+        parked += waiter
+        waiter.context.response().closeHandler { parked -= waiter }
+        vertx.setTimer(waitMillis) { if (parked.remove(waiter)) complete(name, waiter) }
+    }
+
+    private fun wake(name: String) {
+        val parked = waiters[name] ?: return
+        val ready = parked.filter { stream(name).read(it.from, 1).records.isNotEmpty() }
+        parked -= ready.toSet()
+        ready.forEach { complete(name, it) }
+    }
+
+    private fun complete(name: String, waiter: Waiter) = later(faults.readDelayMillis) {
+        if (!outage(name).intercepts(waiter.context)) {
+            waiter.context.respond(stream(name).read(waiter.from, waiter.limit))
+        }
+    }
+
+    private fun stream(name: String): StoredStream {
+        val stream = streams.getOrPut(name) { StoredStream() }
+        stream.trim(faults.retentionRecords, faults.retentionMillis, monotonicMillis())
+        return stream
+    }
+
+    private fun outage(name: String): Outage {
+        val isAffected = faults.logOutageStreams.isEmpty() || name in faults.logOutageStreams
+        return if (isAffected) faults.logOutage else Outage.NONE
+    }
+
+    private fun isResponseLost(): Boolean {
+        if (lostResponsesLeft > 0) {
+            lostResponsesLeft--
+            return true
+        }
+        return faults.lostAppendShare > 0 && random.nextDouble() < faults.lostAppendShare
+    }
+
+    private fun later(delayMillis: Long, action: () -> Unit) {
+        if (delayMillis <= 0) action() else vertx.setTimer(delayMillis) { action() }
+    }
+
+    private class Waiter(val context: RoutingContext, val from: Long, val limit: Int)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000
+        const val DEFAULT_LIMIT = 1_000
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/platform/RateLimit.kt
@@ -0,0 +1,17 @@
+package org.poplarshift.standins.platform
+
+/** A token bucket. Times are monotonic milliseconds. */
+internal class RateLimit {
+    private var tokens = Double.MAX_VALUE
+    private var updatedMillis = 0L
+
+    /** Takes one token, given the rate and the capacity in force now. */
+    fun tryTake(tokensPerMilli: Double, capacity: Double, nowMillis: Long): Boolean {
+        val refill = (nowMillis - updatedMillis) * tokensPerMilli
+        tokens = minOf(capacity, tokens + refill)
+        updatedMillis = nowMillis
+        if (tokens < 1) return false
+        tokens -= 1
+        return true
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/platform/VmProbe.kt
@@ -0,0 +1,58 @@
+package org.poplarshift.standins.platform
+
+import io.vertx.core.AsyncResult
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.ext.web.client.WebClient
+import org.poplarshift.standins.http.monotonicMillis
+import java.net.ConnectException
+
+/**
+ * Keeps the list of VMs in step with the processes, as a platform that runs the VMs would.
+ *
+ * A VM whose peers listener refuses connections is off the list. A VM that was ready and responds 503 on
+ * `/health/ready` is leaving. A VM that gives no answer keeps its state, since a paused VM still exists.
+ */
+internal class VmProbe(private val vertx: Vertx, private val registry: VmRegistry, private val declared: List<Vm>) {
+    private val client = WebClient.create(vertx)
+    private val wasReady = mutableSetOf<String>()
+    private val states = mutableMapOf<String, VmState?>()
+    private var timer: Long? = null
+
+    /** Starts probing. Until the first answers come, the list is empty. */
+    fun start() {
+        registry.replace(emptyList(), monotonicMillis())
+        timer = vertx.setPeriodic(0, INTERVAL_MILLIS) { declared.forEach(::probe) }
+    }
+
+    /** Stops probing. */
+    fun stop() {
+        timer?.let(vertx::cancelTimer)
+        client.close()
+    }
+
+    private fun probe(vm: Vm) {
+        val host = vm.peerAddress.substringBeforeLast(':')
+        val port = vm.peerAddress.substringAfterLast(':').toInt()
+        client.get(port, host, "/health/ready").timeout(INTERVAL_MILLIS).send().onComplete { note(vm, it) }
+    }
+
+    private fun note(vm: Vm, result: AsyncResult<HttpResponse<Buffer>>) {
+        if (result.failed() && result.cause() !is ConnectException) return
+        if (result.succeeded() && result.result().statusCode() == HTTP_OK) wasReady += vm.vm
+        states[vm.vm] = when {
+            result.failed() -> null
+            result.result().statusCode() != HTTP_OK && vm.vm in wasReady -> VmState.LEAVING
+            else -> VmState.LIVE
+        }
+        if (result.failed()) wasReady -= vm.vm
+        val listed = declared.mapNotNull { declaredVm -> states[declaredVm.vm]?.let { declaredVm.copy(state = it) } }
+        registry.replace(listed, monotonicMillis())
+    }
+
+    private companion object {
+        const val INTERVAL_MILLIS = 500L
+        const val HTTP_OK = 200
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/service/ServiceStandIn.kt
@@ -0,0 +1,141 @@
+package org.poplarshift.standins.service
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpConnection
+import io.vertx.ext.web.Router
+import io.vertx.ext.web.RoutingContext
+import io.vertx.ext.web.handler.BodyHandler
+import kotlinx.serialization.Serializable
+import org.poplarshift.standins.StandIn
+import org.poplarshift.standins.http.LoadHistory
+import org.poplarshift.standins.http.LoadReport
+import org.poplarshift.standins.http.RunRecorder
+import org.poplarshift.standins.http.StandInServer
+import org.poplarshift.standins.http.decodeStrictly
+import org.poplarshift.standins.http.monotonicMillis
+import org.poplarshift.standins.http.respond
+import java.util.UUID
+
+/** Plays one plain service, which takes any method and path, and counts the runs of each request. */
+class ServiceStandIn(private val vertx: Vertx, private val settings: ServiceSettings) : StandIn {
+    private val server = StandInServer(vertx, settings.host, settings.port)
+    private val history = LoadHistory()
+    private var running = 0
+    private var lostLeft = 0
+    private var silentLeft = 0
+    private var crossedLeft = 0
+    private var failedLeft = 0
+
+    /** The runs of all requests. */
+    val runs = RunRecorder()
+
+    /** The faults in force. */
+    @Volatile
+    var faults: ServiceFaults = settings.faults
+        private set
+
+    override val name = "service ${settings.worker}"
+
+    override val port: Int
+        get() = server.port
+
+    override suspend fun start() {
+        server.start(router())
+        use(settings.faults)
+    }
+
+    override suspend fun stop() = server.stop()
+
+    /** Puts [newFaults] in force, as `PUT /faults` does. */
+    fun use(newFaults: ServiceFaults) = use(newFaults, except = null)
+
+    private fun use(newFaults: ServiceFaults, except: HttpConnection?) {
+        faults = newFaults
+        server.partitionedSources = newFaults.partitionedSources
+        if (newFaults.silenceEstablished) server.silenceEstablished(except)
+        server.run {
+            lostLeft = newFaults.lostNextResponses
+            silentLeft = newFaults.silentNextResponses
+            crossedLeft = newFaults.crossNextResponses
+            failedLeft = newFaults.failNextRequests
+        }
+    }
+
+    private fun router(): Router {
+        val router = Router.router(vertx)
+        router.route().handler(BodyHandler.create(false))
+        router.get("/load").handler(::reportLoad)
+        router.get("/runs").handler { it.respond(runs.report(it.queryParams()["requestId"])) }
+        router.get("/faults").handler { it.respond(faults) }
+        router.put("/faults").handler { context ->
+            context.decodeStrictly(ServiceFaults.serializer())?.let {
+                use(it, except = context.request().connection())
+                context.respond(it)
+            }
+        }
+        router.route().handler(::serve)
+        return router
+    }
+
+    private fun serve(context: RoutingContext) {
+        if (faults.outage.intercepts(context)) return
+        val requestId = context.request().getHeader("X-Request-Id") ?: UUID.randomUUID().toString()
+        val run = runs.started(requestId, context.request(), context.body().asString().orEmpty())
+        changeLoad(+1)
+        vertx.setTimer(maxOf(1, settings.runMillis)) {
+            changeLoad(-1)
+            runs.finished(requestId)
+            val delayMillis = faults.responseDelayMillis
+            if (delayMillis <=
+                0
+            ) {
+                answer(context, requestId, run)
+            } else {
+                vertx.setTimer(delayMillis) { answer(context, requestId, run) }
+            }
+        }
+    }
+
+    private fun answer(context: RoutingContext, requestId: String, run: Int) {
+        val connection = context.request().connection()
+        if (server.isSilent(connection) || context.response().closed()) return
+        if (silentLeft > 0) {
+            silentLeft--
+            return
+        }
+        if (lostLeft > 0) {
+            lostLeft--
+            connection.close()
+            return
+        }
+        val isCrossed = crossedLeft > 0
+        if (isCrossed) crossedLeft--
+        val isFailed = failedLeft > 0
+        if (isFailed) failedLeft--
+        val echoedId = if (isCrossed) "other-than-$requestId" else requestId
+        context.response().putHeader("X-Request-Id", echoedId)
+        val request = context.request()
+        val body = EchoBody(settings.worker, request.method().name(), request.path(), echoedId, run)
+        context.respond(body, status = if (isFailed) faults.failStatus else 200)
+    }
+
+    private fun changeLoad(change: Int) {
+        running += change
+        history.record(monotonicMillis(), running, 0)
+    }
+
+    private fun reportLoad(context: RoutingContext) {
+        val load = history.at(monotonicMillis() - faults.loadReportLagMillis)
+        context.respond(
+            LoadReport(settings.worker, load.running, load.waiting, settings.capacity, leaving = faults.leaving),
+        )
+    }
+}
+
+/**
+ * The response of a plain service.
+ *
+ * @property run the number of the run for this request, from 1
+ */
+@Serializable
+data class EchoBody(val worker: String, val method: String, val path: String, val requestId: String, val run: Int)
