Do not reuse connections to a worker that are older than a timeout

Cause: when a path breaks silently, every pooled connection is dead while new ones work, and each cost one request the whole first-byte limit. Change: SuspectConnections closes pooled connections established before the worker's newest timeout; incarnations have 48 random bits, because every exchange and log record carries one; resets of connections are logged at DEBUG.

--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -59,7 +59,8 @@
     val callerMetrics = CallerMetrics(context.metrics)
     val openRequests = OpenRequests(context, configuration)
     val authentication = CallerAuthentication(configuration, context.settings.configuration)
-    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx, context.settings.outgoingHost)
+    val upstreamClient: UpstreamClient =
+        DefaultUpstreamClient(context.vertx, context.settings.outgoingHost, context.clock)
     private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
     private val runner = OnlineRunner(quota, ledger, attempts)
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
--- a/node/src/main/kotlin/org/poplarshift/node/NodeFactory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeFactory.kt
@@ -20,7 +20,7 @@
         val eventLoop = vertx.orCreateContext
         val context = NodeContext(
             settings = settings,
-            incarnation = "${settings.vm}-${UUID.randomUUID()}",
+            incarnation = "${settings.vm}-${UUID.randomUUID().toString().takeLast(INCARNATION_DIGITS)}",
             vertx = vertx,
             scope = CoroutineScope(SupervisorJob() + eventLoop.dispatcher() + failureHandler),
             metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
@@ -34,4 +34,7 @@
         log.error(exception) { "node: a background task has failed" }
     }
     private const val WORKER_THREADS = 4
+
+    // 48 random bits; every exchange between nodes and every record of the log carries the incarnation.
+    private const val INCARNATION_DIGITS = 12
 }
--- a/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
@@ -14,6 +14,7 @@
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.core.verdict.Verdict
+import org.poplarshift.node.MonotonicClock
 import org.poplarshift.node.http.SocketAddresses
 
 /**
@@ -22,21 +23,26 @@
  * A connection goes back to the pool only after a complete response to the right request. In all other cases it is
  * closed, because a later request on it could receive what belongs to this one.
  */
-class DefaultUpstreamClient(vertx: Vertx, localHost: String) : UpstreamClient {
+class DefaultUpstreamClient(vertx: Vertx, localHost: String, clock: MonotonicClock) : UpstreamClient {
     private val canceller = StreamCanceller(vertx, localHost)
-    private val client = vertx.createHttpClient(
-        HttpClientOptions()
-            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
-            .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
-            .setLocalAddress(localHost),
-        PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_WORKER),
-    )
+    private val suspects = SuspectConnections(clock)
+    private val client = vertx.httpClientBuilder()
+        .with(
+            HttpClientOptions()
+                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+                .setLocalAddress(localHost),
+        )
+        .with(PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_WORKER))
+        .withConnectHandler { suspects.onConnected(it) }
+        .build()
 
     override suspend fun send(worker: Worker, request: UpstreamRequest, sink: AnswerSink): Verdict {
         val sent = connect(worker, request) ?: return Verdict.NotRun(RefusalReason.CONNECT_FAILED)
         var isComplete = false
         try {
             val verdict = exchange(sent, request, sink)
+            if (verdict == TIMEOUT) suspects.onTimeout(worker.address)
             isComplete = verdict is Verdict.Answered
             return verdict
         } finally {
@@ -45,6 +51,15 @@
     }
 
     private suspend fun connect(worker: Worker, request: UpstreamRequest): HttpClientRequest? {
+        var connected = acquire(worker, request)
+        while (connected != null && suspects.isSuspect(connected.connection(), worker.address)) {
+            connected.connection().close()
+            connected = acquire(worker, request)
+        }
+        return connected
+    }
+
+    private suspend fun acquire(worker: Worker, request: UpstreamRequest): HttpClientRequest? {
         val socket = SocketAddresses.parse(worker.address)
         val options = RequestOptions()
             .setHost(socket.host())
@@ -54,7 +69,9 @@
             .setHeaders(request.headers)
             .putHeader(REQUEST_ID, request.requestId)
             .setConnectTimeout(request.timeouts.connectMillis)
-        val pending = client.request(options)
+        val pending = client.request(options).onSuccess { connected ->
+            connected.exceptionHandler { log.debug { "forward: request ${request.requestId}: ${it.message}" } }
+        }
         val connected = try {
             withTimeoutOrNull(request.timeouts.connectMillis) { pending.coAwait() }
         } catch (exception: CancellationException) {
@@ -77,7 +94,7 @@
             log.debug { "forward: request ${request.requestId} lost: ${exception.message}" }
             return Verdict.MayHaveRun(RefusalReason.CONNECTION_LOST)
         }
-        if (response == null) return Verdict.MayHaveRun(RefusalReason.UPSTREAM_TIMEOUT)
+        if (response == null) return TIMEOUT
         if (!belongsTo(request, response)) return Verdict.MayHaveRun(RefusalReason.WRONG_RESPONSE)
         if (request.kind == UpstreamKind.MODEL && response.statusCode() == UNAVAILABLE) {
             return Verdict.MayHaveRun(RefusalReason.UPSTREAM_REFUSED)
@@ -105,7 +122,7 @@
             when (val part = body.next(request.timeouts.idleMillis)) {
                 is ResponsePart.Chunk -> sink.write(part.bytes)
                 is ResponsePart.Lost -> return Verdict.MayHaveRun(RefusalReason.CONNECTION_LOST)
-                null -> return Verdict.MayHaveRun(RefusalReason.UPSTREAM_TIMEOUT)
+                null -> return TIMEOUT
                 ResponsePart.End -> {
                     if (!body.hasDefiniteEnd()) return Verdict.MayHaveRun(RefusalReason.CONNECTION_LOST)
                     sink.end()
@@ -122,6 +139,7 @@
 
     private companion object {
         val log = KotlinLogging.logger {}
+        val TIMEOUT = Verdict.MayHaveRun(RefusalReason.UPSTREAM_TIMEOUT)
         const val REQUEST_ID = "X-Request-Id"
         const val UNAVAILABLE = 503
 
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -26,6 +26,7 @@
     init {
         router.route().order(FIRST).handler { routing ->
             activeRequests++
+            routing.request().exceptionHandler { cause -> log.debug { "server: $name: ${cause.message}" } }
             routing.addEndHandler { activeRequests-- }
             routing.next()
         }
