--- a/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
@@ -6,9 +6,9 @@
  *
  * A strike that was cleared stays cleared, in whatever order the news arrives: merging is commutative and idempotent.
  *
- * @param retentionMillis how long a strike counts
+ * @property retentionMillis how long a strike counts; a changed catalogue may change it for later strikes
  */
-class QuarantineTable(private val retentionMillis: Long) {
+class QuarantineTable(var retentionMillis: Long) {
     private val expiries = HashMap<Strike, Long>()
     private val clearedExpiries = HashMap<Strike, Long>()
     private val workersByFingerprint = HashMap<String, MutableSet<String>>()
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/DefaultWorkerGrant.kt
@@ -0,0 +1,26 @@
+package org.poplarshift.node.dispatch
+
+import org.poplarshift.core.catalogue.Worker
+import org.poplarshift.core.verdict.Verdict
+
+/**
+ * A place at a worker. A second release has no effect.
+ *
+ * @param onRelease accounts the end of the request
+ * @param awaitNews see [awaitCrashNews]
+ */
+class DefaultWorkerGrant(
+    override val worker: Worker,
+    private val onRelease: (Verdict, Long?) -> Unit,
+    private val awaitNews: suspend () -> Unit,
+) : WorkerGrant {
+    private var isReleased = false
+
+    override fun release(verdict: Verdict, firstByteMillis: Long?) {
+        if (isReleased) return
+        isReleased = true
+        onRelease(verdict, firstByteMillis)
+    }
+
+    override suspend fun awaitCrashNews() = awaitNews()
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/QuarantineLog.kt
@@ -0,0 +1,81 @@
+package org.poplarshift.node.dispatch
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.poplarshift.core.quarantine.QuarantineNews
+import org.poplarshift.core.quarantine.QuarantineRecord
+import org.poplarshift.core.quarantine.QuarantineTable
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.log.TailingLogFollower
+import org.poplarshift.platform.AppendResult
+import org.poplarshift.platform.LogRecord
+import org.poplarshift.wire.LogEnvelope
+import org.poplarshift.wire.LogStream
+import org.poplarshift.wire.WireJson
+
+/**
+ * Keeps strikes in the stream `quarantine`, so that a node that restarts knows them. News of [LINGER_MILLIS] share a
+ * record. A refused append is not repeated: the peers already have the news.
+ */
+class QuarantineLog(private val context: NodeContext, private val table: QuarantineTable) {
+    private val follower = TailingLogFollower(context.logService, LogStream.QUARANTINE, context.clock)
+    private val unwritten = Channel<QuarantineNews>(Channel.UNLIMITED)
+    private var sequence = 0L
+
+    /** Starts to follow the stream and to write. */
+    fun start() {
+        context.scope.launch { follower.follow { apply(it) } }
+        context.scope.launch {
+            for (first in unwritten) {
+                delay(LINGER_MILLIS)
+                val news = listOf(first) + generateSequence { unwritten.tryReceive().getOrNull() }
+                write(news)
+            }
+        }
+    }
+
+    /** Writes [news] soon. */
+    fun add(news: QuarantineNews) {
+        unwritten.trySend(news)
+    }
+
+    private suspend fun write(news: List<QuarantineNews>) {
+        val now = System.currentTimeMillis()
+        val strikes = news.flatMap { it.strikes }.map { it.strike }.distinct()
+        val cleared = news.flatMap { it.cleared }.map { it.strike }.distinct()
+        if (strikes.isNotEmpty()) append(QuarantineRecord.StrikesNoted(strikes, now))
+        if (cleared.isNotEmpty()) append(QuarantineRecord.StrikesCleared(cleared, now))
+    }
+
+    private suspend fun append(record: QuarantineRecord) {
+        val envelope = LogEnvelope(producer = context.incarnation, sequence = sequence++, record = record)
+        when (
+            val result = context.logService.append(
+                LogStream.QUARANTINE,
+                WireJson.lenient.encodeToString(ENVELOPE, envelope),
+            )
+        ) {
+            is AppendResult.Appended -> Unit
+            is AppendResult.Refused -> log.warn { "quarantine: the log refused a record: ${result.reason}" }
+            is AppendResult.Unknown -> log.warn { "quarantine: a record may be missing in the log: ${result.reason}" }
+        }
+    }
+
+    private fun apply(record: LogRecord) {
+        try {
+            val envelope = WireJson.lenient.decodeFromString(ENVELOPE, record.record)
+            table.apply(envelope.record, System.currentTimeMillis(), context.clock.millis())
+        } catch (exception: SerializationException) {
+            log.warn { "quarantine: record ${record.offset} is not readable: ${exception.message}" }
+        }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val ENVELOPE = LogEnvelope.serializer(QuarantineRecord.serializer())
+        const val LINGER_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/SuspectMessenger.kt
@@ -0,0 +1,39 @@
+package org.poplarshift.node.dispatch
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.poplarshift.node.peer.PeerClient
+import org.poplarshift.node.peer.PeerDirectory
+import org.poplarshift.node.peer.PeerResult
+import org.poplarshift.wire.SuspectsAnswer
+import org.poplarshift.wire.SuspectsMessage
+
+/** Sends `POST /peer/suspects` to all peers. */
+class SuspectMessenger(private val peers: PeerDirectory, private val client: PeerClient) {
+    /** The addresses of all known peers. */
+    val addresses: Set<String>
+        get() = peers.peers.value.map { it.address }.toSet()
+
+    /** Sends [message] to [addresses] at once and returns the answers; null stands for a peer that gave none. */
+    suspend fun sendToAll(message: SuspectsMessage, addresses: Set<String>): Map<String, SuspectsAnswer?> =
+        coroutineScope {
+            addresses.map { address -> async { address to send(message, address) } }.awaitAll().toMap()
+        }
+
+    private suspend fun send(message: SuspectsMessage, address: String): SuspectsAnswer? {
+        val result = client.post(
+            address,
+            PATH,
+            message,
+            SuspectsMessage.serializer(),
+            SuspectsAnswer.serializer(),
+        )
+        return (result as? PeerResult.Answered)?.response
+    }
+
+    companion object {
+        /** The path on the peers port. */
+        const val PATH = "/peer/suspects"
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/UpstreamDispatcher.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/UpstreamDispatcher.kt
@@ -30,6 +30,12 @@
      * @param firstByteMillis time until the first byte of the answer, or null when none came
      */
     fun release(verdict: Verdict, firstByteMillis: Long?)
+
+    /**
+     * Waits until it is known whether the worker died with the request, and until reachable peers know it too. Called
+     * after [release] and before the caller gets an error, so that a caller that resends can't be faster than the news.
+     */
+    suspend fun awaitCrashNews() = Unit
 }
 
 /**
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPool.kt
@@ -0,0 +1,122 @@
+package org.poplarshift.node.dispatch
+
+import org.poplarshift.core.admission.FairQueue
+import org.poplarshift.core.admission.OfferResult
+import org.poplarshift.core.admission.QueuedRequest
+import org.poplarshift.core.admission.TakeResult
+import org.poplarshift.core.catalogue.Upstream
+import org.poplarshift.core.routing.OutlierEjection
+import org.poplarshift.core.routing.RoutingPolicy
+import org.poplarshift.core.routing.WorkerSelection
+import org.poplarshift.core.routing.WorkerSelector
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.MonotonicClock
+import kotlin.random.Random
+
+/**
+ * The workers of one upstream and the online requests that wait for them.
+ *
+ * @param isHeld whether a worker is kept free for a suspect
+ * @param grant makes the grant of a chosen worker
+ */
+class WorkerPool(
+    upstream: Upstream,
+    localZone: String,
+    private val settings: DispatchSettings,
+    private val clock: MonotonicClock,
+    private val isHeld: (String) -> Boolean,
+    private val grant: (WorkerPool, TrackedWorker, String) -> WorkerGrant,
+) {
+    private val selector = WorkerSelector(localZone, RoutingPolicy.create(settings.policy, Random.Default))
+    private val ejection = OutlierEjection()
+    private val queue = FairQueue<Waiter>(settings.queueLength)
+
+    /** The workers by identifier. */
+    val workers = LinkedHashMap<String, TrackedWorker>()
+
+    /** Requests that wait. */
+    val waiting: Int
+        get() = queue.size
+
+    init {
+        update(upstream)
+    }
+
+    /** Takes over the workers of the catalogue in force. */
+    fun update(upstream: Upstream) {
+        workers.keys.retainAll(upstream.workers.map { it.id }.toSet())
+        for (worker in upstream.workers) {
+            val tracked = workers[worker.id]
+            if (tracked == null || tracked.worker.address != worker.address) {
+                workers[worker.id] = TrackedWorker(worker, settings.health, clock.millis())
+            } else {
+                tracked.worker = worker
+            }
+        }
+    }
+
+    /** Workers that may get new work. */
+    fun usable(): List<TrackedWorker> {
+        val now = clock.millis()
+        val ejected = ejection.ejected(workers.mapValues { it.value.health }, now)
+        return workers.values.filter {
+            it.health.isReachable(now) && it.worker.id !in ejected && !isHeld(it.worker.id)
+        }
+    }
+
+    /** Queues a request; [dispatch] must follow. The waiter of a refused request is completed at once. */
+    fun offer(ticket: DispatchTicket): QueuedRequest<Waiter> {
+        val request = QueuedRequest(
+            organisation = ticket.organisation,
+            weight = ticket.weight,
+            costTokens = ticket.costTokens,
+            deadlineMillis = clock.millis() + ticket.deadlineMillis,
+            payload = Waiter(ticket),
+            isConstrained = ticket.excludedWorkers.isNotEmpty(),
+        )
+        when (val result = queue.offer(request)) {
+            OfferResult.Queued -> Unit
+            OfferResult.Full -> request.refuse(RefusalReason.QUEUE_FULL)
+            is OfferResult.QueuedInsteadOf -> result.evicted.refuse(RefusalReason.QUEUE_FULL)
+        }
+        return request
+    }
+
+    /** Removes a request that no longer waits. */
+    fun withdraw(request: QueuedRequest<Waiter>) {
+        queue.remove(request)
+    }
+
+    /** Gives free workers to waiting requests. */
+    fun dispatch() {
+        while (queue.poll(::take) != null) Unit
+    }
+
+    /** Whether the upstream has a usable worker, with or without room. */
+    fun hasUsableWorker(excluded: Set<String>): Boolean = usable().any { it.worker.id !in excluded }
+
+    private fun take(request: QueuedRequest<Waiter>): TakeResult {
+        val waiter = request.payload
+        val now = clock.millis()
+        val candidates = usable()
+            .filter { it.worker.id !in waiter.ticket.excludedWorkers }
+            .map { it.candidate(settings.isBounded, now) }
+        return when (val selection = selector.select(candidates, waiter.ticket.prefix, now)) {
+            WorkerSelection.AllFull, WorkerSelection.NoWorker -> TakeResult.BLOCKED
+            is WorkerSelection.Chosen -> {
+                val worker = workers.getValue(selection.worker)
+                waiter.decision.complete(DispatchDecision.Granted(grant(this, worker, waiter.ticket.fingerprint)))
+                TakeResult.TAKEN
+            }
+        }
+    }
+
+    private fun QueuedRequest<Waiter>.refuse(reason: RefusalReason) {
+        payload.decision.complete(DispatchDecision.Refused(reason, RETRY_AFTER_MILLIS))
+    }
+
+    companion object {
+        /** What a refused caller is told to wait. */
+        const val RETRY_AFTER_MILLIS = 1_000L
+    }
+}
--- a/wire/src/main/kotlin/org/poplarshift/wire/ExchangeMessage.kt
+++ b/wire/src/main/kotlin/org/poplarshift/wire/ExchangeMessage.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.wire
 
 import kotlinx.serialization.Serializable
+import org.poplarshift.core.quarantine.QuarantineNews
 
 /**
  * Request and response of `POST /peer/exchange`.
@@ -9,6 +10,7 @@
  * @property nodes the other nodes that the sender knows
  * @property configurationVersion the version in force at the sender
  * @property configurationAgeMillis how long ago the sender knew that no newer version existed; null when it never did
+ * @property quarantine the newest strikes that the sender knows
  */
 @Serializable
 data class ExchangeMessage(
@@ -16,4 +18,5 @@
     val nodes: List<NodeAnnouncement> = emptyList(),
     val configurationVersion: Long = -1,
     val configurationAgeMillis: Long? = null,
+    val quarantine: QuarantineNews = QuarantineNews(),
 )
