--- a/core/src/main/kotlin/org/poplarshift/core/routing/WorkerHealth.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/routing/WorkerHealth.kt
@@ -83,6 +83,7 @@
             RefusalReason.CONNECTION_LOST,
             RefusalReason.UPSTREAM_TIMEOUT,
             RefusalReason.UPSTREAM_REFUSED,
+            RefusalReason.WRONG_RESPONSE,
         )
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
@@ -3,6 +3,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
+import org.poplarshift.core.membership.Member
 import org.poplarshift.node.settings.NodeSettings
 import org.poplarshift.platform.LogService
 import org.poplarshift.platform.VmList
@@ -28,4 +29,14 @@
     val logService: LogService get() = platform.logService
     val vmList: VmList get() = platform.vmList
     val weightStore: WeightStore get() = platform.weightStore
+
+    /** This node as other nodes know it. */
+    val self: Member
+        get() = Member(
+            vm = settings.vm,
+            incarnation = incarnation,
+            availabilityZone = settings.availabilityZone,
+            address = settings.peersAddress,
+            heartbeat = 0,
+        )
 }
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
@@ -8,7 +8,6 @@
 import org.poplarshift.core.configuration.ConfigurationRecord
 import org.poplarshift.core.configuration.ConfigurationReplay
 import org.poplarshift.core.configuration.ConfigurationResult
-import org.poplarshift.core.configuration.ConfigurationResult.Applied
 import org.poplarshift.core.configuration.KeyDirectory
 import org.poplarshift.core.configuration.KeyEntry
 import org.poplarshift.node.MonotonicClock
@@ -61,15 +60,15 @@
             log.warn { "configuration: record ${record.offset} is not readable: ${exception.message}" }
             return
         }
-        replay.apply(record.offset, envelope.record)?.let { install(it) }
+        install(replay.apply(record.offset, envelope.record))
     }
 
-    private fun install(result: ConfigurationResult) {
-        if (result !is Applied) {
+    private fun install(result: ConfigurationResult?) {
+        val configuration = replay.configuration
+        if (configuration.version == current.value.version) {
             log.debug { "configuration: not applied: $result" }
             return
         }
-        val configuration = replay.configuration
         directory = KeyDirectory(configuration.keys)
         mutableCurrent.value = configuration
         log.info { "configuration: version ${configuration.version} is in force" }
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/DefaultUpstreamDispatcher.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/DefaultUpstreamDispatcher.kt
@@ -31,7 +31,7 @@
     peerClient: PeerClient,
     peersRouter: Router,
     private val settings: DispatchSettings,
-    private val poller: LoadPoller = HttpLoadPoller(context.vertx),
+    private val poller: LoadPoller = HttpLoadPoller(context.vertx, context.settings.outgoingHost),
 ) : UpstreamDispatcher,
     NodePart {
     private val pools: WorkerPools =
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/DispatchSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/DispatchSettings.kt
@@ -2,6 +2,7 @@
 
 import org.poplarshift.core.routing.RoutingPolicyChoice
 import org.poplarshift.core.routing.WorkerHealthSettings
+import org.poplarshift.node.settings.NodeSettings
 
 /**
  * How the dispatcher works.
@@ -17,4 +18,12 @@
     val queueLength: Int = 1_024,
     val soloWaitMillis: Long = 10_000,
     val health: WorkerHealthSettings = WorkerHealthSettings(),
-)
+) {
+    companion object {
+        /** The dispatcher's part of the node's settings. Round robin without batch control is the baseline. */
+        fun of(settings: NodeSettings) = DispatchSettings(
+            policy = settings.routing,
+            isBounded = settings.batchControl || settings.routing != RoutingPolicyChoice.RoundRobin,
+        )
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/HttpLoadPoller.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/HttpLoadPoller.kt
@@ -14,9 +14,16 @@
 import org.poplarshift.wire.WireJson
 import java.net.ConnectException
 
-/** Asks by `GET /load`. */
-class HttpLoadPoller(vertx: Vertx, private val timeoutMillis: Long = 1_000) : LoadPoller {
-    private val client = WebClient.create(vertx, WebClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS))
+/**
+ * Asks by `GET /load`.
+ *
+ * @param localHost the IP number to connect from
+ */
+class HttpLoadPoller(vertx: Vertx, localHost: String, private val timeoutMillis: Long = 1_000) : LoadPoller {
+    private val client = WebClient.create(
+        vertx,
+        WebClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setLocalAddress(localHost),
+    )
 
     override suspend fun poll(worker: Worker): LoadPollResult {
         val socket = SocketAddresses.parse(worker.address)
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/QuarantineService.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/QuarantineService.kt
@@ -16,6 +16,7 @@
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.node.NodeContext
 import org.poplarshift.node.NodePart
+import org.poplarshift.node.http.BodyResult
 import org.poplarshift.node.http.ErrorAnswer
 import org.poplarshift.node.http.json
 import org.poplarshift.node.http.readBody
@@ -116,9 +117,10 @@
     }
 
     private suspend fun answer(routing: RoutingContext) {
-        val body = routing.request().readBody(MAXIMUM_BYTES)
+        val read = routing.request().readBody(MAXIMUM_BYTES, idleMillis = BODY_IDLE_MILLIS)
         val message = try {
-            body?.let { WireJson.lenient.decodeFromString(SuspectsMessage.serializer(), it.toString()) }
+            (read as? BodyResult.Complete)
+                ?.let { WireJson.lenient.decodeFromString(SuspectsMessage.serializer(), it.body.toString()) }
         } catch (exception: SerializationException) {
             log.warn { "quarantine: a message is not readable: ${exception.message}" }
             null
@@ -148,5 +150,6 @@
         const val PROBE_PAUSE_MILLIS = 50L
         const val GOSSIP_LIMIT = 100
         const val MAXIMUM_BYTES = 1_048_576
+        const val BODY_IDLE_MILLIS = 1_000L
     }
 }
