--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -16,8 +16,8 @@
 import org.poplarshift.node.configuration.ConfigurationFollower
 import org.poplarshift.node.configuration.ConfigurationSnapshotWriter
 import org.poplarshift.node.configuration.DefaultConfigurationStore
-import org.poplarshift.node.dispatch.RoundRobinDispatcher
-import org.poplarshift.node.dispatch.UpstreamDispatcher
+import org.poplarshift.node.dispatch.DefaultUpstreamDispatcher
+import org.poplarshift.node.dispatch.DispatchSettings
 import org.poplarshift.node.forward.DefaultUpstreamClient
 import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.http.LeavingHeader
@@ -26,6 +26,7 @@
 import org.poplarshift.node.idempotency.RequestLedger
 import org.poplarshift.node.log.TailingLogFollower
 import org.poplarshift.node.peer.DefaultPeerDirectory
+import org.poplarshift.node.peer.ExchangePart
 import org.poplarshift.node.peer.Gossip
 import org.poplarshift.node.peer.HttpPeerClient
 import org.poplarshift.node.peer.VmListReader
@@ -53,7 +54,14 @@
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
     val quota: QuotaGate = LocalQuotaGate(context.clock)
-    val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
+    val dispatcher = DefaultUpstreamDispatcher(
+        context = context,
+        configuration = configuration,
+        peers = peers,
+        peerClient = peerClient,
+        peersRouter = peersServer.router,
+        settings = DispatchSettings.of(context.settings),
+    )
     val ledger: RequestLedger = RefusingRequestLedger()
 
     val callerMetrics = CallerMetrics(context.metrics)
@@ -66,8 +74,9 @@
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
     private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock, callerIdleMillis)
 
-    private val exchangeParts = listOf(
+    private val exchangeParts: List<ExchangePart> = listOf(
         configurationExchange,
+        dispatcher.quarantine,
     )
 
     private val parts: List<NodePart> = listOf(
@@ -76,6 +85,7 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        dispatcher,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
