Add the program poplarshift for operators and callers

Cause: catalogues, keys and batch jobs had no command, and load could not be measured. Change: catalogue check, show, diff and publish, key give, withdraw and list, batch submit, status, results and cancel, status and load.

--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/OperatorCommand.kt
@@ -0,0 +1,37 @@
+package org.poplarshift.operator
+
+import org.poplarshift.operator.batch.BatchCommand
+import org.poplarshift.operator.catalogue.CatalogueCommand
+import org.poplarshift.operator.key.KeyCommand
+import org.poplarshift.operator.load.LoadCommand
+import org.poplarshift.operator.status.StatusCommand
+import picocli.CommandLine
+import picocli.CommandLine.Command
+
+/** The command line of `poplarshift`. */
+@Command(
+    name = "poplarshift",
+    description = ["Publishes catalogues, gives keys, submits batch jobs and shows the state of a federation."],
+    mixinStandardHelpOptions = true,
+    scope = CommandLine.ScopeType.INHERIT,
+    versionProvider = OperatorVersion::class,
+    subcommands = [
+        CatalogueCommand::class, KeyCommand::class, BatchCommand::class, StatusCommand::class, LoadCommand::class,
+    ],
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = [
+        "0:done",
+        "1:the platform or a node did not do it",
+        "2:wrong usage or an invalid file",
+        "3:another operator published first",
+    ],
+)
+class OperatorCommand
+
+/** The command line of the program, with one-line error messages. */
+fun operatorCommandLine(): CommandLine =
+    CommandLine(OperatorCommand()).setExecutionExceptionHandler { exception, line, _ ->
+        if (exception !is OperatorException) throw exception
+        line.err.println("poplarshift: ${exception.message}")
+        exception.exitCode
+    }
--- a/operator/src/main/kotlin/org/poplarshift/operator/OperatorMain.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/OperatorMain.kt
@@ -1,4 +1,8 @@
 package org.poplarshift.operator
 
+import kotlin.system.exitProcess
+
 /** Entry point of the program. */
-fun main() = Unit
+fun main(arguments: Array<String>) {
+    exitProcess(operatorCommandLine().execute(*arguments))
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/PlatformOption.kt
@@ -0,0 +1,31 @@
+package org.poplarshift.operator
+
+import io.vertx.core.Vertx
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.runBlocking
+import org.poplarshift.operator.configuration.ConfigurationLog
+import org.poplarshift.platform.HttpLogService
+import picocli.CommandLine.Option
+
+/** The platform that a command talks to. */
+class PlatformOption {
+    @Option(
+        names = ["--platform"],
+        required = true,
+        paramLabel = "IP:PORT",
+        defaultValue = "\${env:POPLARSHIFT_PLATFORM}",
+        description = ["The platform's log service. Default: the environment variable POPLARSHIFT_PLATFORM."],
+    )
+    lateinit var address: String
+
+    /** Runs [block] with the stream `configuration`. */
+    fun <T> withConfiguration(block: suspend (ConfigurationLog) -> T): T = runBlocking {
+        val vertx = Vertx.vertx()
+        try {
+            block(ConfigurationLog(HttpLogService(WebClient.create(vertx), address)))
+        } finally {
+            vertx.close().coAwait()
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/batch/ItemFile.kt
@@ -0,0 +1,42 @@
+package org.poplarshift.operator.batch
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.contentOrNull
+import org.poplarshift.operator.schema.FileProblem
+import org.poplarshift.wire.WireJson
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readLines
+
+/** A file of batch items, one JSON object a line. */
+class ItemFile(private val file: Path) {
+    /** Returns the lines that no node would accept, so that a large upload does not fail at its end. */
+    fun problems(): List<FileProblem> {
+        val lines = try {
+            file.readLines()
+        } catch (exception: IOException) {
+            return listOf(FileProblem("$file", "", "no readable file (${exception.message})", "JSON Lines"))
+        }
+        val seen = mutableSetOf<String>()
+        return lines.withIndex()
+            .filter { it.value.isNotBlank() }
+            .mapNotNull { (index, line) -> problem(line, "line ${index + 1}", seen) }
+    }
+
+    private fun problem(line: String, place: String, seen: MutableSet<String>): FileProblem? {
+        val item = try {
+            WireJson.lenient.parseToJsonElement(line) as? JsonObject
+        } catch (_: SerializationException) {
+            null
+        } ?: return FileProblem("$file", place, "no JSON object", "an object with id and body")
+        val id = (item["id"] as? JsonPrimitive)?.takeIf { it.isString }?.contentOrNull
+        return when {
+            id.isNullOrEmpty() -> FileProblem("$file", "$place.id", "${item["id"]}", "a text")
+            !seen.add(id) -> FileProblem("$file", "$place.id", "$id twice", "unique ids")
+            item["body"] !is JsonObject -> FileProblem("$file", "$place.body", "${item["body"]}", "an object")
+            else -> null
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/load/LoadCommand.kt
@@ -0,0 +1,81 @@
+package org.poplarshift.operator.load
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.poplarshift.operator.ExitCode
+import org.poplarshift.operator.OperatorException
+import org.poplarshift.wire.WireJson
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.Spec
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+
+/** Sends a planned load and reports latency and throughput for each organisation. */
+@Command(
+    name = "load",
+    description = ["Sends a planned load and reports the results of each organisation."],
+)
+class LoadCommand : Callable<Int> {
+    @Spec
+    private lateinit var spec: CommandSpec
+
+    @Parameters(paramLabel = "PLAN", description = ["JSON file with a LoadPlan."])
+    private lateinit var planFile: Path
+
+    @Option(names = ["--json"], paramLabel = "FILE", description = ["Write the report as JSON to FILE."])
+    private var jsonFile: Path? = null
+
+    override fun call(): Int {
+        val plan = readPlan()
+        val keys = plan.streams.associate { it.organisation to read(planFile.resolveSibling(it.keyFile)).trim() }
+        val report = run(LoadRunner(plan, keys))
+        spec.commandLine().out.println(report.text())
+        jsonFile?.writeText(PRETTY.encodeToString(LoadReport.serializer(), report) + "\n")
+        return ExitCode.DONE
+    }
+
+    private fun run(runner: LoadRunner): LoadReport = runBlocking {
+        val progress = if (System.console() == null) null else launch { showProgress(runner) }
+        try {
+            runner.run()
+        } finally {
+            progress?.cancel()
+        }
+    }
+
+    private suspend fun showProgress(runner: LoadRunner) {
+        while (true) {
+            delay(PROGRESS_MILLIS)
+            val parts = runner.results.values.map { it.progress() }
+            val sent = parts.sumOf { it.sent }
+            val completed = parts.sumOf { it.completed }
+            System.err.print("\rsent $sent, completed $completed, failed ${parts.sumOf { it.failed }} ")
+        }
+    }
+
+    private fun readPlan(): LoadPlan = try {
+        WireJson.strict.decodeFromString(LoadPlan.serializer(), read(planFile))
+    } catch (exception: SerializationException) {
+        throw OperatorException("$planFile is not valid: ${exception.message}", ExitCode.USAGE, exception)
+    }
+
+    private fun read(file: Path): String = try {
+        file.readText()
+    } catch (exception: IOException) {
+        throw OperatorException("$file can't be read: ${exception.message}", ExitCode.USAGE, exception)
+    }
+
+    private companion object {
+        const val PROGRESS_MILLIS = 1_000L
+        val PRETTY = Json(WireJson.strict) { prettyPrint = true }
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/load/LoadRunner.kt
@@ -0,0 +1,51 @@
+package org.poplarshift.operator.load
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.PoolOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/** Runs a load plan as an open loop: a request is sent when it is due, whatever became of those before it. */
+class LoadRunner(private val plan: LoadPlan, private val keys: Map<String, String>) {
+    /** The results by organisation, which grow during the run. */
+    val results = plan.streams.map { it.organisation }.distinct().associateWith { StreamResults(it) }
+
+    /** Runs the plan to its end, including the responses to the last requests. */
+    suspend fun run(): LoadReport {
+        val vertx = Vertx.vertx()
+        try {
+            val startNanos = System.nanoTime()
+            coroutineScope {
+                plan.streams.forEachIndexed { index, stream -> launch { send(vertx, stream, index, startNanos) } }
+            }
+            return LoadReport(plan.durationSeconds, results.values.map { it.report(plan.durationSeconds) })
+        } finally {
+            vertx.close().coAwait()
+        }
+    }
+
+    private suspend fun send(vertx: Vertx, stream: LoadStream, index: Int, startNanos: Long) = coroutineScope {
+        val pool = PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS)
+        val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS), pool)
+        val request = LoadRequest(
+            client = client,
+            stream = stream,
+            key = keys.getValue(stream.organisation),
+            results = results.getValue(stream.organisation),
+        )
+        SendSchedule(plan).times(stream, index).forEachIndexed { number, timeNanos ->
+            val dueNanos = startNanos + timeNanos
+            delay((dueNanos - System.nanoTime()) / NANOS_PER_MILLI)
+            launch { request.run(number, dueNanos) }
+        }
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000
+        const val MAXIMUM_CONNECTIONS = 5_000
+        const val CONNECT_TIMEOUT_MILLIS = 5_000
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/status/AccessQuestion.kt
@@ -0,0 +1,67 @@
+package org.poplarshift.operator.status
+
+import org.poplarshift.core.catalogue.Catalogue
+import org.poplarshift.core.catalogue.Organisation
+import org.poplarshift.core.catalogue.OrganisationClass
+import org.poplarshift.core.catalogue.RouteTable
+import org.poplarshift.core.configuration.Configuration
+import org.poplarshift.core.verdict.RefusalReason
+
+/**
+ * Asks whether a request would be refused by a configuration. Rates and load are not part of the answer.
+ *
+ * @property keySha256 the hash of the caller's key, or null when [organisation] is given or no key is sent
+ * @property model the model of a completion, or null for a request to [path] of a plain service
+ */
+data class AccessQuestion(
+    val keySha256: String? = null,
+    val organisation: String? = null,
+    val model: String? = null,
+    val method: String = "GET",
+    val path: String? = null,
+) {
+    /** Returns why [configuration] refuses the request; empty when it does not. */
+    fun refusals(configuration: Configuration?): List<AccessRefusal> {
+        val catalogue = configuration?.catalogue
+            ?: return listOf(AccessRefusal(RefusalReason.NO_CONFIGURATION, "the node has no catalogue"))
+        val route = path?.let { RouteTable(catalogue.routes).match(method, it) }
+        if (path != null && route == null) {
+            return listOf(AccessRefusal(RefusalReason.UNKNOWN_ROUTE, "no route matches $method $path"))
+        }
+        if (route?.open == true) return emptyList()
+        val caller = caller(configuration, catalogue)
+            ?: return listOf(
+                AccessRefusal(RefusalReason.UNKNOWN_KEY, "the key or organisation is unknown or withdrawn"),
+            )
+        val isForbidden = route != null && route.organisations.isNotEmpty() && caller.id !in route.organisations
+        if (isForbidden) {
+            return listOf(AccessRefusal(RefusalReason.FORBIDDEN_ROUTE, "route ${route.id} is not open to ${caller.id}"))
+        }
+        return model?.let { modelRefusals(catalogue, caller, it) }.orEmpty()
+    }
+
+    private fun caller(configuration: Configuration, catalogue: Catalogue): Organisation? {
+        val id = organisation ?: configuration.keys.firstOrNull { it.sha256 == keySha256 }?.organisation
+        return id?.let(catalogue::organisation)
+    }
+
+    private fun modelRefusals(catalogue: Catalogue, caller: Organisation, model: String): List<AccessRefusal> {
+        val upstream = catalogue.upstreamOfModel(model)
+            ?: return listOf(AccessRefusal(RefusalReason.BAD_REQUEST, "no upstream serves the model $model"))
+        return buildList {
+            if (!upstream.isOpenTo(caller.id)) {
+                add(AccessRefusal(RefusalReason.FORBIDDEN_ROUTE, "upstream ${upstream.id} is not open to ${caller.id}"))
+            }
+            if (caller.organisationClass == OrganisationClass.BATCH_ONLY) {
+                add(AccessRefusal(RefusalReason.FORBIDDEN_ROUTE, "${caller.id} may use batch jobs only"))
+            }
+            if (upstream.workers.isEmpty()) add(AccessRefusal(RefusalReason.NO_WORKER, "${upstream.id} has no worker"))
+        }
+    }
+}
+
+/** One reason why a request would be refused. */
+data class AccessRefusal(val reason: RefusalReason, val message: String) {
+    /** One line for a person. */
+    fun describe(): String = "${reason.code}: $message"
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/status/StatusCommand.kt
@@ -0,0 +1,111 @@
+package org.poplarshift.operator.status
+
+import io.vertx.core.Vertx
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.runBlocking
+import org.poplarshift.core.configuration.KeyDirectory
+import org.poplarshift.operator.ExitCode
+import org.poplarshift.operator.OperatorException
+import org.poplarshift.platform.HttpVmList
+import org.poplarshift.platform.VmListResult
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.Spec
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import kotlin.io.path.readText
+
+/** Shows what each node has in force and, on request, why it would refuse a request. */
+@Command(
+    name = "status",
+    description = ["Shows what each node has in force, and why a request would be refused."],
+)
+class StatusCommand : Callable<Int> {
+    @Spec
+    private lateinit var spec: CommandSpec
+
+    @Option(names = ["--node"], paramLabel = "IP:PORT", description = ["The peers address of a node; may be repeated."])
+    private var nodes: List<String> = emptyList()
+
+    @Option(
+        names = ["--platform"],
+        paramLabel = "IP:PORT",
+        defaultValue = "\${env:POPLARSHIFT_PLATFORM}",
+        description = ["Where to read the list of VMs when no node is given."],
+    )
+    private var platform: String? = null
+
+    @Option(names = ["--key-file"], paramLabel = "FILE", description = ["The key of the request in question."])
+    private var keyFile: Path? = null
+
+    @Option(names = ["--organisation"], description = ["The organisation, instead of a key."])
+    private var organisation: String? = null
+
+    @Option(names = ["--model"], description = ["The model of the request in question."])
+    private var model: String? = null
+
+    @Option(names = ["--method"], defaultValue = "GET", description = ["The method of the request in question."])
+    private lateinit var method: String
+
+    @Option(names = ["--path"], description = ["The path of the request in question, for a plain service."])
+    private var path: String? = null
+
+    private val reader = NodeReader()
+
+    override fun call(): Int {
+        val addresses = nodes.ifEmpty { listedAddresses() }
+        val answered = addresses.map { show(it) }
+        return if (answered.isNotEmpty() && answered.all { it }) ExitCode.DONE else ExitCode.FAILED
+    }
+
+    private fun show(address: String): Boolean {
+        val out = spec.commandLine().out
+        val status = when (val reply = reader.status(address)) {
+            is NodeReply.Unreachable -> {
+                out.println("$address: no status (${reply.reason})")
+                return false
+            }
+
+            is NodeReply.Answered -> reply.value
+        }
+        out.println("${status.vm} ($address, ${status.availabilityZone}): ${describe(status)}")
+        status.refusals.filterValues { it > 0 }.forEach { (code, count) -> out.println("  refused $code: $count") }
+        if (model != null || path != null) explain(address, status).forEach { out.println("  would refuse, $it") }
+        return true
+    }
+
+    private fun describe(status: NodeStatus): String {
+        val slots = status.slots.ifEmpty { listOf("none") }.joinToString()
+        return "${status.state}, catalogue ${status.catalogueVersion}, configuration ${status.configurationVersion} " +
+            "(${age(status)}), ${status.openRequests} open requests, slots $slots"
+    }
+
+    private fun age(status: NodeStatus) = status.configurationAgeMillis?.let { "confirmed $it ms ago" } ?: "unconfirmed"
+
+    private fun explain(address: String, status: NodeStatus): List<String> {
+        val key = keyFile?.readText()?.trim()
+        val question = AccessQuestion(key?.let(KeyDirectory::hash), organisation, model, method, path)
+        val state = if (status.state == "serving") emptyList() else listOf("the node is ${status.state}")
+        return when (val reply = reader.configuration(address)) {
+            is NodeReply.Unreachable -> state + "the configuration can't be read: ${reply.reason}"
+            is NodeReply.Answered -> state + question.refusals(reply.value).map { it.describe() }
+        }
+    }
+
+    private fun listedAddresses(): List<String> = runBlocking {
+        val address = platform ?: throw OperatorException("give --node or --platform", ExitCode.USAGE)
+        val vertx = Vertx.vertx()
+        try {
+            when (val result = HttpVmList(WebClient.create(vertx), address).read()) {
+                is VmListResult.Vms -> result.vms.map { it.peerAddress }
+                is VmListResult.Unavailable -> throw OperatorException(
+                    "the list of VMs can't be read: ${result.reason}",
+                )
+            }
+        } finally {
+            vertx.close().coAwait()
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/test/kotlin/org/poplarshift/operator/CommandRun.kt
@@ -0,0 +1,17 @@
+package org.poplarshift.operator
+
+import java.io.PrintWriter
+import java.io.StringWriter
+
+/** The outcome of one command. */
+data class CommandRun(val exitCode: Int, val out: String, val err: String) {
+    companion object {
+        /** Runs the program's command line in this process. */
+        fun of(vararg arguments: String): CommandRun {
+            val out = StringWriter()
+            val err = StringWriter()
+            val line = operatorCommandLine().setOut(PrintWriter(out, true)).setErr(PrintWriter(err, true))
+            return CommandRun(line.execute(*arguments), out.toString(), err.toString())
+        }
+    }
+}
