--- /dev/null
+++ b/examples/functions.sh
@@ -0,0 +1,146 @@
+# Functions of examples/run. They use the variables root, name, example, directory and pids of the caller, and those of
+# the example's federation.sh.
+
+jars=(stand-ins/target/poplarshift-stand-ins.jar node/target/poplarshift-node.jar operator/target/poplarshift.jar)
+
+# Builds the programs unless their jars are newer than all sources. MAVEN_FLAGS is passed on, such as -o.
+build_if_needed() {
+  local jar
+  for jar in "${jars[@]}"; do
+    if [ ! -e "$root/$jar" ] || [ -n "$(newer_sources "$root/$jar")" ]; then
+      echo "Building the programs"
+      (cd "$root" && mvn ${MAVEN_FLAGS:-} -q -B -ntp package -DskipTests -pl stand-ins,node,operator -am)
+      # Maven keeps the jar of a module without changes, so that its time would call for a build again.
+      (cd "$root" && touch "${jars[@]}")
+      return
+    fi
+  done
+}
+
+newer_sources() {
+  find "$root"/{core,wire,platform,node,operator,stand-ins}/src/main "$root/docs" -type f -newer "$1" -print -quit
+}
+
+# Starts a program in the background: start LOG-NAME COMMAND...
+start() {
+  local log="$directory/logs/$1.log"
+  shift
+  # A process group of its own would keep Ctrl-C from the programs, but they must end in order; so they ignore it.
+  (trap '' INT; exec "$@") >"$log" 2>&1 &
+  pids+=($!)
+}
+
+# Waits until COMMAND succeeds: await SECONDS WHAT COMMAND...
+await() {
+  local deadline=$((SECONDS + $1)) what="$2"
+  shift 2
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$deadline" ]; then
+      echo "$what did not happen in time; see $directory/logs" >&2
+      tail -n 5 "$directory"/logs/*.log >&2
+      keep=yes
+      exit 1
+    fi
+    sleep 0.2
+  done
+}
+
+start_stand_ins() {
+  start stand-ins java -Xmx512m -jar "$root/stand-ins/target/poplarshift-stand-ins.jar" federation "$example/federation.json"
+  await 30 "the start of the platform" curl -sf "http://$PLATFORM/vms"
+}
+
+start_nodes() {
+  local settings
+  for settings in "$example"/nodes/*.json; do
+    start "$(basename "$settings" .json)" "$root/bin/poplarshift-node" --settings "$settings"
+  done
+}
+
+give_keys() {
+  local organisation
+  umask 077
+  for organisation in "${ORGANISATIONS[@]}"; do
+    "$root/bin/poplarshift" key give "$organisation" >"$directory/keys/$organisation.key" 2>>"$directory/logs/keys.log"
+  done
+}
+
+await_ready() {
+  local address
+  for address in "${PEERS[@]}"; do
+    await 60 "readiness of the node at $address" curl -sf "http://$address/health/ready"
+  done
+  # A node serves a key as soon as it has read the record, which a request shows.
+  for address in "${CALLERS[@]}"; do
+    await 30 "the last key at $address" call "${ORGANISATIONS[-1]}" -f "http://$address/v1/models"
+  done
+}
+
+# Calls curl with the key of an organisation, which does not appear in the list of processes: call ORGANISATION ...
+call() {
+  local organisation="$1"
+  shift
+  curl -sS --max-time 60 --config <(
+    printf 'header = "Authorization: Bearer %s"\n' "$(cat "$directory/keys/$organisation.key")"
+  ) "$@"
+}
+
+check() {
+  check_stream
+  check_plain_call
+  check_batch
+}
+
+check_stream() {
+  local body response
+  body="$(printf '{"model":"%s","stream":true,"messages":[{"role":"user","content":"%s"}]}' \
+    "$MODEL" "$(head -n 1 "$example/prompts.txt")")"
+  response="$(call "$ONLINE_ORGANISATION" -f "http://${CALLERS[0]}/v1/chat/completions" -d "$body")"
+  if [[ "$response" != *"data: [DONE]"* ]]; then
+    echo "the stream is not complete: $response" >&2
+    exit 1
+  fi
+  echo "check: a stream of $(grep -c '^data: {' <<<"$response") parts through ${CALLERS[0]}"
+}
+
+check_plain_call() {
+  local response
+  response="$(call "$ONLINE_ORGANISATION" -f -X "$PLAIN_METHOD" "http://${CALLERS[4]}$PLAIN_PATH" -H 'Idempotency-Key: check-1')"
+  echo "check: a plain call through ${CALLERS[4]}: $response"
+}
+
+check_batch() {
+  local key="$directory/keys/$BATCH_ORGANISATION.key" results="$directory/results.jsonl" expected unique
+  "$root/bin/poplarshift" batch submit --node "${CALLERS[7]}" --key-file "$key" check-job "$example/batch.jsonl"
+  timeout 180 "$root/bin/poplarshift" batch results --follow --node "${CALLERS[2]}" --key-file "$key" check-job >"$results"
+  expected="$(wc -l <"$example/batch.jsonl")"
+  unique="$(grep -o '^{"id":"[^"]*"' "$results" | sort -u | wc -l)"
+  if [ "$(wc -l <"$results")" != "$expected" ] || [ "$unique" != "$expected" ]; then
+    echo "the batch has $(wc -l <"$results") results for $unique of $expected items" >&2
+    exit 1
+  fi
+  echo "check: a batch of $expected items through ${CALLERS[7]}, its results through ${CALLERS[2]}"
+}
+
+# Ends the nodes in order, then the stand-ins; all by process id.
+stop() {
+  local status=$? pid
+  trap - EXIT
+  for pid in "${pids[@]:1}" "${pids[@]:0:1}"; do
+    kill "$pid" 2>/dev/null || true
+    if [ "$pid" = "${pids[-1]}" ]; then await_end "${pids[@]:1}"; fi
+  done
+  await_end "${pids[@]}"
+  if [ "$status" = 0 ] || [ "${keep:-no}" = no ]; then rm -rf "$directory"; fi
+  exit "$status"
+}
+
+# Waits up to 30 s for the processes to end, then kills what is left.
+await_end() {
+  local deadline=$((SECONDS + 30)) pid
+  for pid in "$@"; do
+    while kill -0 "$pid" 2>/dev/null && [ "$SECONDS" -lt "$deadline" ]; do sleep 0.1; done
+    kill -9 "$pid" 2>/dev/null && echo "process $pid did not end and was killed" >&2
+  done
+  return 0
+}
--- a/operator/src/main/kotlin/org/poplarshift/operator/catalogue/CatalogueCommand.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/catalogue/CatalogueCommand.kt
@@ -7,6 +7,7 @@
 import org.poplarshift.operator.ExitCode
 import org.poplarshift.operator.OperatorException
 import org.poplarshift.operator.PlatformOption
+import org.poplarshift.operator.schema.SchemaCheck
 import org.poplarshift.wire.WireJson
 import picocli.CommandLine.Command
 import picocli.CommandLine.Mixin
@@ -27,10 +28,18 @@
 
     private val out get() = spec.commandLine().out
 
-    @Command(description = ["Checks a catalogue file without the platform."])
-    fun check(@Parameters(paramLabel = "FILE") file: Path): Int {
-        CatalogueFile(file).read()
-        out.println("$file is valid")
+    @Command(description = ["Checks a catalogue file, and files with node settings, without the platform."])
+    fun check(
+        @Option(names = ["--settings"], paramLabel = "FILE", description = ["Settings of a node; may be repeated."])
+        settings: List<Path>?,
+        @Parameters(paramLabel = "FILE", arity = "0..1", description = ["The catalogue."]) file: Path?,
+    ): Int {
+        val files = settings.orEmpty() + listOfNotNull(file)
+        if (files.isEmpty()) throw OperatorException("give a catalogue or --settings", ExitCode.USAGE)
+        val schema = SchemaCheck("settings.schema.json")
+        settings.orEmpty().forEach { schema.requireValid(it) }
+        file?.let { CatalogueFile(it).read() }
+        files.forEach { out.println("$it is valid") }
         return ExitCode.DONE
     }
 
--- a/operator/src/main/kotlin/org/poplarshift/operator/schema/SchemaCheck.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/schema/SchemaCheck.kt
@@ -5,7 +5,12 @@
 import com.networknt.schema.SchemaRegistry
 import com.networknt.schema.SpecificationVersion
 import kotlinx.serialization.SerializationException
+import org.poplarshift.operator.ExitCode
+import org.poplarshift.operator.OperatorException
 import org.poplarshift.wire.WireJson
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
 
 /** Checks JSON files against one of the schemas in `docs/`, such as `catalogue.schema.json`. */
 class SchemaCheck(private val schemaName: String) {
@@ -23,6 +28,17 @@
         return schema.validate(text, InputFormat.JSON).map { problem(file, it) }
     }
 
+    /** Returns the text of [file]; every problem with it is in the message of the exception. */
+    fun requireValid(file: Path): String {
+        val text = try {
+            file.readText()
+        } catch (exception: IOException) {
+            throw OperatorException("$file can't be read: ${exception.message}", ExitCode.USAGE, exception)
+        }
+        requireNone(problems("$file", text))
+        return text
+    }
+
     private fun problem(file: String, error: Error): FileProblem {
         val location = error.instanceLocation
         val elements = (0 until location.nameCount).map { location.getElement(it) }
@@ -62,3 +78,9 @@
     /** One line for a person. */
     fun describe(): String = "${if (path.isEmpty()) file else "$file: $path"}: found $found, expected $expected"
 }
+
+/** Ends the command with one line for each of [problems], if there is one. */
+fun requireNone(problems: List<FileProblem>) {
+    if (problems.isEmpty()) return
+    throw OperatorException(problems.joinToString("\npoplarshift: ") { it.describe() }, ExitCode.USAGE)
+}
--- a/operator/src/test/kotlin/org/poplarshift/operator/FileCheckTest.kt
+++ b/operator/src/test/kotlin/org/poplarshift/operator/FileCheckTest.kt
@@ -33,6 +33,14 @@
             }
         }
 
+        test("check reports the path in a settings file") {
+            val file = createTempFile().also { it.toFile().deleteOnExit() }
+            file.writeText("""{"vm":"a","limits":{"bodyBytes":1}}""")
+            val run = CommandRun.of("catalogue", "check", "--settings=$file")
+            run.exitCode shouldBe 2
+            run.err shouldContain "$file: limits.bodyBytes: found 1, expected minimum 1024"
+        }
+
         test("the published settings schema is the one that nodes use") {
             val root = File(System.getProperty("poplarshift.root"))
             root.resolve("docs/settings.schema.json").readText() shouldBe
