Keep the request ledger in the log

Cause: a keyed request on a non-idempotent route was refused always, since no ledger existed. Change: LogRequestLedger appends the start, runs a request only after reading that start back as the first, replays answers from the log and frees keys of requests that did not run; concurrent records share an append.

--- a/core/src/main/kotlin/org/poplarshift/core/idempotency/RequestIndex.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/idempotency/RequestIndex.kt
@@ -58,6 +58,10 @@
         }
     }
 
+    /** The identifier of the request whose start at [startedOffset] holds [key], or null when it no longer does. */
+    fun requestIdOf(key: RequestKey, startedOffset: Long): String? =
+        entries[key]?.takeIf { it.startedOffset == startedOffset }?.requestId
+
     /** Drops expired keys. The margin covers clocks that differ, as in the index of batch jobs. */
     fun forget(nowMillis: Long) {
         entries.values.removeIf { isExpired(it, nowMillis - CLOCK_MARGIN_MILLIS) }
--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -21,8 +21,9 @@
 import org.poplarshift.node.forward.DefaultUpstreamClient
 import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.http.NodeServer
-import org.poplarshift.node.idempotency.RefusingRequestLedger
+import org.poplarshift.node.idempotency.LogRequestLedger
 import org.poplarshift.node.idempotency.RequestLedger
+import org.poplarshift.node.idempotency.RequestLog
 import org.poplarshift.node.log.TailingLogFollower
 import org.poplarshift.node.peer.DefaultPeerDirectory
 import org.poplarshift.node.peer.Gossip
@@ -48,7 +49,9 @@
 
     val quota: QuotaGate = LocalQuotaGate(context.clock)
     val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
-    val ledger: RequestLedger = RefusingRequestLedger()
+    private val requestsLog = TailingLogFollower(context.logService, LogStream.REQUESTS, context.clock)
+    private val logLedger = LogRequestLedger(context, RequestLog(context, requestsLog), configuration, peers)
+    val ledger: RequestLedger = logLedger
 
     val callerMetrics = CallerMetrics(context.metrics)
     val openRequests = OpenRequests(context, configuration)
@@ -68,6 +71,7 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        logLedger,
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
         ModelRoutes(callersServer.router, configuration, authentication, online),
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/idempotency/LogRequestLedger.kt
@@ -0,0 +1,138 @@
+package org.poplarshift.node.idempotency
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.poplarshift.core.configuration.KeyDirectory
+import org.poplarshift.core.idempotency.RequestDecision
+import org.poplarshift.core.idempotency.RequestKey
+import org.poplarshift.core.idempotency.RequestRecord
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.NodePart
+import org.poplarshift.node.WallClock
+import org.poplarshift.node.configuration.ConfigurationStore
+import org.poplarshift.node.log.WriteResult
+import org.poplarshift.node.peer.PeerDirectory
+import java.util.UUID
+import kotlin.time.Duration.Companion.hours
+
+/**
+ * Keeps the ledger in the stream `requests`. A request runs only after its start has been read back from the log as the
+ * first with its key, so that of all nodes that get the request one runs it.
+ */
+class LogRequestLedger(
+    private val context: NodeContext,
+    private val requestLog: RequestLog,
+    private val store: ConfigurationStore,
+    private val peers: PeerDirectory,
+    private val wallClock: WallClock = WallClock.SYSTEM,
+) : RequestLedger,
+    NodePart {
+    override suspend fun start() {
+        context.scope.launch { requestLog.follow() }
+        context.scope.launch {
+            while (isActive) {
+                delay(FORGET_PERIOD_MILLIS)
+                requestLog.index.forget(wallClock.millis())
+            }
+        }
+    }
+
+    override suspend fun begin(organisation: String, idempotencyKey: String, digest: String): LedgerDecision {
+        val key = RequestKey(organisation, KeyDirectory.hash(idempotencyKey))
+        val known = decide(key, digest, requestId = null)
+        if (known != RequestDecision.Start) return decisionOf(known)
+        val started = startOf(key, digest)
+        return when (val written = requestLog.writeStart(started)) {
+            is WriteResult.NotWritten -> unavailable(Ran.NOT_RUN)
+            is WriteResult.Unknown -> abandonLater(started)
+            is WriteResult.Written -> readBack(key, started, written.offset)
+        }
+    }
+
+    override suspend fun finish(started: LedgerDecision.Run, status: Int, contentType: String, body: String) {
+        val requestId = requestIdOf(started) ?: return
+        val record = RequestRecord.RequestFinished(
+            organisation = started.organisation,
+            keyHash = started.keyHash,
+            requestId = requestId,
+            status = status,
+            contentType = contentType,
+            body = body,
+        )
+        context.scope.launch { requestLog.writeEnd(record) }
+    }
+
+    override suspend fun abandon(started: LedgerDecision.Run) {
+        val requestId = requestIdOf(started) ?: return
+        writeAbandoned(started.organisation, started.keyHash, requestId)
+    }
+
+    private suspend fun readBack(
+        key: RequestKey,
+        started: RequestRecord.RequestStarted,
+        offset: Long,
+    ): LedgerDecision {
+        if (!requestLog.awaitApplied(offset)) return abandonLater(started)
+        val decision = decide(key, started.digest, started.requestId)
+        if (decision is RequestDecision.Run) {
+            return LedgerDecision.Run(key.organisation, key.keyHash, decision.startedOffset)
+        }
+        return decisionOf(decision)
+    }
+
+    private suspend fun decisionOf(decision: RequestDecision): LedgerDecision = when (decision) {
+        is RequestDecision.Replay -> replay(decision)
+        RequestDecision.OtherContent ->
+            LedgerDecision.Refused(RefusalReason.KEY_REUSED_WITH_OTHER_CONTENT, Ran.NOT_RUN)
+        RequestDecision.OutcomeUnknown -> LedgerDecision.Refused(RefusalReason.OUTCOME_UNKNOWN, Ran.MAY_HAVE_RUN)
+        // The key of another request expired or was freed between the two decisions: the caller can try again.
+        RequestDecision.InProgress, RequestDecision.Start, is RequestDecision.Run ->
+            LedgerDecision.Refused(RefusalReason.REQUEST_IN_PROGRESS, Ran.MAY_HAVE_RUN)
+    }
+
+    private suspend fun replay(decision: RequestDecision.Replay): LedgerDecision {
+        val answer = requestLog.readAnswer(decision.finishedOffset, decision.requestId) ?: return unavailable(Ran.RAN)
+        return LedgerDecision.Replay(answer.status, answer.contentType, answer.body)
+    }
+
+    // This request certainly did not run, but its start may reach the log and would block the key.
+    private fun abandonLater(started: RequestRecord.RequestStarted): LedgerDecision {
+        writeAbandoned(started.organisation, started.keyHash, started.requestId)
+        return unavailable(Ran.NOT_RUN)
+    }
+
+    private fun writeAbandoned(organisation: String, keyHash: String, requestId: String) {
+        val record = RequestRecord.RequestAbandoned(organisation, keyHash, requestId)
+        context.scope.launch { requestLog.writeEnd(record) }
+    }
+
+    private fun unavailable(ran: Ran) = LedgerDecision.Refused(RefusalReason.LOG_UNAVAILABLE, ran)
+
+    private fun decide(key: RequestKey, digest: String, requestId: String?): RequestDecision =
+        requestLog.index.decide(key, digest, requestId, wallClock.millis(), ::isLive)
+
+    private fun requestIdOf(started: LedgerDecision.Run): String? =
+        requestLog.index.requestIdOf(RequestKey(started.organisation, started.keyHash), started.offset)
+
+    private fun isLive(node: String): Boolean =
+        node == context.incarnation || peers.peers.value.any { it.incarnation == node }
+
+    private fun startOf(key: RequestKey, digest: String) = RequestRecord.RequestStarted(
+        organisation = key.organisation,
+        keyHash = key.keyHash,
+        digest = digest,
+        requestId = UUID.randomUUID().toString(),
+        node = context.incarnation,
+        atMillis = wallClock.millis(),
+        windowMillis = store.current.value.catalogue?.retention?.idempotencyHours?.hours?.inWholeMilliseconds
+            ?: DEFAULT_WINDOW_MILLIS,
+    )
+
+    private companion object {
+        const val FORGET_PERIOD_MILLIS = 60_000L
+        const val DEFAULT_WINDOW_MILLIS = 24 * 3_600_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/idempotency/RequestLog.kt
@@ -0,0 +1,87 @@
+package org.poplarshift.node.idempotency
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import org.poplarshift.core.idempotency.RequestIndex
+import org.poplarshift.core.idempotency.RequestRecord
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.log.GroupCommit
+import org.poplarshift.node.log.LogFollower
+import org.poplarshift.node.log.StreamWriter
+import org.poplarshift.node.log.WriteResult
+import org.poplarshift.platform.LogRecord
+import org.poplarshift.platform.ReadResult
+import org.poplarshift.wire.LogEnvelope
+import org.poplarshift.wire.LogStream
+import org.poplarshift.wire.WireJson
+
+/** The stream `requests` at this node: the index of its records, and appends that many requests share. */
+class RequestLog(
+    private val context: NodeContext,
+    private val follower: LogFollower,
+    private val patienceMillis: Long = 2_000,
+) {
+    private val writer =
+        StreamWriter(
+            context.logService,
+            LogStream.REQUESTS,
+            context.incarnation,
+            RequestRecord.serializer(),
+            context.clock,
+        )
+    private val starts = GroupCommit(context.scope) { writer.write(group(it), patienceMillis) }
+    private val ends = GroupCommit(context.scope) {
+        writer.write(group(it), StreamWriter.UNTIL_WRITTEN, retryRefused = true)
+    }
+
+    /** The keys that are known. */
+    val index = RequestIndex()
+
+    /** The number of appends so far. */
+    val appendCount: Long
+        get() = writer.appendCount
+
+    /** Applies the stream until cancelled. */
+    suspend fun follow() = follower.follow { record ->
+        val decoded = decode(record)
+        if (decoded == null) index.skip(record.offset) else index.apply(record.offset, decoded)
+    }
+
+    /** Appends the start of a request; gives up after a short time. */
+    suspend fun writeStart(record: RequestRecord): WriteResult = starts.submit(record)
+
+    /** Appends the end of a request, however long the log is down. */
+    suspend fun writeEnd(record: RequestRecord): WriteResult = ends.submit(record)
+
+    /** Waits until the record at [offset] is in [index]; false when the log can't be read in time. */
+    suspend fun awaitApplied(offset: Long): Boolean =
+        withTimeoutOrNull(patienceMillis) { follower.awaitApplied(offset) } != null
+
+    /** Reads the answer that the record at [offset] holds, or null when the log can't be read. */
+    suspend fun readAnswer(offset: Long, requestId: String): RequestRecord.RequestFinished? {
+        val result = context.logService.read(LogStream.REQUESTS, offset, maximumRecords = 1)
+        val line = (result as? ReadResult.Records)?.records?.firstOrNull { it.offset == offset } ?: return null
+        return flatten(decode(line) ?: return null)
+            .filterIsInstance<RequestRecord.RequestFinished>()
+            .firstOrNull { it.requestId == requestId }
+    }
+
+    private fun flatten(record: RequestRecord): List<RequestRecord> =
+        if (record is RequestRecord.RequestGroup) record.records else listOf(record)
+
+    private fun group(records: List<RequestRecord>): RequestRecord =
+        records.singleOrNull() ?: RequestRecord.RequestGroup(records)
+
+    private fun decode(line: LogRecord): RequestRecord? = try {
+        WireJson.lenient.decodeFromString(ENVELOPE, line.record).record
+    } catch (exception: SerializationException) {
+        log.warn { "idempotency: record ${line.offset} can't be read: ${exception.message}" }
+        null
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val ENVELOPE = LogEnvelope.serializer(RequestRecord.serializer())
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/log/StreamWriter.kt
@@ -0,0 +1,73 @@
+package org.poplarshift.node.log
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.KSerializer
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.platform.AppendResult
+import org.poplarshift.platform.LogService
+import org.poplarshift.wire.LogEnvelope
+import org.poplarshift.wire.WireJson
+
+/**
+ * Appends records to [stream]. A record keeps its identity when its append is repeated, so that an append whose outcome
+ * is unknown has no second effect. A stream has one writer at each node.
+ *
+ * @param producer the incarnation of this node
+ */
+class StreamWriter<Record>(
+    private val logService: LogService,
+    private val stream: String,
+    private val producer: String,
+    serializer: KSerializer<Record>,
+    private val clock: MonotonicClock,
+) {
+    private val envelopes = LogEnvelope.serializer(serializer)
+    private var sequence = 0L
+
+    /** The number of appends, repeated ones included. */
+    var appendCount = 0L
+        private set
+
+    /** The bytes of all appends. */
+    var appendedBytes = 0L
+        private set
+
+    /**
+     * Appends [record] and repeats the append until its outcome is known or [patienceMillis] have passed. A refusal
+     * before any unknown outcome ends the attempt at once, unless [retryRefused] is true.
+     */
+    suspend fun write(record: Record, patienceMillis: Long, retryRefused: Boolean = false): WriteResult {
+        val envelope = LogEnvelope(producer = producer, sequence = sequence++, record = record)
+        val line = WireJson.lenient.encodeToString(envelopes, envelope)
+        val deadline = clock.millis() + patienceMillis
+        var isUnknown = false
+        var pauseMillis = FIRST_PAUSE_MILLIS
+        while (true) {
+            val reason = when (val result = appendOnce(line)) {
+                is AppendResult.Appended -> return WriteResult.Written(result.offset)
+                is AppendResult.Unknown -> result.reason.also { isUnknown = true }
+                is AppendResult.Refused -> result.reason
+            }
+            val mayRepeat = isUnknown || retryRefused
+            if (!mayRepeat || clock.millis() + pauseMillis > deadline) return unfinished(isUnknown, reason)
+            delay(pauseMillis)
+            pauseMillis = minOf(pauseMillis * 2, LONGEST_PAUSE_MILLIS)
+        }
+    }
+
+    private suspend fun appendOnce(line: String): AppendResult {
+        appendCount++
+        appendedBytes += line.length
+        return logService.append(stream, line)
+    }
+
+    private fun unfinished(isUnknown: Boolean, reason: String): WriteResult =
+        if (isUnknown) WriteResult.Unknown(reason) else WriteResult.NotWritten(reason)
+
+    companion object {
+        /** Patience for records that must reach the log in the end. */
+        const val UNTIL_WRITTEN = Long.MAX_VALUE / 2
+        private const val FIRST_PAUSE_MILLIS = 50L
+        private const val LONGEST_PAUSE_MILLIS = 2_000L
+    }
+}
