Run batch jobs at the holder of their home slot

Cause: a node had no batch API. Change: uploads are streamed into chunks of the log, the runner at the home slot's holder sends items to workers with room, own or of other holders, results are grouped and appended, pages and streams of results are read from the log, jobs are cancelled and carried forward, and batch yields to demand that peers report.

--- a/core/src/main/kotlin/org/poplarshift/core/batch/BatchScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/BatchScheduler.kt
@@ -6,10 +6,11 @@
  * Decides which batch item runs next at the holder of a slot. It keeps only the jobs of the slots that this node holds,
  * and is lost with the node: the next holder builds its own from the log.
  *
+ * @param verdicts the rules in force
  * @param weightOf the weight of an organisation in the catalogue
  */
 class BatchScheduler(
-    private val verdicts: RunVerdictMapper,
+    private val verdicts: () -> RunVerdictMapper,
     private val weightOf: (organisation: String) -> Double = { 1.0 },
 ) {
     private val queues = LinkedHashMap<String, JobQueue>()
@@ -80,7 +81,7 @@
         val queue = queues[run.uploadId]
         if (running.remove(run.runId) == null || queue == null) return RunOutcome.Dropped
         if (queue.job.hasEnded(run.item)) return RunOutcome.Dropped
-        val outcome = verdicts.map(run, verdict)
+        val outcome = verdicts().map(run, verdict)
         if (outcome is RunOutcome.Retry) {
             queue.putBack(run.item, run.attempt, countsAttempt = verdict !is Verdict.NotRun)
         } else {
@@ -95,6 +96,17 @@
         queues[run.uploadId]?.putBack(run.item, run.attempt, countsAttempt = false)
     }
 
+    /** Takes the state of a job that was carried forward, which replaces the earlier one. */
+    fun replace(job: JobState) {
+        queues[job.uploadId]?.job = job
+    }
+
+    /** Whether [run] has neither ended nor been given up. */
+    fun isActive(run: BatchRun): Boolean = run.runId in running
+
+    /** The runs that have not ended. */
+    fun activeRuns(): List<BatchRun> = running.values.toList()
+
     /** Drops items that another holder has recorded as ended. */
     fun ended(uploadId: String, items: List<Int>) {
         val queue = queues[uploadId] ?: return
--- a/core/src/main/kotlin/org/poplarshift/core/batch/JobQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/JobQueue.kt
@@ -1,7 +1,7 @@
 package org.poplarshift.core.batch
 
 /** The items of one job that wait at the holder of the job's slot, with their attempts. */
-internal class JobQueue(val job: JobState, private val waiting: ItemSet) {
+internal class JobQueue(var job: JobState, private val waiting: ItemSet) {
     private val attempts = HashMap<Int, Int>()
     private var cursor = 0
 
--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -3,6 +3,9 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import org.poplarshift.node.batch.BatchPart
+import org.poplarshift.node.batch.CapacityBatchWorkers
+import org.poplarshift.node.batch.LocalSlotOwnership
 import org.poplarshift.node.caller.AttemptLoop
 import org.poplarshift.node.caller.CallerAuthentication
 import org.poplarshift.node.caller.CallerMetrics
@@ -68,6 +71,23 @@
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
     private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock, callerIdleMillis)
 
+    private val slots = LocalSlotOwnership(context, configuration)
+    val batch = BatchPart(
+        context,
+        configuration,
+        slots,
+        CapacityBatchWorkers(configuration),
+        dispatcher,
+        upstreamClient,
+        peers,
+        peerClient,
+        callersServer.router,
+        peersServer.router,
+        authentication,
+        openRequests,
+        callerMetrics,
+    )
+
     private val exchangeParts = listOf(
         configurationExchange,
     )
@@ -79,11 +99,13 @@
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
         logLedger,
+        slots,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
         ModelRoutes(callersServer.router, configuration, authentication, online),
         CompletionRoutes(context, callersServer.router, configuration, authentication, online),
+        batch,
         ServiceRoutes(context, callersServer.router, configuration, authentication, online),
         Gossip(context, lifecycle, peers, peerClient, peersServer.router, exchangeParts),
     )
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchLog.kt
@@ -0,0 +1,108 @@
+package org.poplarshift.node.batch
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.SerializationException
+import org.poplarshift.core.batch.BatchIndex
+import org.poplarshift.core.batch.BatchRecord
+import org.poplarshift.core.batch.BatchResult
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.WallClock
+import org.poplarshift.node.log.LogFollower
+import org.poplarshift.node.log.StreamWriter
+import org.poplarshift.platform.LogRecord
+import org.poplarshift.platform.ReadResult
+import org.poplarshift.wire.LogEnvelope
+import org.poplarshift.wire.LogStream
+import org.poplarshift.wire.WireJson
+
+/** The stream `batch` at this node: its index, its writer and reads by offset. */
+class BatchLog(
+    private val context: NodeContext,
+    private val follower: LogFollower,
+    private val wallClock: WallClock = WallClock.SYSTEM,
+) {
+    private val listeners = mutableListOf<(BatchResult) -> Unit>()
+    private val changes = MutableStateFlow(0L)
+
+    /** All jobs. It is replaced when a part of the log was missed; keep no reference to it or to its jobs. */
+    var index = BatchIndex()
+        private set
+
+    val writer =
+        StreamWriter(context.logService, LogStream.BATCH, context.incarnation, BatchRecord.serializer(), context.clock)
+
+    /** Changes whenever records were applied. */
+    val nextOffset: StateFlow<Long> = changes
+
+    /** Calls [listener] with the effect of each record. */
+    fun addListener(listener: (BatchResult) -> Unit) {
+        listeners += listener
+    }
+
+    /** Applies the stream until cancelled. */
+    suspend fun follow() = follower.follow { record ->
+        if (record.offset > index.nextOffset) restart(record.offset)
+        val decoded = if (isBodiesOnly(record.record)) null else decode(record)
+        if (decoded == null) {
+            index.skip(record.offset)
+        } else {
+            val result = index.apply(record.offset, decoded)
+            listeners.forEach { it(result) }
+        }
+        changes.value = index.nextOffset
+    }
+
+    /** Drops jobs whose results are no longer readable. */
+    fun forget() = index.forget(wallClock.millis(), follower.retentionStart)
+
+    /** Waits until the record at [offset] is in [index]; false when that takes longer than [patienceMillis]. */
+    suspend fun awaitApplied(offset: Long, patienceMillis: Long = PATIENCE_MILLIS): Boolean =
+        withTimeoutOrNull(patienceMillis) { follower.awaitApplied(offset) } != null
+
+    /** Waits until [index] holds everything that was in the log when this function was called; false when it is down. */
+    suspend fun catchUp(): Boolean {
+        val from = follower.nextOffset
+        val result =
+            context.logService.read(LogStream.BATCH, from, MAXIMUM_RECORDS) as? ReadResult.Records ?: return false
+        val last = result.records.lastOrNull()?.offset ?: return result.nextOffset <= follower.nextOffset
+        return result.records.size < MAXIMUM_RECORDS && awaitApplied(last)
+    }
+
+    /** Reads the record at [offset], or returns null when the log gives no answer. */
+    suspend fun read(offset: Long): BatchRecord? {
+        val result = context.logService.read(LogStream.BATCH, offset, maximumRecords = 1)
+        val record = (result as? ReadResult.Records)?.records?.firstOrNull { it.offset == offset }
+        return record?.let(::decode)
+    }
+
+    private fun restart(offset: Long) {
+        if (index.nextOffset > 0) log.warn { "batch: records ${index.nextOffset} to $offset have left the log unread" }
+        index = BatchIndex(firstOffset = offset)
+    }
+
+    // Bodies are most of the stream. Their records are recognised by the type at the beginning, so that they need not be
+    // decoded.
+    private fun isBodiesOnly(line: String): Boolean {
+        val type = line.indexOf(BODIES_TYPE)
+        return type in 0..HEADER_CHARACTERS
+    }
+
+    private fun decode(record: LogRecord): BatchRecord? = try {
+        WireJson.lenient.decodeFromString(ENVELOPE, record.record).record
+    } catch (exception: SerializationException) {
+        log.warn { "batch: record ${record.offset} can't be read: ${exception.message}" }
+        null
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val ENVELOPE = LogEnvelope.serializer(BatchRecord.serializer())
+        const val BODIES_TYPE = "\"record\":{\"type\":\"itemsUploaded\""
+        const val HEADER_CHARACTERS = 256
+        const val MAXIMUM_RECORDS = 100
+        const val PATIENCE_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/ResultPages.kt
@@ -0,0 +1,79 @@
+package org.poplarshift.node.batch
+
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.flow.first
+import org.poplarshift.core.batch.ItemResult
+import org.poplarshift.core.batch.JobKey
+import org.poplarshift.core.batch.JobPhase
+import org.poplarshift.core.batch.JobState
+import org.poplarshift.core.verdict.Ran
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.http.ErrorAnswer
+
+/**
+ * Writes the results of a job in the order in which they were recorded. The order is the same at every node, so that a
+ * caller continues anywhere with the number of lines that it has.
+ */
+class ResultPages(private val batchLog: BatchLog, private val bodies: BatchBodies) {
+    /**
+     * Writes results of the job [key] from the number [from] on: at most [limit], or all to the end of the job when
+     * [follow] is true. Returns an error if nothing was written, and closes the connection if some of it was.
+     */
+    suspend fun write(response: HttpServerResponse, key: JobKey, from: Int, limit: Int, follow: Boolean): ErrorAnswer? {
+        var position = from
+        while (true) {
+            val seen = batchLog.nextOffset.value
+            val job = batchLog.index.find(key) ?: return fail(response)
+            val end = if (follow) job.resultCount else minOf(job.resultCount.toLong(), from.toLong() + limit).toInt()
+            position = writeTo(response, job, position, end) ?: return fail(response)
+            begin(response)
+            if (!follow || isOver(key, position)) return finish(response)
+            batchLog.nextOffset.first { it != seen }
+        }
+    }
+
+    private suspend fun writeTo(response: HttpServerResponse, job: JobState, from: Int, end: Int): Int? {
+        var position = from
+        while (position < end) {
+            val results = page(job, position, end) ?: return null
+            begin(response)
+            response.write(results.joinToString("", transform = ResultLine::encode)).coAwait()
+            position += results.size
+        }
+        return position
+    }
+
+    private suspend fun finish(response: HttpServerResponse): ErrorAnswer? {
+        response.end().coAwait()
+        return null
+    }
+
+    private fun isOver(key: JobKey, position: Int): Boolean {
+        val job = batchLog.index.find(key) ?: return true
+        return job.phase != JobPhase.RUNNING && position >= job.resultCount
+    }
+
+    private suspend fun page(job: JobState, position: Int, end: Int): List<ItemResult>? {
+        val segment = job.segmentOf(position)
+        val results = bodies.results(job, segment) ?: return null
+        val skipped = position - job.segment(segment).first
+        return results.drop(skipped).take(end - position).ifEmpty { null }
+    }
+
+    private fun begin(response: HttpServerResponse) {
+        if (response.headWritten()) return
+        response.putHeader("Content-Type", "application/jsonl")
+        response.setChunked(true)
+        response.writeHead()
+    }
+
+    private fun fail(response: HttpServerResponse): ErrorAnswer? {
+        if (!response.headWritten()) {
+            return ErrorAnswer(RefusalReason.LOG_UNAVAILABLE, "the results can't be read now", Ran.NOT_RUN)
+        }
+        // Without the final chunk the caller can't take a part for the whole.
+        response.reset()
+        return null
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/ResultSender.kt
@@ -0,0 +1,101 @@
+package org.poplarshift.node.batch
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.poplarshift.core.batch.BatchRecord
+import org.poplarshift.core.batch.ItemResult
+import org.poplarshift.core.batch.ResultGroup
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.NodePart
+import org.poplarshift.node.WallClock
+import org.poplarshift.node.log.StreamWriter
+
+/**
+ * Appends results in groups. While the log is down the results are kept, also those of jobs that have moved to another
+ * holder meanwhile: the first result of an item wins, whoever appends it.
+ */
+class ResultSender(
+    private val context: NodeContext,
+    private val batchLog: BatchLog,
+    private val wallClock: WallClock = WallClock.SYSTEM,
+) : NodePart {
+    private val groups = LinkedHashMap<String, ResultGroup>()
+    private val sending = HashSet<String>()
+    private val held = HashSet<String>()
+    private var keptBytes = 0L
+
+    /** Whether so many results wait for the log that no further items may be started. */
+    val isFull: Boolean
+        get() = keptBytes > MAXIMUM_KEPT_BYTES
+
+    override suspend fun start() {
+        context.scope.launch {
+            while (isActive) {
+                delay(TICK_MILLIS)
+                sendDue()
+            }
+        }
+    }
+
+    override suspend fun stop() {
+        while (groups.values.any { it.size > 0 } || sending.isNotEmpty()) {
+            sendDue()
+            delay(TICK_MILLIS)
+        }
+    }
+
+    /** Adds the result of an item of the job [uploadId]. */
+    fun add(uploadId: String, result: ItemResult) {
+        val bytes = BASE_BYTES + (result.body?.toString()?.length ?: 0)
+        keptBytes += bytes
+        groups.getOrPut(uploadId) { ResultGroup(uploadId) }.add(result, bytes, context.clock.millis())
+    }
+
+    /** Appends nothing about the job [uploadId] until [release]; false while an append of it is under way. */
+    fun hold(uploadId: String): Boolean {
+        if (uploadId in sending) return false
+        held += uploadId
+        return true
+    }
+
+    /** Whether nothing about the job [uploadId] may be appended now. */
+    fun isHeld(uploadId: String): Boolean = uploadId in held
+
+    /** Ends [hold]. */
+    fun release(uploadId: String) {
+        held -= uploadId
+    }
+
+    private fun sendDue() {
+        val now = context.clock.millis()
+        val due = groups.values.filter { group -> group.dueMillis()?.let { it <= now } ?: false }
+        due.filterNot { it.uploadId in sending || it.uploadId in held }
+            .take(MAXIMUM_APPENDS - sending.size)
+            .forEach(::send)
+        groups.values.removeIf { it.size == 0 && it.uploadId !in sending }
+    }
+
+    private fun send(group: ResultGroup) {
+        sending += group.uploadId
+        context.scope.launch {
+            try {
+                val results = group.take()
+                val record = BatchRecord.ResultsRecorded(group.uploadId, results, wallClock.millis())
+                batchLog.writer.write(record, StreamWriter.UNTIL_WRITTEN, retryRefused = true)
+                keptBytes -= results.sumOf { BASE_BYTES + (it.body?.toString()?.length ?: 0) }
+            } finally {
+                sending -= group.uploadId
+            }
+        }
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 20L
+        const val BASE_BYTES = 150
+        const val MAXIMUM_APPENDS = 8
+
+        // An eighth of the heap; beyond it running items still end and their results are kept.
+        const val MAXIMUM_KEPT_BYTES = 32L * 1024 * 1024
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/StartGate.kt
@@ -0,0 +1,51 @@
+package org.poplarshift.node.batch
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.poplarshift.core.batch.BatchRecord
+import org.poplarshift.core.batch.BatchRun
+import org.poplarshift.node.log.GroupCommit
+import org.poplarshift.node.log.WriteResult
+
+/**
+ * Records the start of non-idempotent items before they are sent. Items of one job that start together share an append.
+ */
+class StartGate(
+    private val scope: CoroutineScope,
+    private val batchLog: BatchLog,
+    private val isHeld: (uploadId: String) -> Boolean,
+) {
+    private val groups = HashMap<Pair<String, String>, GroupCommit<Int>>()
+
+    /** Records that [holder] starts the item of [run], reads the record back and tells whose start was the first. */
+    suspend fun start(run: BatchRun, holder: String): StartResult {
+        val known = starterOf(run)
+        if (known != null) return if (known == holder) StartResult.Started else StartResult.StartedBefore
+        while (isHeld(run.uploadId)) delay(HELD_MILLIS)
+        val written = groupOf(run.uploadId, holder).submit(run.item)
+        // A start that may appear later stays this holder's start, so that its own next attempt is right to send the item.
+        if (written !is WriteResult.Written || !batchLog.awaitApplied(written.offset)) return StartResult.LogUnavailable
+        return when (starterOf(run)) {
+            holder -> StartResult.Started
+            null -> StartResult.Ended
+            else -> StartResult.StartedBefore
+        }
+    }
+
+    private fun starterOf(run: BatchRun): String? = batchLog.index.findUpload(run.uploadId)?.starterOf(run.item)
+
+    private fun groupOf(uploadId: String, holder: String): GroupCommit<Int> {
+        if (groups.size > MAXIMUM_GROUPS) groups.clear()
+        return groups.getOrPut(uploadId to holder) {
+            GroupCommit(scope) { items ->
+                batchLog.writer.write(BatchRecord.ItemsStarted(uploadId, items, holder), PATIENCE_MILLIS)
+            }
+        }
+    }
+
+    private companion object {
+        const val PATIENCE_MILLIS = 5_000L
+        const val HELD_MILLIS = 20L
+        const val MAXIMUM_GROUPS = 1_000
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/TaskOutcome.kt
@@ -0,0 +1,34 @@
+package org.poplarshift.node.batch
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.poplarshift.core.verdict.RefusalReason
+
+/** How a [BatchTask] ended. */
+@Serializable
+sealed interface TaskOutcome {
+    /** The worker gave a complete response. */
+    @Serializable
+    @SerialName("answered")
+    data class Answered(val status: Int, val body: String) : TaskOutcome
+
+    /** The task certainly did not run. */
+    @Serializable
+    @SerialName("notRun")
+    data class NotRun(val reason: RefusalReason) : TaskOutcome
+
+    /** The task was sent and no complete response came. */
+    @Serializable
+    @SerialName("mayHaveRun")
+    data class MayHaveRun(val reason: RefusalReason) : TaskOutcome
+
+    /** The task was cancelled because online requests needed its room. */
+    @Serializable
+    @SerialName("yielded")
+    data object Yielded : TaskOutcome
+
+    /** The request is refused everywhere since it crashed workers. */
+    @Serializable
+    @SerialName("quarantined")
+    data object Quarantined : TaskOutcome
+}
--- /dev/null
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
@@ -0,0 +1,157 @@
+package org.poplarshift.node.batch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import org.poplarshift.core.batch.JobPhase
+import org.poplarshift.node.fixture.FakeLogService
+import org.poplarshift.node.fixture.FakeWorker
+import org.poplarshift.node.fixture.FaultyLog
+import org.poplarshift.platform.LogService
+import org.poplarshift.wire.OnlineDemand
+import org.poplarshift.wire.WireJson
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+
+/** Guards requirements R1, R2, R3 and R10 of batch jobs at a real node with a log in memory. */
+class BatchJobTest :
+    FunSpec({
+        suspend fun withFleet(log: LogService = FakeLogService(), test: suspend BatchFixture.() -> Unit) =
+            BatchFixture(log).use { it.test() }
+
+        test("every item of a job has one result, although a third of the append outcomes are unknown") {
+            val log = FaultyLog(FakeLogService(), seed = 11)
+            withFleet(log) {
+                val node = start()
+                log.unknownShare = 0.3
+                upload(node, "night", models(450)).statusCode() shouldBe 201
+                await(node, "night") { it.state == JobPhase.ENDED }.done shouldBe 450
+                val identifiers = results(node, "night", "limit=200") + results(node, "night", "from=200&follow=true")
+                identifiers shouldContainExactlyInAnyOrder List(450) { "item$it" }
+            }
+        }
+
+        test("the same content is the same job and other content is a conflict") {
+            withFleet {
+                val node = start()
+                upload(node, "night", models(3)).statusCode() shouldBe 201
+                upload(node, "night", models(3)).statusCode() shouldBe 200
+                val conflict = upload(node, "night", models(4))
+                conflict.statusCode() shouldBe 409
+                conflict.body() shouldContain "not_run"
+                await(node, "night") { it.state == JobPhase.ENDED }
+                engine.runs shouldHaveSize 3
+            }
+        }
+
+        listOf(
+            "line 2: body.model must be" to "{\"id\":\"a\",\"body\":{\"model\":\"writer\",\"prompt\":\"\"}}\n" +
+                "{\"id\":\"b\",\"body\":{\"model\":\"none\",\"prompt\":\"\"}}",
+            "line 1: must be" to "{\"id\":7}",
+            "at least one item" to "\n\n",
+            "unique within the job" to "{\"id\":\"a\",\"body\":{\"model\":\"writer\",\"prompt\":\"\"}}\n".repeat(2),
+        ).forEach { (message, body) ->
+            test("an upload is refused as a whole, naming the fault: $message") {
+                withFleet {
+                    val answer = upload(start(), "night", body)
+                    answer.statusCode() shouldBe 400
+                    answer.body() shouldContain message
+                }
+            }
+        }
+
+        test("no item starts after a cancel, and running items are cancelled at the engine") {
+            withFleet {
+                val node = start()
+                engine.answer = { if (it.method().name() == "DELETE") FakeWorker.echo(it) else BatchFixture.silent(it) }
+                upload(node, "night", models(100))
+                withTimeout(BatchFixture.DEADLINE_MILLIS) { while (engine.runs.size < 7) delay(5) }
+                node.call("DELETE", "/v1/batches/night", key).statusCode() shouldBe 200
+                val started = engine.runs.size
+                delay(300)
+                engine.runs.size shouldBe started
+                status(node, "night").cancelled shouldBe 100
+                engine.received.filter { it.method == "DELETE" }.size shouldBe started
+            }
+        }
+
+        test("a label call is sent once, also when its outcome is unknown") {
+            withFleet {
+                val node = start()
+                service.answer = { request ->
+                    if (request.path().endsWith("3")) request.connection().close() else FakeWorker.echo(request)
+                }
+                upload(node, "labels", labels(30)).statusCode() shouldBe 201
+                val status = await(node, "labels") { it.state == JobPhase.ENDED }
+                service.runs.map { it.uri } shouldContainExactlyInAnyOrder List(30) { "/labels/$it" }
+                status.failed shouldBe 3
+            }
+        }
+
+        test("while the log is down jobs are refused as not run, and results of running items are appended later") {
+            val log = FaultyLog(FakeLogService())
+            withFleet(log) {
+                val node = start()
+                engine.answer = { request -> fleet.later(200) { FakeWorker.echo(request) } }
+                upload(node, "night", models(7)).statusCode() shouldBe 201
+                withTimeout(BatchFixture.DEADLINE_MILLIS) { while (engine.runs.size < 7) delay(5) }
+                log.isDown = true
+                val refused = upload(node, "late", models(2))
+                refused.statusCode() shouldBe 503
+                refused.body() shouldContain "not_run"
+                delay(600)
+                log.isDown = false
+                await(node, "night") { it.state == JobPhase.ENDED }.done shouldBe 7
+                engine.runs shouldHaveSize 7
+            }
+        }
+
+        test("batch keeps to its limit and yields within 100 ms of a peer's demand") {
+            withFleet {
+                val node = start()
+                engine.answer = { if (it.method().name() == "DELETE") FakeWorker.echo(it) else BatchFixture.silent(it) }
+                upload(node, "night", models(50))
+                withTimeout(BatchFixture.DEADLINE_MILLIS) { while (engine.runs.size < 7) delay(5) }
+                delay(100)
+                // Capacity 8 less the headroom of 1.
+                engine.runs.size shouldBe 7
+                val startedNanos = System.nanoTime()
+                postDemand(node.peersAddress, OnlineDemand("peer", mapOf("w-0" to 5)))
+                withTimeout(BatchFixture.DEADLINE_MILLIS) {
+                    while (engine.received.count { it.method == "DELETE" } < 5) delay(1)
+                }
+                (System.nanoTime() - startedNanos) / 1_000_000 shouldBeLessThan 100L
+                node.node.batch.tasks.runningAt("w-0") shouldBeLessThanOrEqual 2
+            }
+        }
+
+        test("66,000 items are accepted with fewer than 400 appends") {
+            val log = FaultyLog(FakeLogService())
+            withFleet(log) {
+                val node = start()
+                engine.answer = BatchFixture::silent
+                val before = log.appends.get()
+                upload(node, "night", models(66_000)).statusCode() shouldBe 201
+                (log.appends.get() - before) shouldBeLessThan 400
+            }
+        }
+    }) {
+    private companion object {
+        fun postDemand(address: String, demand: OnlineDemand) {
+            val body = WireJson.strict.encodeToString(OnlineDemand.serializer(), demand)
+            val request = HttpRequest.newBuilder(URI("http://$address/peer/demand"))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build()
+            HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).statusCode() shouldBe 200
+        }
+    }
+}
