--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -3,6 +3,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import org.poplarshift.node.batch.BatchPart
+import org.poplarshift.node.batch.LocalSlotOwnership
 import org.poplarshift.node.caller.AttemptLoop
 import org.poplarshift.node.caller.CallerAuthentication
 import org.poplarshift.node.caller.CallerMetrics
@@ -22,8 +24,9 @@
 import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.http.LeavingHeader
 import org.poplarshift.node.http.NodeServer
-import org.poplarshift.node.idempotency.RefusingRequestLedger
+import org.poplarshift.node.idempotency.LogRequestLedger
 import org.poplarshift.node.idempotency.RequestLedger
+import org.poplarshift.node.idempotency.RequestLog
 import org.poplarshift.node.log.TailingLogFollower
 import org.poplarshift.node.peer.DefaultPeerDirectory
 import org.poplarshift.node.peer.ExchangePart
@@ -62,7 +65,9 @@
         peersRouter = peersServer.router,
         settings = DispatchSettings.of(context.settings),
     )
-    val ledger: RequestLedger = RefusingRequestLedger()
+    private val requestsLog = TailingLogFollower(context.logService, LogStream.REQUESTS, context.clock)
+    private val logLedger = LogRequestLedger(context, RequestLog(context, requestsLog), configuration, peers)
+    val ledger: RequestLedger = logLedger
 
     val callerMetrics = CallerMetrics(context.metrics)
     val openRequests = OpenRequests(context, configuration)
@@ -74,6 +79,23 @@
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
     private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock, callerIdleMillis)
 
+    private val slots = LocalSlotOwnership(context, configuration)
+    val batch = BatchPart(
+        context,
+        configuration,
+        slots,
+        dispatcher.batch,
+        dispatcher,
+        upstreamClient,
+        peers,
+        peerClient,
+        callersServer.router,
+        peersServer.router,
+        authentication,
+        openRequests,
+        callerMetrics,
+    )
+
     private val exchangeParts: List<ExchangePart> = listOf(
         configurationExchange,
         dispatcher.quarantine,
@@ -86,11 +108,14 @@
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
         dispatcher,
+        logLedger,
+        slots,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
         ModelRoutes(callersServer.router, configuration, authentication, online),
         CompletionRoutes(context, callersServer.router, configuration, authentication, online),
+        batch,
         ServiceRoutes(context, callersServer.router, configuration, authentication, online),
         Gossip(context, lifecycle, peers, peerClient, peersServer.router, exchangeParts),
     )
