Pool the shares of small organisations at one holder

An organisation with 5 requests/s and burst 10 has shares of 1.1 tokens in 9 slots. The holder of its first slot now borrows the other shares under leases of 3 s and grants from one bucket; when it can't be reached every holder uses its own share again.

--- a/core/src/main/kotlin/org/poplarshift/core/quota/HolderChoice.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/HolderChoice.kt
@@ -6,6 +6,7 @@
  */
 class HolderChoice {
     private val known = mutableMapOf<String, KnownSurplus>()
+    private val silentAtMillis = mutableMapOf<String, Long>()
 
     /** Takes the surplus that [holder] reported. */
     fun learn(holder: String, surplus: Long, nowMillis: Long) {
@@ -13,7 +14,14 @@
     }
 
     /** Takes the fact that [holder] doesn't answer; it is asked again when others would be expected to be full. */
-    fun learnSilent(holder: String, nowMillis: Long) = learn(holder, -SILENT_PENALTY, nowMillis)
+    fun learnSilent(holder: String, nowMillis: Long) {
+        learn(holder, -SILENT_PENALTY, nowMillis)
+        silentAtMillis[holder] = nowMillis
+    }
+
+    /** Whether [holder] did not answer lately. */
+    fun isSilent(holder: String, nowMillis: Long): Boolean =
+        silentAtMillis[holder]?.let { nowMillis - it < SILENT_MILLIS } ?: false
 
     /**
      * The holder to ask for [needed], or null when no holder is expected to have a useful amount. A holder of the
@@ -43,6 +51,7 @@
         /** A request for less than a sixteenth of what is needed costs more messages than it helps. */
         const val USEFUL_PARTS = 16
         const val SILENT_PENALTY = MicroTokens.ONE_TOKEN
+        const val SILENT_MILLIS = 2_000L
         const val LONGEST_MILLIS = 3_600_000L
     }
 }
--- a/core/src/main/kotlin/org/poplarshift/core/quota/KeeperSlotHolding.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/KeeperSlotHolding.kt
@@ -13,8 +13,8 @@
     }
 
     override fun holder(slot: Slot): SlotHolder? {
-        val incarnation = keeper.state.claims[slot]?.incarnation ?: return null
-        if (incarnation == identity.incarnation) return null
-        return SlotHolder(incarnation, isLocal = slot.availabilityZone == identity.availabilityZone)
+        val claim = keeper.state.claims[slot] ?: return null
+        if (claim.incarnation == identity.incarnation) return null
+        return SlotHolder(claim.incarnation, claim.offset, slot.availabilityZone == identity.availabilityZone)
     }
 }
--- a/core/src/main/kotlin/org/poplarshift/core/quota/QuotaBook.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/QuotaBook.kt
@@ -1,30 +1,31 @@
 package org.poplarshift.core.quota
 
 import org.poplarshift.core.catalogue.Organisation
-import org.poplarshift.core.ownership.Slot
 
 /**
- * The fleet-wide rate limit at one VM: the buckets of the slots that it holds, the leases that it has given and those
+ * The fleet-wide rate limit at one VM: the shares of the slots that it holds, the leases that it has given and those
  * that it has received. It is not safe for concurrent use; times are monotonic milliseconds of this VM.
  */
 class QuotaBook(private val holding: SlotHolding, private val times: QuotaTimes = QuotaTimes()) {
-    private val quotas = mutableMapOf<SlotKey, SlotQuota>()
     private val organisations = mutableMapOf<String, OrganisationQuota>()
+    private val pools = SharePools(holding, times)
     private var nextLeaseId = 0L
     private var givesLeases = true
     private var lastAnsweredMillis: Long? = null
 
     /** Counts a request of [organisation] for the estimate of its demand. */
-    fun countRequest(organisation: String, nowMillis: Long) = quota(organisation).demand.count(nowMillis)
+    fun countRequest(organisation: String, nowMillis: Long) {
+        quota(organisation).demand.count(nowMillis)
+        pools.noteUse(organisation, nowMillis)
+    }
 
     /** Spends one token if this VM has one. */
     fun admit(shares: QuotaShares, organisation: Organisation, nowMillis: Long): Boolean {
-        val quota = quota(organisation.id)
-        val own = ownQuotas(shares, organisation, nowMillis)
-        val free = own.sumOf { it.quota.bucket.free(nowMillis) }
-        if (quota.wallet.available(nowMillis) + free < MicroTokens.ONE_TOKEN) return false
-        var missing = MicroTokens.ONE_TOKEN - quota.wallet.spend(MicroTokens.ONE_TOKEN, nowMillis)
-        own.forEach { missing -= it.quota.bucket.spend(missing, nowMillis) }
+        val wallet = quota(organisation.id).wallet
+        val bucket = pools.pool(shares, organisation, nowMillis).bucket
+        if (wallet.available(nowMillis) + bucket.free(nowMillis) < MicroTokens.ONE_TOKEN) return false
+        val missing = MicroTokens.ONE_TOKEN - wallet.spend(MicroTokens.ONE_TOKEN, nowMillis)
+        bucket.spend(missing, nowMillis)
         return true
     }
 
@@ -33,21 +34,18 @@
         quota(organisation).waiting += difference
     }
 
-    /** The next request to send, or null. At most [MAXIMUM_ASKED] holders are asked at a time. */
+    /** The next request for tokens to send, or null. At most [MAXIMUM_ASKED] holders are asked at a time. */
     fun ask(shares: QuotaShares, organisation: Organisation, nowMillis: Long): Ask? {
         val quota = quota(organisation.id)
         val isPatient = quota.asked.values.any { nowMillis - it.sentMillis < SECOND_ASK_MILLIS }
         if (isPatient || quota.asked.size >= MAXIMUM_ASKED) return null
-        val own = ownQuotas(shares, organisation, nowMillis)
-        val ownShare = sum(own.map { shares.share(organisation, it.slot) })
-        val free = own.sumOf { it.quota.bucket.free(nowMillis) }
-        val demand = quota.demandNow(organisation, free, ownShare.refillPerSecond, times, nowMillis)
+        val bucket = pools.pool(shares, organisation, nowMillis).bucket
+        val demand = quota.demandNow(organisation, bucket.free(nowMillis), bucket.refillPerSecond, times, nowMillis)
         if (demand.wanted == 0L) return null
-        val holder = quota.choice.choose(holders(shares, organisation), quota.asked.keys, demand.wanted, nowMillis)
-            ?: return null
-        val settled = quota.wallet.takeSettled(holder.holder)
+        val holder = holderToAsk(shares, organisation, quota, demand.wanted, nowMillis) ?: return null
+        val settled = quota.wallet.takeSettled(holder)
         val request = TokenRequest(organisation.id, demand.needed, demand.wanted, settled)
-        return Ask(holder.holder, request, nowMillis).also { quota.asked[holder.holder] = it }
+        return Ask(holder, request, nowMillis).also { quota.asked[holder] = it }
     }
 
     /** Takes the answer to [ask], or null when none came in time. A second answer to the same request is ignored. */
@@ -55,33 +53,50 @@
         val quota = quota(ask.request.organisation)
         if (quota.asked[ask.holder] !== ask) return
         quota.asked.remove(ask.holder)
-        if (grant == null) return quota.choice.learnSilent(ask.holder, nowMillis)
+        if (grant == null || grant.isLeaving) return quota.choice.learnSilent(ask.holder, nowMillis)
         lastAnsweredMillis = nowMillis
         quota.choice.learn(ask.holder, grant.surplus, nowMillis)
-        quota.wallet.add(ask.holder, grant.leases, ask.sentMillis)
+        quota.wallet.add(ask.holder, listOfNotNull(grant.lease), ask.sentMillis)
     }
 
     /** Answers another VM's request: settles, then debits, then grants. */
     fun grant(shares: QuotaShares, organisation: Organisation, request: TokenRequest, nowMillis: Long): TokenGrant {
-        val own = ownQuotas(shares, organisation, nowMillis)
-        request.settled.forEach { settled -> own.any { it.quota.settle(settled, nowMillis) } }
-        own.forEach { it.quota.restoreExpired(nowMillis) }
-        val free = own.sumOf { it.quota.bucket.free(nowMillis) }
+        if (request.wanted > 0) pools.noteUse(organisation.id, nowMillis)
+        val pool = pools.pool(shares, organisation, nowMillis)
+        request.settled.forEach { pool.given.settle(it, nowMillis) }
+        if (!givesLeases) return TokenGrant(lease = null, surplus = 0, isLeaving = true)
+        val free = pool.bucket.free(nowMillis)
         val needed = minOf(request.needed, free)
         val ahead = minOf(request.wanted - request.needed, (free - needed) / 2).coerceAtLeast(0)
-        var missing = if (givesLeases) needed + ahead else 0
-        val leases = own.mapNotNull { slot ->
-            val duration = minOf(times.leaseMillis, slot.remainingMillis)
-            val lease = slot.quota.lend(nextLeaseId++, missing, duration, nowMillis)
-            missing -= lease?.amount ?: 0
-            lease
-        }
-        return TokenGrant(leases, surplus = own.sumOf { it.quota.bucket.free(nowMillis) })
+        val lease = pool.given.lend(nextLeaseId++, needed + ahead, pool.leaseMillis(nowMillis), nowMillis)
+        return TokenGrant(lease, surplus = pool.bucket.free(nowMillis))
+    }
+
+    /** Asks other holders to lend whole shares of small organisations that this VM pools; called every 100 ms or so. */
+    fun shareAsks(shares: QuotaShares, organisations: List<Organisation>, nowMillis: Long): List<ShareAsk> =
+        if (givesLeases) pools.asks(shares, organisations, nowMillis) else emptyList()
+
+    /** Answers another VM's request for whole shares. */
+    fun lendShares(
+        shares: QuotaShares,
+        organisations: List<Organisation>,
+        request: ShareRequest,
+        nowMillis: Long,
+    ): ShareGrant = pools.lend(shares, organisations, request, mayLend = givesLeases, nowMillis)
+
+    /** Takes the answer to [ask], once. */
+    fun sharesLent(
+        shares: QuotaShares,
+        organisations: List<Organisation>,
+        ask: ShareAsk,
+        grant: ShareGrant,
+        nowMillis: Long,
+    ) {
+        if (givesLeases) pools.borrow(shares, organisations, ask, grant, nowMillis)
     }
 
     /** Returns unused leases and forgets what is idle; the result is settlements to send. Called every 100 ms or so. */
     fun tick(nowMillis: Long): List<Ask> {
-        dropLostSlots(nowMillis)
         organisations.values.filter { isIdle(it, times.idleReturnMillis, nowMillis) }
             .forEach { it.wallet.returnAll(nowMillis) }
         val settlements = organisations.flatMap { (organisation, quota) ->
@@ -102,8 +117,8 @@
         givesLeases = false
     }
 
-    /** Whether a lease that this VM gave may still be spent. */
-    fun hasGiven(nowMillis: Long): Boolean = quotas.values.any { it.hasGiven(nowMillis) }
+    /** Whether tokens or shares that this VM lent may still be in use. */
+    fun hasGiven(nowMillis: Long): Boolean = pools.hasGiven(nowMillis)
 
     /** Organisations with requests or tokens at this VM. */
     fun activeOrganisations(): Set<String> = organisations.keys
@@ -115,15 +130,21 @@
         return quota.waiting == 0 && quota.asked.isEmpty() && nowMillis - last >= millis
     }
 
-    private fun ownQuotas(shares: QuotaShares, organisation: Organisation, nowMillis: Long): List<OwnQuota> =
-        holding.usable(nowMillis).mapNotNull { usable ->
-            val share = shares.share(organisation, usable.slot)
-            if (share == SlotShare.NONE) return@mapNotNull null
-            val key = SlotKey(usable.slot, usable.claimOffset, organisation.id)
-            val quota = quotas.getOrPut(key) { SlotQuota(TokenBucket(share, usable.usableFromMillis), times) }
-            quota.bucket.useShare(share, nowMillis)
-            OwnQuota(usable.slot, usable.remainingMillis, quota)
+    private fun holderToAsk(
+        shares: QuotaShares,
+        organisation: Organisation,
+        quota: OrganisationQuota,
+        wanted: Long,
+        nowMillis: Long,
+    ): String? {
+        if (shares.isPooled(organisation)) {
+            if (pools.isPooledHere(shares, organisation, nowMillis)) return null
+            val pooling = pools.poolingHolder(shares, organisation)
+            val isUsable = pooling != null && !quota.choice.isSilent(pooling, nowMillis)
+            if (isUsable) return pooling.takeUnless { it in quota.asked }
         }
+        return quota.choice.choose(holders(shares, organisation), quota.asked.keys, wanted, nowMillis)?.holder
+    }
 
     private fun holders(shares: QuotaShares, organisation: Organisation): List<HolderShare> =
         shares.slots(organisation.id)
@@ -131,22 +152,9 @@
             .groupBy({ it.first }, { it.second })
             .map { (holder, parts) -> HolderShare(holder.incarnation, holder.isLocal, sum(parts)) }
 
-    /** A bucket stays while its claim may be confirmed again: a new one would be full at once. */
-    private fun dropLostSlots(nowMillis: Long) {
-        val usable = holding.usable(nowMillis).associate { it.slot to it.claimOffset }
-        quotas.keys.removeIf { key ->
-            val isReclaimed = usable[key.slot]?.let { it != key.claimOffset } ?: false
-            isReclaimed || holding.holder(key.slot) != null
-        }
-    }
-
     private fun sum(shares: List<SlotShare>) =
         SlotShare(shares.sumOf { it.refillPerSecond }, shares.sumOf { it.capacity })
 
-    private data class SlotKey(val slot: Slot, val claimOffset: Long, val organisation: String)
-
-    private class OwnQuota(val slot: Slot, val remainingMillis: Long, val quota: SlotQuota)
-
     companion object {
         const val MAXIMUM_ASKED = 2
 
--- a/core/src/main/kotlin/org/poplarshift/core/quota/QuotaShares.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/QuotaShares.kt
@@ -16,20 +16,22 @@
 class QuotaShares(
     private val catalogue: Catalogue,
     private val driftShare: Double = 0.01,
-    private val sharesPerZone: Int = SHARES_PER_ZONE,
+    private val sharesPerZone: Int = sharesPerZone(catalogue),
 ) {
     private val slotsByOrganisation = mutableMapOf<String, List<Slot>>()
 
-    /** The slots that carry shares of [organisation]. */
+    /** The slots that carry shares of [organisation]; the holder of the first pools the shares of a small one. */
     fun slots(organisation: String): List<Slot> = slotsByOrganisation.getOrPut(organisation) {
+        val hash = { slot: Slot -> mixed("$organisation $slot") }
         catalogue.zones.flatMap { zone ->
-            (0 until zone.slots)
-                .map { Slot(zone.name, it) }
-                .sortedBy { mixed("$organisation $it") }
-                .take(sharesPerZone)
-        }
+            (0 until zone.slots).map { Slot(zone.name, it) }.sortedBy(hash).take(sharesPerZone)
+        }.sortedBy(hash)
     }
 
+    /** Whether the shares of [organisation] are too small to be used one by one. */
+    fun isPooled(organisation: Organisation): Boolean =
+        organisation.burst < SMALLEST_USEFUL_SHARE * slots(organisation.id).size
+
     /** The share of [organisation] at [slot]; the shares at all slots add up to at most its limits. */
     fun share(organisation: Organisation, slot: Slot): SlotShare {
         val slots = slots(organisation.id)
@@ -50,6 +52,11 @@
     }
 
     companion object {
-        const val SHARES_PER_ZONE = 3
+        private const val SMALLEST_USEFUL_SHARE = 8
+        private const val SHARES = 9
+
+        /** Three for three zones; fewer shares in more zones keep the shares large and the messages few. */
+        fun sharesPerZone(catalogue: Catalogue): Int =
+            (SHARES + catalogue.zones.size - 1) / catalogue.zones.size.coerceAtLeast(1)
     }
 }
--- a/core/src/main/kotlin/org/poplarshift/core/quota/QuotaTimes.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/QuotaTimes.kt
@@ -6,6 +6,7 @@
  * Durations of token leases and of the demand policy, in milliseconds.
  *
  * @property leaseMillis how long a receiver may spend a token lease
+ * @property shareLeaseMillis how long a receiver may use a share that was lent as a whole
  * @property driftShare the largest difference in rate between two monotonic clocks
  * @property prefetchMillis how much expected demand a receiver holds in advance
  * @property idleReturnMillis after how long without requests a receiver returns its tokens
@@ -13,6 +14,7 @@
  */
 data class QuotaTimes(
     val leaseMillis: Long = 2_000,
+    val shareLeaseMillis: Long = 3_000,
     val driftShare: Double = 0.01,
     val prefetchMillis: Long = 200,
     val idleReturnMillis: Long = 500,
--- a/core/src/main/kotlin/org/poplarshift/core/quota/SlotHolding.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/SlotHolding.kt
@@ -15,4 +15,4 @@
 }
 
 /** Another VM that holds a slot. */
-data class SlotHolder(val incarnation: String, val isLocal: Boolean)
+data class SlotHolder(val incarnation: String, val claimOffset: Long, val isLocal: Boolean)
--- a/core/src/main/kotlin/org/poplarshift/core/quota/TokenBucket.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/TokenBucket.kt
@@ -15,6 +15,10 @@
     private var refilledAtMillis = emptySinceMillis
     private var remainder = 0L
 
+    /** Micro-tokens that come in a second. */
+    val refillPerSecond: Long
+        get() = share.refillPerSecond
+
     /** Refills and returns the free tokens. */
     fun free(nowMillis: Long): Long {
         refill(nowMillis)
@@ -56,6 +60,26 @@
         free = minOf(free + returned, room())
     }
 
+    /** Adds tokens that came from elsewhere, up to the capacity. */
+    fun add(amount: Long, nowMillis: Long) {
+        refill(nowMillis)
+        free = maxOf(free, minOf(free + amount, room()))
+    }
+
+    /**
+     * Takes [part] out of the bucket and returns its tokens, or null when too much is lent. One millisecond's refill is
+     * left out, because the receiver's clock may begin to refill up to one millisecond early.
+     */
+    fun withdraw(part: SlotShare, nowMillis: Long): Long? {
+        refill(nowMillis)
+        val left = SlotShare(share.refillPerSecond - part.refillPerSecond, share.capacity - part.capacity)
+        val moved = minOf(free, part.capacity)
+        if (free - moved + lent > left.capacity) return null
+        share = left
+        free -= moved
+        return (moved - part.refillPerSecond / MILLIS_PER_SECOND - 1).coerceAtLeast(0)
+    }
+
     private fun room(): Long = (share.capacity - lent).coerceAtLeast(0)
 
     /**
--- a/core/src/main/kotlin/org/poplarshift/core/quota/TokenMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/TokenMessages.kt
@@ -28,11 +28,12 @@
 /**
  * The giver's answer.
  *
- * @property leases at most one for each slot of the giver
+ * @property lease the tokens, or null when there are none
  * @property surplus what the giver has left
+ * @property isLeaving whether the giver gives no more tokens
  */
 @Serializable
-data class TokenGrant(val leases: List<TokenLease>, val surplus: Long)
+data class TokenGrant(val lease: TokenLease?, val surplus: Long, val isLeaving: Boolean = false)
 
 /**
  * Tokens that the receiver may spend until [durationMillis] after it sent the request.
--- a/verification/src/main/kotlin/org/poplarshift/verification/fleet/FleetSettings.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/fleet/FleetSettings.kt
@@ -17,6 +17,7 @@
  * @property isWithinLimits whether callers keep to the limits by themselves, so that every refusal is a wrong one
  * @property spread the weight of each VM at the balancer, repeated over the VMs
  * @property hasFaults whether processes, clocks and messages fail
+ * @property sharesPerZone shares of an organisation in each zone, or null for the product's number
  * @property giver answers a request for tokens; a broken variant replaces it
  * @property oneWayMicros the usual delay of a message
  */
@@ -31,7 +32,7 @@
     val hasFaults: Boolean = true,
     val slotTimes: SlotTimes = SlotTimes(isolationLimitMillis = 20_000),
     val quotaTimes: QuotaTimes = QuotaTimes(),
-    val sharesPerZone: Int = QuotaShares.SHARES_PER_ZONE,
+    val sharesPerZone: Int? = null,
     val isLocalOnly: Boolean = false,
     val oneWayMicros: Long = 1_500,
     val giver: (GiverCall) -> TokenGrant = { it.book.grant(it.shares, it.organisation, it.request, it.nowMillis) },
@@ -42,6 +43,10 @@
         organisations = organisations,
         upstreams = emptyList(),
     )
+
+    /** How the limits are split. */
+    fun shares(): QuotaShares =
+        QuotaShares(catalogue, quotaTimes.driftShare, sharesPerZone ?: QuotaShares.sharesPerZone(catalogue))
 }
 
 /** A request for tokens at a giver. */
--- a/verification/src/main/kotlin/org/poplarshift/verification/fleet/SimulatedProcess.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/fleet/SimulatedProcess.kt
@@ -5,6 +5,9 @@
 import org.poplarshift.core.ownership.OwnershipRecord
 import org.poplarshift.core.ownership.SlotAction
 import org.poplarshift.core.quota.Ask
+import org.poplarshift.core.quota.ShareAsk
+import org.poplarshift.core.quota.ShareGrant
+import org.poplarshift.core.quota.ShareRequest
 import org.poplarshift.core.quota.TokenGrant
 import org.poplarshift.core.quota.TokenRequest
 import org.poplarshift.wire.WireJson
@@ -114,6 +117,18 @@
         vm.book.tick(vm.nowMillis()).forEach { ask ->
             fleet.settings.organisations.firstOrNull { it.id == ask.request.organisation }?.let { send(vm, it, ask) }
         }
+        vm.book.shareAsks(vm.shares, fleet.settings.organisations, vm.nowMillis()).forEach { borrow(vm, it) }
+    }
+
+    private fun borrow(vm: SimulatedVm, ask: ShareAsk) {
+        val organisations = fleet.settings.organisations
+        val request = ShareRequest(vm.identity.incarnation, ask.organisations)
+        toPeer(vm, ask.holder, size(ShareRequest.serializer(), request)) { giver ->
+            val grant = giver.book.lendShares(giver.shares, organisations, request, giver.nowMillis())
+            network.send(giver.place, vm.place, size(ShareGrant.serializer(), grant)) {
+                vm.run { vm.book.sharesLent(vm.shares, organisations, ask, grant, vm.nowMillis()) }
+            }
+        }
     }
 
     private fun send(vm: SimulatedVm, organisation: Organisation, ask: Ask) {
--- a/verification/src/main/kotlin/org/poplarshift/verification/fleet/SimulatedVm.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/fleet/SimulatedVm.kt
@@ -6,7 +6,6 @@
 import org.poplarshift.core.quota.KeeperSlotHolding
 import org.poplarshift.core.quota.LocalQuota
 import org.poplarshift.core.quota.QuotaBook
-import org.poplarshift.core.quota.QuotaShares
 
 /**
  * One process of a VM. A paused process runs nothing until [pausedUntilMicros]; an ended one runs nothing any more.
@@ -23,7 +22,7 @@
 ) {
     val keeper = SlotKeeper(identity, settings.slotTimes)
     val book = QuotaBook(KeeperSlotHolding(identity, keeper), settings.quotaTimes)
-    val shares = QuotaShares(settings.catalogue, settings.quotaTimes.driftShare, settings.sharesPerZone)
+    val shares = settings.shares()
     val local = LocalQuota(settings.zones * settings.vmsPerZone, clockStartMillis - LONG_AGO_MILLIS)
     val waiting = mutableMapOf<String, ArrayDeque<WaitingRequest>>()
     var pausedUntilMicros = 0L
