Log the end of a dropped response's connection at DEBUG

Cause: a trial with real programs and stand-ins logged it as an error without a prefix. Change: responses have an exception handler from their arrival on.

--- a/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
@@ -105,7 +105,10 @@
     // The response is paused in the event that delivers it; the coroutine resumes in a later event.
     private suspend fun respond(sent: HttpClientRequest, request: UpstreamRequest): HttpClientResponse {
         val pending = if (request.body.length() == 0) sent.send() else sent.send(request.body)
-        return pending.onSuccess { it.pause() }.coAwait()
+        return pending.onSuccess { response ->
+            response.pause()
+            response.exceptionHandler { log.debug { "forward: request ${request.requestId}: ${it.message}" } }
+        }.coAwait()
     }
 
     private fun belongsTo(request: UpstreamRequest, response: HttpClientResponse): Boolean {
