--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPool.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPool.kt
@@ -26,8 +26,9 @@
     private val clock: MonotonicClock,
     private val isHeld: (String) -> Boolean,
     private val grant: (WorkerPool, TrackedWorker, String) -> WorkerGrant,
+    random: Random = Random.Default,
 ) {
-    private val selector = WorkerSelector(localZone, RoutingPolicy.create(settings.policy, Random.Default))
+    private val selector = WorkerSelector(localZone, RoutingPolicy.create(settings.policy, random))
     private val ejection = OutlierEjection()
     private val queue = FairQueue<Waiter>(settings.queueLength)
 
--- a/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
@@ -27,7 +27,7 @@
     val seedPeers: List<String> = emptyList(),
     val limits: LimitSettings = LimitSettings(),
     val logFormat: LogFormat = LogFormat.TEXT,
-    val routing: RoutingPolicyChoice = RoutingPolicyChoice.PowerOfTwo,
+    val routing: RoutingPolicyChoice = RoutingPolicyChoice.PrefixAffinity,
     val batchControl: Boolean = true,
     val quotaMode: QuotaMode = QuotaMode.FLEET,
     val configuration: ConfigurationSettings = ConfigurationSettings(),
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/routing/VirtualNode.kt
@@ -0,0 +1,83 @@
+package org.poplarshift.verification.routing
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import org.poplarshift.core.catalogue.Upstream
+import org.poplarshift.core.catalogue.Worker
+import org.poplarshift.core.verdict.Verdict
+import org.poplarshift.node.MonotonicClock
+import org.poplarshift.node.dispatch.DispatchDecision
+import org.poplarshift.node.dispatch.DispatchSettings
+import org.poplarshift.node.dispatch.DispatchTicket
+import org.poplarshift.node.dispatch.TrackedWorker
+import org.poplarshift.node.dispatch.WorkerGrant
+import org.poplarshift.node.dispatch.WorkerPool
+import org.poplarshift.verification.fleet.VirtualTime
+import kotlin.random.Random
+
+/** A node whose worker pool is that of the product, in virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class VirtualNode(
+    upstream: Upstream,
+    private val zone: String,
+    settings: DispatchSettings,
+    private val time: VirtualTime,
+    random: Random,
+) {
+    private val pool = WorkerPool(
+        upstream = upstream,
+        localZone = zone,
+        settings = settings,
+        clock = MonotonicClock { nowMillis() },
+        isHeld = { false },
+        grant = { _, worker, _ -> grant(worker) },
+        random = random,
+    )
+
+    /** Asks for a worker and calls [decided] once, at the latest after the ticket's deadline. */
+    fun acquire(ticket: DispatchTicket, decided: (DispatchDecision?) -> Unit) {
+        val request = pool.offer(ticket)
+        val decision = request.payload.decision
+        decision.invokeOnCompletion { decided(decision.getCompleted()) }
+        time.after(ticket.deadlineMillis * MICROS_PER_MILLI) {
+            if (!decision.isCompleted) {
+                pool.withdraw(request)
+                decided(null)
+            }
+        }
+        pool.dispatch()
+    }
+
+    /** Takes a load report of [engine] every 500 ms, [lagMillis] after it was true. */
+    fun poll(engine: VirtualEngine, lagMillis: Long) {
+        val report = engine.load()
+        time.after(lagMillis * MICROS_PER_MILLI) {
+            pool.workers.getValue(engine.worker).onReport(report, nowMillis())
+            pool.dispatch()
+        }
+        time.after(POLL_MICROS) { poll(engine, lagMillis) }
+    }
+
+    /** One-way delay to [worker]. */
+    fun delayMicros(worker: Worker): Long = if (worker.zone == zone) LOCAL_DELAY_MICROS else ZONE_DELAY_MICROS
+
+    private fun nowMillis(): Long = time.nowMicros / MICROS_PER_MILLI
+
+    private fun grant(tracked: TrackedWorker): WorkerGrant {
+        tracked.load.onDispatched(isBatch = false)
+        return object : WorkerGrant {
+            override val worker = tracked.worker
+
+            override fun release(verdict: Verdict, firstByteMillis: Long?) {
+                tracked.onEnded(isBatch = false, verdict, firstByteMillis, nowMillis())
+                pool.dispatch()
+            }
+        }
+    }
+
+    private companion object {
+        const val MICROS_PER_MILLI = 1_000L
+        const val POLL_MICROS = 500_000L
+        const val LOCAL_DELAY_MICROS = 100L
+        const val ZONE_DELAY_MICROS = 1_500L
+    }
+}
