--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -67,7 +67,8 @@
     val callerMetrics = CallerMetrics(context.metrics)
     val openRequests = OpenRequests(context, configuration)
     val authentication = CallerAuthentication(configuration, context.settings.configuration)
-    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx, context.settings.outgoingHost)
+    val upstreamClient: UpstreamClient =
+        DefaultUpstreamClient(context.vertx, context.settings.outgoingHost, context.clock)
     private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
     private val runner = OnlineRunner(quota, ledger, attempts)
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
@@ -108,13 +109,14 @@
         lifecycle.leave()
         parts.forEach { it.leave() }
         delay(context.settings.shutdown.listLagMillis)
-        callersServer.close()
+        callersServer.close(context.settings.limits.callerIdleMillis)
         parts.asReversed().forEach { it.stop() }
-        peersServer.close()
+        peersServer.close(PEER_FLUSH_MILLIS)
         log.info { "node: left" }
     }
 
     private companion object {
         val log = KotlinLogging.logger {}
+        const val PEER_FLUSH_MILLIS = 1_000L
     }
 }
