Add a link stand-in for delay and partitions between processes

Cause: the platform, engine and service stand-ins can ignore a source, but nothing could partition nodes from each other. Change: LinkStandIn relays TCP to a listener with one-way delay, silence for all or some sources, refused and cut connections; also in the federation description and as subcommand link.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/StandInsCommand.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/StandInsCommand.kt
@@ -8,6 +8,8 @@
 import org.poplarshift.standins.engine.EngineStandIn
 import org.poplarshift.standins.federation.FederationDescription
 import org.poplarshift.standins.federation.FederationStandIn
+import org.poplarshift.standins.link.LinkSettings
+import org.poplarshift.standins.link.LinkStandIn
 import org.poplarshift.standins.platform.PlatformSettings
 import org.poplarshift.standins.platform.PlatformStandIn
 import org.poplarshift.standins.service.ServiceSettings
@@ -64,6 +66,11 @@
         run(ServiceStandIn(vertx, if (port == 0) settings else settings.copy(port = port)))
     }
 
+    @Command(description = ["Starts a link: a TCP relay with delay, silence and cuts."])
+    fun link(
+        @Option(names = ["--settings"], required = true, description = ["JSON file with LinkSettings."]) file: File,
+    ) = run(LinkStandIn(vertx, decode(file, LinkSettings.serializer())))
+
     @Command(description = ["Starts all stand-ins of a description."])
     fun federation(
         @Parameters(paramLabel = "FILE", description = ["JSON file with a FederationDescription."]) file: File,
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/federation/FederationDescription.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/federation/FederationDescription.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.poplarshift.standins.engine.EngineSettings
+import org.poplarshift.standins.link.LinkSettings
 import org.poplarshift.standins.platform.PlatformSettings
 import org.poplarshift.standins.service.ServiceSettings
 
@@ -11,4 +12,5 @@
     val platform: PlatformSettings = PlatformSettings(),
     val engines: List<EngineSettings> = emptyList(),
     val services: List<ServiceSettings> = emptyList(),
+    val links: List<LinkSettings> = emptyList(),
 )
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/federation/FederationStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/federation/FederationStandIn.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import org.poplarshift.standins.StandIn
 import org.poplarshift.standins.engine.EngineStandIn
+import org.poplarshift.standins.link.LinkStandIn
 import org.poplarshift.standins.platform.PlatformStandIn
 import org.poplarshift.standins.service.ServiceStandIn
 
@@ -17,8 +18,11 @@
     /** The plain services by worker. */
     val services = description.services.associate { it.worker to ServiceStandIn(vertx, it) }
 
+    /** The links by name. */
+    val links = description.links.associate { it.name to LinkStandIn(vertx, it) }
+
     /** All stand-ins. */
-    val all: List<StandIn> = listOf(platform) + engines.values + services.values
+    val all: List<StandIn> = listOf(platform) + engines.values + services.values + links.values
 
     override val name = "federation"
 
--- /dev/null
+++ b/stand-ins/src/test/kotlin/org/poplarshift/standins/LinkStandInTest.kt
@@ -0,0 +1,50 @@
+package org.poplarshift.standins
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.vertx.core.Vertx
+import io.vertx.ext.web.client.WebClient
+import io.vertx.kotlin.coroutines.coAwait
+import org.poplarshift.standins.link.LinkFaults
+import org.poplarshift.standins.link.LinkSettings
+import org.poplarshift.standins.link.LinkStandIn
+import org.poplarshift.standins.service.ServiceSettings
+import org.poplarshift.standins.service.ServiceStandIn
+import kotlin.time.measureTime
+
+/** Guards against a link that lets bytes through a partition, or that stays cut after it has healed. */
+class LinkStandInTest :
+    FunSpec({
+        timeout = 20_000
+        val vertx = Vertx.vertx()
+        afterSpec { vertx.close().coAwait() }
+
+        data class Case(val name: String, val faults: LinkFaults, val isPassed: Boolean)
+
+        listOf(
+            Case("silent", LinkFaults(isSilent = true), false),
+            Case("silent for this source", LinkFaults(silentSources = listOf("127.0.0.")), false),
+            Case("silent for another source", LinkFaults(silentSources = listOf("127.0.3.")), true),
+            Case("refusing", LinkFaults(isRefusing = true), false),
+            Case("slow", LinkFaults(delayMillis = 50), true),
+        ).forEach { case ->
+            test("a link that is ${case.name} passes a request: ${case.isPassed}") {
+                val service = ServiceStandIn(vertx, ServiceSettings("s")).also { it.start() }
+                val link = LinkStandIn(vertx, LinkSettings("l", "127.0.0.1:${service.port}")).also { it.start() }
+                val client = WebClient.create(vertx)
+                suspend fun isPassed(millis: Long) = runCatching {
+                    client.get(link.port, "127.0.0.1", "/x").timeout(millis).send().coAwait().statusCode() == 200
+                }.getOrDefault(false)
+                isPassed(10_000) shouldBe true
+                link.use(case.faults)
+                if (case.faults.isRefusing) link.use(case.faults.copy(cutEstablished = true))
+                val duration = measureTime { isPassed(if (case.isPassed) 10_000 else 300) shouldBe case.isPassed }
+                duration.inWholeMilliseconds shouldBeGreaterThanOrEqual 2 * case.faults.delayMillis
+                link.use(LinkFaults())
+                isPassed(10_000) shouldBe true
+                link.stop()
+                service.stop()
+            }
+        }
+    })
