--- a/core/src/main/kotlin/org/poplarshift/core/batch/BatchIndex.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/BatchIndex.kt
@@ -128,7 +128,7 @@
     private fun cancel(job: JobState, offset: Long, record: JobCancelled): BatchResult {
         if (job.phase != JobPhase.RUNNING) return Ignored(IgnoredReason.REPEATED)
         job.cancelledAt = offset
-        ResultApplier.end(job, record.atMillis)
+        job.end(record.atMillis)
         return BatchResult.Cancelled(job)
     }
 
--- a/core/src/main/kotlin/org/poplarshift/core/batch/JobState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/JobState.kt
@@ -11,17 +11,19 @@
  */
 class JobState internal constructor(accepted: JobAccepted, val anchorOffset: Long, val anchorMillis: Long) {
     val uploadId: String = accepted.uploadId
-    val key = JobKey(accepted.organisation, accepted.jobId)
+
+    // Thousands of jobs share a few names; decoded records would keep a copy in each job.
+    val key = JobKey(accepted.organisation.intern(), accepted.jobId)
     val digest: String = accepted.digest
     val itemCount: Int = accepted.itemCount
-    val slot: Slot = accepted.slot
-    val upstream: String = accepted.upstream
+    val slot = Slot(accepted.slot.availabilityZone.intern(), accepted.slot.index)
+    val upstream: String = accepted.upstream.intern()
     val idempotent: Boolean = accepted.idempotent
     val acceptedAtMillis: Long = accepted.acceptedAtMillis
     val readableMillis: Long = accepted.readableMillis
     private val through = accepted.through
-    private val chunkOffsets = LongArray(accepted.chunks.size) { accepted.chunks[it].offset }
-    private val chunkFirsts = IntArray(accepted.chunks.size) { accepted.chunks[it].first }
+    private var chunkOffsets = LongArray(accepted.chunks.size) { accepted.chunks[it].offset }
+    private var chunkFirsts = IntArray(accepted.chunks.size) { accepted.chunks[it].first }
     internal val segments = SegmentTable()
     internal var starts: MutableMap<String, ItemSet>? = null
     internal var ended: ItemSet? = ItemSet()
@@ -50,6 +52,7 @@
     val resultCount: Int
         get() = done + failed
 
+    /** The number of chunks; 0 once the job has ended, since nobody needs its items any more. */
     val chunkCount: Int
         get() = chunkOffsets.size
 
@@ -87,6 +90,16 @@
         return endedItems.nextMissing(chunkFirsts[chunk]) < end
     }
 
+    /** Releases what only a running job needs. */
+    internal fun end(atMillis: Long) {
+        endedAtMillis = atMillis
+        ended = null
+        starts = null
+        chunkOffsets = LongArray(0)
+        chunkFirsts = IntArray(0)
+        segments.trim()
+    }
+
     /** The part of the results with the number [index]. */
     fun segment(index: Int): SegmentReference = segments[index]
 
--- a/core/src/main/kotlin/org/poplarshift/core/batch/ResultApplier.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/batch/ResultApplier.kt
@@ -18,15 +18,7 @@
         val done = valid.count { it.outcome == ItemOutcome.DONE }
         job.done += done
         job.failed += valid.size - done
-        if (job.resultCount == job.itemCount) end(job, record.atMillis)
+        if (job.resultCount == job.itemCount) job.end(record.atMillis)
         return BatchResult.Recorded(job, valid, dropped.size)
     }
-
-    /** Releases what only a running job needs. */
-    fun end(job: JobState, atMillis: Long) {
-        job.endedAtMillis = atMillis
-        job.ended = null
-        job.starts = null
-        job.segments.trim()
-    }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/batch/BatchBodies.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchBodies.kt
@@ -11,8 +11,9 @@
         override fun removeEldestEntry(eldest: Map.Entry<Long, Map<Int, BatchItem>>): Boolean = size > MAXIMUM_CHUNKS
     }
 
-    /** The item with the index [item] of [job], or null when the log gives no answer. */
+    /** The item with the index [item] of [job], or null when the log gives no answer or the job has ended. */
     suspend fun item(job: JobState, item: Int): BatchItem? {
+        if (job.hasEnded(item)) return null
         val offset = job.chunk(job.chunkOf(item)).offset
         val cached = chunks[offset]
         if (cached != null) return cached[item]
--- a/node/src/main/kotlin/org/poplarshift/node/batch/BatchLog.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchLog.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import org.poplarshift.core.batch.BatchIndex
 import org.poplarshift.core.batch.BatchRecord
 import org.poplarshift.core.batch.BatchResult
@@ -90,19 +89,22 @@
         return type in 0..HEADER_CHARACTERS
     }
 
+    // A decoder throws this type for JSON of the wrong form as well as for values that a class refuses.
     private fun decode(record: LogRecord): BatchRecord? = try {
         WireJson.lenient.decodeFromString(ENVELOPE, record.record).record
-    } catch (exception: SerializationException) {
+    } catch (exception: IllegalArgumentException) {
         log.warn { "batch: record ${record.offset} can't be read: ${exception.message}" }
         null
     }
 
-    private companion object {
-        val log = KotlinLogging.logger {}
-        val ENVELOPE = LogEnvelope.serializer(BatchRecord.serializer())
-        const val BODIES_TYPE = "\"record\":{\"type\":\"itemsUploaded\""
-        const val HEADER_CHARACTERS = 256
-        const val MAXIMUM_RECORDS = 100
-        const val PATIENCE_MILLIS = 5_000L
+    companion object {
+        private val log = KotlinLogging.logger {}
+        private val ENVELOPE = LogEnvelope.serializer(BatchRecord.serializer())
+        private const val BODIES_TYPE = "\"record\":{\"type\":\"itemsUploaded\""
+        private const val HEADER_CHARACTERS = 256
+
+        /** Records of up to 256 KB that one read may return, so that it stays far below the heap of a node. */
+        const val MAXIMUM_RECORDS = 32
+        private const val PATIENCE_MILLIS = 5_000L
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/batch/BatchPart.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchPart.kt
@@ -33,7 +33,14 @@
     openRequests: OpenRequests,
     metrics: CallerMetrics,
 ) : NodePart {
-    val batchLog = BatchLog(context, TailingLogFollower(context.logService, LogStream.BATCH, context.clock))
+    private val follower =
+        TailingLogFollower(
+            context.logService,
+            LogStream.BATCH,
+            context.clock,
+            maximumRecords = BatchLog.MAXIMUM_RECORDS,
+        )
+    val batchLog = BatchLog(context, follower)
     private val targets = ItemTargets()
     private val bodies = BatchBodies(batchLog)
     private val isControlled = context.settings.batchControl
--- a/node/src/main/kotlin/org/poplarshift/node/batch/BatchRunner.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchRunner.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.node.batch
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -16,6 +17,8 @@
 import org.poplarshift.core.batch.RunOutcome
 import org.poplarshift.core.batch.RunVerdictMapper
 import org.poplarshift.core.ownership.Slot
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.core.verdict.Verdict
 import org.poplarshift.node.NodeContext
 import org.poplarshift.node.NodePart
 import org.poplarshift.node.configuration.ConfigurationStore
@@ -159,6 +162,13 @@
             try {
                 val ended = execution.execute(run, place, holder) { scheduler.isActive(run) }
                 onEnded(run, ended)
+            } catch (exception: CancellationException) {
+                throw exception
+            } catch (exception: Exception) {
+                log.error(exception) { "batch: a run of item ${run.item} of ${run.uploadId} has failed" }
+                delay(FAILURE_PAUSE_MILLIS)
+                val item = batchLog.index.findUpload(run.uploadId)?.let { execution.read(it, run.item) }
+                onEnded(run, EndedRun(Verdict.MayHaveRun(RefusalReason.INTERNAL), item?.id.orEmpty()))
             } finally {
                 runs.remove(run.runId)
                 wake()
@@ -195,6 +205,7 @@
         val log = KotlinLogging.logger {}
         const val TICK_MILLIS = 50L
         const val RETRY_MILLIS = 200L
+        const val FAILURE_PAUSE_MILLIS = 1_000L
         const val MAXIMUM_RUNS = 1_024
         const val DEFAULT_ATTEMPTS = 3
     }
--- a/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
@@ -20,6 +20,7 @@
     private val clock: MonotonicClock,
     private val waitMillis: Long = 5_000,
     private val retryMillis: Long = 500,
+    private val maximumRecords: Int = 500,
 ) : LogFollower {
     private val applied = MutableStateFlow(0L)
     private var isUnavailable = false
@@ -35,7 +36,7 @@
     override suspend fun follow(apply: suspend (LogRecord) -> Unit) {
         while (currentCoroutineContext().isActive) {
             val startedMillis = clock.millis()
-            when (val result = logService.read(stream, nextOffset, MAXIMUM_RECORDS, waitMillis)) {
+            when (val result = logService.read(stream, nextOffset, maximumRecords, waitMillis)) {
                 is Records -> accept(result, startedMillis, apply)
                 is Unavailable -> pause(result)
             }
@@ -85,7 +86,6 @@
 
     private companion object {
         val log = KotlinLogging.logger {}
-        const val MAXIMUM_RECORDS = 500
         const val SHORTEST_WAIT_MILLIS = 100L
     }
 }
--- a/node/src/test/kotlin/org/poplarshift/node/batch/BatchFixture.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/BatchFixture.kt
@@ -31,6 +31,9 @@
         return node
     }
 
+    /** Starts another node. */
+    suspend fun another(): RunningNode = fleet.node("node-2").also { it.awaitVersion(1) }
+
     private fun catalogue(): Catalogue = Fleet.catalogue(listOf(engine), listOf(service)).copy(
         routes = listOf(
             Route(
--- a/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
@@ -97,6 +97,25 @@
             }
         }
 
+        test(
+            "two nodes that both take themselves for the holder give each item one result and send a label call once",
+        ) {
+            withFleet(FaultyLog(FakeLogService(), delayMillis = 5)) {
+                val first = start()
+                val second = another()
+                upload(first, "labels", labels(60)).statusCode() shouldBe 201
+                upload(second, "night", models(300)).statusCode() shouldBe 201
+                for (jobId in listOf("labels", "night")) {
+                    await(first, jobId) { it.state == JobPhase.ENDED }
+                    await(second, jobId) { it.state == JobPhase.ENDED }
+                    val lines = first.call("GET", "/v1/batches/$jobId/results", key).body()
+                    second.call("GET", "/v1/batches/$jobId/results", key).body() shouldBe lines
+                    results(first, jobId).toSet() shouldHaveSize status(first, jobId).items
+                }
+                service.runs.map { it.uri }.groupingBy { it }.eachCount().values.max() shouldBe 1
+            }
+        }
+
         test("while the log is down jobs are refused as not run, and results of running items are appended later") {
             val log = FaultyLog(FakeLogService())
             withFleet(log) {
--- a/node/src/test/kotlin/org/poplarshift/node/log/TailingLogFollowerTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/log/TailingLogFollowerTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 import org.poplarshift.node.MonotonicClock
 import org.poplarshift.node.fixture.FakeLogService
+import org.poplarshift.node.fixture.LogConnection
 import org.poplarshift.platform.AppendResult
 import org.poplarshift.platform.LogService
 import org.poplarshift.platform.ReadResult
@@ -17,7 +18,7 @@
 class TailingLogFollowerTest :
     FunSpec({
         test("a record that can't be applied is skipped, and an outage ends without loss or repetition") {
-            val connection = FakeLogService().Connection()
+            val connection = LogConnection(FakeLogService())
             repeat(5) { connection.append("s", "record $it") }
             val follower = TailingLogFollower(connection, "s", MonotonicClock.SYSTEM, waitMillis = 50, retryMillis = 10)
             val applied = mutableListOf<Long>()
