--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.poplarshift.node.batch.BatchPart
-import org.poplarshift.node.batch.CapacityBatchWorkers
 import org.poplarshift.node.batch.LocalSlotOwnership
 import org.poplarshift.node.caller.AttemptLoop
 import org.poplarshift.node.caller.CallerAuthentication
@@ -19,8 +18,8 @@
 import org.poplarshift.node.configuration.ConfigurationFollower
 import org.poplarshift.node.configuration.ConfigurationSnapshotWriter
 import org.poplarshift.node.configuration.DefaultConfigurationStore
-import org.poplarshift.node.dispatch.RoundRobinDispatcher
-import org.poplarshift.node.dispatch.UpstreamDispatcher
+import org.poplarshift.node.dispatch.DefaultUpstreamDispatcher
+import org.poplarshift.node.dispatch.DispatchSettings
 import org.poplarshift.node.forward.DefaultUpstreamClient
 import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.http.LeavingHeader
@@ -30,6 +29,7 @@
 import org.poplarshift.node.idempotency.RequestLog
 import org.poplarshift.node.log.TailingLogFollower
 import org.poplarshift.node.peer.DefaultPeerDirectory
+import org.poplarshift.node.peer.ExchangePart
 import org.poplarshift.node.peer.Gossip
 import org.poplarshift.node.peer.HttpPeerClient
 import org.poplarshift.node.peer.VmListReader
@@ -57,7 +57,14 @@
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
     val quota: QuotaGate = LocalQuotaGate(context.clock)
-    val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
+    val dispatcher = DefaultUpstreamDispatcher(
+        context = context,
+        configuration = configuration,
+        peers = peers,
+        peerClient = peerClient,
+        peersRouter = peersServer.router,
+        settings = DispatchSettings.of(context.settings),
+    )
     private val requestsLog = TailingLogFollower(context.logService, LogStream.REQUESTS, context.clock)
     private val logLedger = LogRequestLedger(context, RequestLog(context, requestsLog), configuration, peers)
     val ledger: RequestLedger = logLedger
@@ -65,7 +72,8 @@
     val callerMetrics = CallerMetrics(context.metrics)
     val openRequests = OpenRequests(context, configuration)
     val authentication = CallerAuthentication(configuration, context.settings.configuration)
-    val upstreamClient: UpstreamClient = DefaultUpstreamClient(context.vertx, context.settings.outgoingHost)
+    val upstreamClient: UpstreamClient =
+        DefaultUpstreamClient(context.vertx, context.settings.outgoingHost, context.clock)
     private val attempts = AttemptLoop(dispatcher, upstreamClient, callerMetrics, context.clock)
     private val runner = OnlineRunner(quota, ledger, attempts)
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
@@ -76,7 +84,7 @@
         context,
         configuration,
         slots,
-        CapacityBatchWorkers(configuration),
+        dispatcher.batch,
         dispatcher,
         upstreamClient,
         peers,
@@ -88,8 +96,9 @@
         callerMetrics,
     )
 
-    private val exchangeParts = listOf(
+    private val exchangeParts: List<ExchangePart> = listOf(
         configurationExchange,
+        dispatcher.quarantine,
     )
 
     private val parts: List<NodePart> = listOf(
@@ -98,6 +107,7 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        dispatcher,
         logLedger,
         slots,
         LeavingHeader(lifecycle, callersServer.router),
@@ -124,13 +134,14 @@
         lifecycle.leave()
         parts.forEach { it.leave() }
         delay(context.settings.shutdown.listLagMillis)
-        callersServer.close()
+        callersServer.close(context.settings.limits.callerIdleMillis)
         parts.asReversed().forEach { it.stop() }
-        peersServer.close()
+        peersServer.close(PEER_FLUSH_MILLIS)
         log.info { "node: left" }
     }
 
     private companion object {
         val log = KotlinLogging.logger {}
+        const val PEER_FLUSH_MILLIS = 1_000L
     }
 }
--- /dev/null
+++ b/operator/src/main/kotlin/org/poplarshift/operator/catalogue/CatalogueFile.kt
@@ -0,0 +1,24 @@
+package org.poplarshift.operator.catalogue
+
+import org.poplarshift.core.catalogue.Catalogue
+import org.poplarshift.core.catalogue.CatalogueValidator
+import org.poplarshift.operator.schema.FileProblem
+import org.poplarshift.operator.schema.SchemaCheck
+import org.poplarshift.operator.schema.requireNone
+import org.poplarshift.wire.WireJson
+import java.nio.file.Path
+
+/** A catalogue in a file. */
+class CatalogueFile(private val path: Path) {
+    /** Reads the catalogue; every problem with it is in the message of the exception. */
+    fun read(): Catalogue {
+        val text = SchemaCheck("catalogue.schema.json").requireValid(path)
+        val catalogue = WireJson.strict.decodeFromString(Catalogue.serializer(), text)
+        requireNone(
+            CatalogueValidator().validate(catalogue).map {
+                FileProblem("$path", it.path, it.found, it.expected)
+            },
+        )
+        return catalogue
+    }
+}
--- a/wire/src/main/kotlin/org/poplarshift/wire/ExchangeMessage.kt
+++ b/wire/src/main/kotlin/org/poplarshift/wire/ExchangeMessage.kt
@@ -4,6 +4,7 @@
 import org.poplarshift.core.membership.Member
 import org.poplarshift.core.membership.MembershipDelta
 import org.poplarshift.core.membership.MembershipDigest
+import org.poplarshift.core.quarantine.QuarantineNews
 
 /**
  * Request and response of `POST /peer/exchange`.
@@ -14,6 +15,7 @@
  * @property sender the node that sends this message
  * @property configurationVersion the version in force at the sender
  * @property configurationAgeMillis how long ago the sender knew that no newer version existed; null when it never did
+ * @property quarantine the newest strikes that the sender knows
  */
 @Serializable
 data class ExchangeMessage(
@@ -22,4 +24,5 @@
     val delta: MembershipDelta = MembershipDelta(emptyList()),
     val configurationVersion: Long = -1,
     val configurationAgeMillis: Long? = null,
+    val quarantine: QuarantineNews = QuarantineNews(),
 )
