Run slot ownership and the fleet-wide rate limit in the node

A node still counted every limit alone, so that three nodes admitted three times the rate. The node now follows the stream `ownership`, claims, confirms, votes and releases, and FleetQuotaGate admits by token leases and pooled shares with a wait of up to 250 ms. A request for tokens names the incarnation it is for, because a process that has taken over an address would settle leases that aren't its own.

--- a/core/src/main/kotlin/org/poplarshift/core/ownership/SlotKeeper.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ownership/SlotKeeper.kt
@@ -39,6 +39,11 @@
         confirmations.retain(own.map { SlotVersion(it.slot, it.version) }.toSet())
     }
 
+    /** Passes over the record at [offset], which no node can read. */
+    fun skip(offset: Long) {
+        state = state.copy(nextOffset = maxOf(state.nextOffset, offset + 1))
+    }
+
     /** Takes a read that began at [startedMillis] and reached the end of the log, after its records were applied. */
     fun readToEnd(startedMillis: Long) {
         lastReadStartedMillis = maxOf(startedMillis, lastReadStartedMillis ?: startedMillis)
--- a/core/src/main/kotlin/org/poplarshift/core/quota/QuotaBook.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/QuotaBook.kt
@@ -44,7 +44,7 @@
         if (demand.wanted == 0L) return null
         val holder = holderToAsk(shares, organisation, quota, demand.wanted, nowMillis) ?: return null
         val settled = quota.wallet.takeSettled(holder)
-        val request = TokenRequest(organisation.id, demand.needed, demand.wanted, settled)
+        val request = TokenRequest(holder, organisation.id, demand.needed, demand.wanted, settled)
         return Ask(holder, request, nowMillis).also { quota.asked[holder] = it }
     }
 
@@ -101,7 +101,7 @@
             .forEach { it.wallet.returnAll(nowMillis) }
         val settlements = organisations.flatMap { (organisation, quota) ->
             quota.wallet.giversToSettle(times.settleMillis, nowMillis).map { giver ->
-                Ask(giver, TokenRequest(organisation, 0, 0, quota.wallet.takeSettled(giver)), nowMillis)
+                Ask(giver, TokenRequest(giver, organisation, 0, 0, quota.wallet.takeSettled(giver)), nowMillis)
             }
         }
         organisations.values.removeIf { isIdle(it, FORGET_MILLIS, nowMillis) && it.wallet.isEmpty(nowMillis) }
--- a/core/src/main/kotlin/org/poplarshift/core/quota/TokenMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quota/TokenMessages.kt
@@ -5,12 +5,15 @@
 /**
  * Asks a slot holder for tokens. Amounts are micro-tokens.
  *
+ * @property holder the incarnation that is asked; a process that has taken over its address must not answer, because
+ * the settled leases aren't its own
  * @property needed for requests that wait now
  * @property wanted including what the next requests are expected to need; at least [needed]
  * @property settled leases of this giver that have ended
  */
 @Serializable
 data class TokenRequest(
+    val holder: String,
     val organisation: String,
     val needed: Long,
     val wanted: Long,
--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -25,12 +25,16 @@
 import org.poplarshift.node.idempotency.RefusingRequestLedger
 import org.poplarshift.node.idempotency.RequestLedger
 import org.poplarshift.node.log.TailingLogFollower
+import org.poplarshift.node.ownership.DefaultSlotOwnership
 import org.poplarshift.node.peer.DefaultPeerDirectory
 import org.poplarshift.node.peer.Gossip
 import org.poplarshift.node.peer.HttpPeerClient
 import org.poplarshift.node.peer.VmListReader
+import org.poplarshift.node.quota.FleetQuotaGate
 import org.poplarshift.node.quota.LocalQuotaGate
 import org.poplarshift.node.quota.QuotaGate
+import org.poplarshift.node.quota.QuotaMessenger
+import org.poplarshift.node.settings.QuotaMode
 import org.poplarshift.node.status.HealthRoutes
 import org.poplarshift.node.status.StatusRoute
 import org.poplarshift.wire.LogStream
@@ -52,7 +56,18 @@
     val peers = DefaultPeerDirectory(context.self, context.settings.seedPeers, context.clock)
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
-    val quota: QuotaGate = LocalQuotaGate(context.clock)
+    val ownership = DefaultSlotOwnership(context, configuration, peerClient, peersServer.router)
+    private val fleetQuota = FleetQuotaGate(
+        context,
+        configuration,
+        peersServer.router,
+        QuotaMessenger(peerClient, context.incarnation, ownership::addressOf),
+        ownership.holding,
+    )
+    val quota: QuotaGate = when (context.settings.quotaMode) {
+        QuotaMode.FLEET -> fleetQuota
+        QuotaMode.LOCAL -> LocalQuotaGate(context.clock)
+    }
     val dispatcher: UpstreamDispatcher = RoundRobinDispatcher()
     val ledger: RequestLedger = RefusingRequestLedger()
 
@@ -75,6 +90,8 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        ownership,
+        fleetQuota,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
         StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/ownership/DefaultSlotOwnership.kt
@@ -0,0 +1,174 @@
+package org.poplarshift.node.ownership
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Gauge
+import io.vertx.ext.web.Router
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.poplarshift.core.ownership.Slot
+import org.poplarshift.core.ownership.SlotAction
+import org.poplarshift.core.ownership.SlotConfirmRequest
+import org.poplarshift.core.ownership.SlotConfirmResponse
+import org.poplarshift.core.ownership.SlotKeeper
+import org.poplarshift.core.ownership.SlotPromiseRequest
+import org.poplarshift.core.ownership.SlotPromiseResponse
+import org.poplarshift.core.ownership.VmIdentity
+import org.poplarshift.core.quota.KeeperSlotHolding
+import org.poplarshift.core.quota.SlotHolding
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.NodePart
+import org.poplarshift.node.configuration.ConfigurationStore
+import org.poplarshift.node.peer.Peer
+import org.poplarshift.node.peer.PeerClient
+import org.poplarshift.node.peer.PeerResult
+import org.poplarshift.node.peer.peerRoute
+import org.poplarshift.platform.VmListResult
+
+/** Runs the ownership protocol of this node: reads the log, claims, confirms, votes, and releases on shutdown. */
+class DefaultSlotOwnership(
+    private val context: NodeContext,
+    private val configuration: ConfigurationStore,
+    private val client: PeerClient,
+    private val peersRouter: Router,
+) : SlotOwnership,
+    NodePart {
+    private val identity = VmIdentity(
+        vm = context.settings.vm,
+        incarnation = context.incarnation,
+        availabilityZone = context.settings.availabilityZone,
+        peerAddress = context.settings.peersAddress,
+    )
+    private val keeper = SlotKeeper(identity)
+    private val ownershipLog = OwnershipLog(context, keeper)
+    private val mutableOwnedSlots = MutableStateFlow(emptySet<OwnedSlot>())
+    private var listedAddresses: Set<String>? = null
+    private var isStopped = false
+
+    override val ownedSlots: StateFlow<Set<OwnedSlot>> = mutableOwnedSlots
+
+    /** The slots as the quota needs them. */
+    val holding: SlotHolding = KeeperSlotHolding(identity, keeper)
+
+    override fun isHolding(slot: Slot): Boolean = keeper.lease(slot)?.isUsable(context.clock.millis()) ?: false
+
+    override fun fencingTokenOf(slot: Slot): Long? = keeper.lease(slot)?.claim?.offset?.takeIf { isHolding(slot) }
+
+    override fun holderOf(slot: Slot): Peer? {
+        val incarnation = keeper.state.claims[slot]?.incarnation ?: return null
+        val member = keeper.state.members[incarnation]
+        if (member == null || incarnation == identity.incarnation) return null
+        return Peer(member.vm, incarnation, member.availabilityZone, member.peerAddress, isLeaving = false)
+    }
+
+    /** The peers address of the process [incarnation], or null when it is unknown or has ended. */
+    fun addressOf(incarnation: String): String? =
+        keeper.state.members[incarnation]?.takeIf { it.endedAt == null }?.peerAddress
+
+    override suspend fun start() {
+        Gauge.builder("poplarshift_owned_slots") { ownedSlots.value.size }.register(context.metrics)
+        mountRoutes()
+        repeatedly(pauseMillis = 0) {
+            ownershipLog.readOnce()
+            publish()
+        }
+        repeatedly(TICK_MILLIS) { readList() }
+        repeatedly(TICK_MILLIS) { tick() }
+    }
+
+    override suspend fun leave() = keeper.startLeaving()
+
+    override suspend fun stop() {
+        isStopped = true
+        keeper.leave(context.clock.millis()).forEach { ownershipLog.append(it) }
+        publish()
+        log.info { "ownership: released the slots" }
+    }
+
+    private fun repeatedly(pauseMillis: Long, work: suspend () -> Unit) = context.scope.launch {
+        while (isActive && !isStopped) {
+            work()
+            delay(pauseMillis)
+        }
+    }
+
+    private fun mountRoutes() {
+        peersRouter.peerRoute(
+            context.scope,
+            CONFIRM_PATH,
+            SlotConfirmRequest.serializer(),
+            SlotConfirmResponse.serializer(),
+        ) { keeper.confirm(it, context.clock.millis()) }
+        peersRouter.peerRoute(
+            context.scope,
+            PROMISE_PATH,
+            SlotPromiseRequest.serializer(),
+            SlotPromiseResponse.serializer(),
+        ) { keeper.promise(it, context.clock.millis()) }
+    }
+
+    private fun tick() {
+        val zone = configuration.current.value.catalogue?.zones?.firstOrNull { it.name == identity.availabilityZone }
+        keeper.tick(zone?.slots ?: 0, listedAddresses, context.clock.millis()).forEach { action ->
+            context.scope.launch { act(action) }
+        }
+        publish()
+    }
+
+    /** Apart from [tick], because a slow platform must not delay confirmations by peers. */
+    private suspend fun readList() {
+        val listed = (context.vmList.read() as? VmListResult.Vms)?.vms?.map { it.peerAddress }?.toSet()
+        // A list without this VM says nothing about the holders.
+        listedAddresses = listed?.takeIf { identity.peerAddress in it }
+    }
+
+    private suspend fun act(action: SlotAction) {
+        when (action) {
+            is SlotAction.Append -> ownershipLog.append(action.record)
+            is SlotAction.Confirm -> confirm(action)
+            is SlotAction.Promise -> promise(action)
+        }
+    }
+
+    private suspend fun confirm(action: SlotAction.Confirm) {
+        val sentMillis = context.clock.millis()
+        val result = client.post(
+            action.voter.peerAddress,
+            CONFIRM_PATH,
+            action.request,
+            SlotConfirmRequest.serializer(),
+            SlotConfirmResponse.serializer(),
+        )
+        if (result is PeerResult.Answered) keeper.confirmed(result.response, sentMillis, context.clock.millis())
+    }
+
+    private suspend fun promise(action: SlotAction.Promise) {
+        val result = client.post(
+            action.voter.peerAddress,
+            PROMISE_PATH,
+            action.request,
+            SlotPromiseRequest.serializer(),
+            SlotPromiseResponse.serializer(),
+        )
+        if (result is PeerResult.Answered) keeper.promised(result.response, context.clock.millis())
+    }
+
+    private fun publish() {
+        val now = context.clock.millis()
+        val usable = keeper.leases().filter {
+            it.isUsable(now)
+        }.map { OwnedSlot(it.claim.slot, it.claim.offset) }.toSet()
+        if (usable == mutableOwnedSlots.value) return
+        mutableOwnedSlots.value = usable
+        log.info { "ownership: this node holds ${usable.map { it.slot }}" }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val CONFIRM_PATH = "/peer/slots/confirm"
+        const val PROMISE_PATH = "/peer/slots/promise"
+        const val TICK_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/quota/FleetQuotaGate.kt
@@ -0,0 +1,172 @@
+package org.poplarshift.node.quota
+
+import io.vertx.ext.web.Router
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.core.catalogue.Catalogue
+import org.poplarshift.core.catalogue.Organisation
+import org.poplarshift.core.quota.Ask
+import org.poplarshift.core.quota.QuotaBook
+import org.poplarshift.core.quota.QuotaShares
+import org.poplarshift.core.quota.ShareAsk
+import org.poplarshift.core.quota.ShareGrant
+import org.poplarshift.core.quota.ShareRequest
+import org.poplarshift.core.quota.SlotHolding
+import org.poplarshift.core.quota.TokenGrant
+import org.poplarshift.core.quota.TokenRequest
+import org.poplarshift.core.verdict.RefusalReason
+import org.poplarshift.node.NodeContext
+import org.poplarshift.node.NodePart
+import org.poplarshift.node.configuration.ConfigurationStore
+import org.poplarshift.node.peer.peerRoute
+import kotlin.math.ceil
+
+/** Admits requests within an organisation's rate and burst over all VMs, and lends tokens to other nodes. */
+class FleetQuotaGate(
+    private val context: NodeContext,
+    private val configuration: ConfigurationStore,
+    private val peersRouter: Router,
+    private val messenger: QuotaMessenger,
+    holding: SlotHolding,
+) : QuotaGate,
+    NodePart {
+    private val book = QuotaBook(holding)
+    private val waiting = HashMap<String, ArrayDeque<CompletableDeferred<Unit>>>()
+    private var sharesOf: Pair<Catalogue, QuotaShares>? = null
+    private val messages = context.metrics.counter("poplarshift_quota_messages_total")
+
+    override suspend fun admit(organisation: Organisation): QuotaDecision {
+        val shares = shares() ?: return QuotaDecision.Refused(RefusalReason.NO_CONFIGURATION, QUOTA_WAIT_MILLIS)
+        val now = context.clock.millis()
+        book.countRequest(organisation.id, now)
+        val queue = waiting.getOrPut(organisation.id) { ArrayDeque() }
+        val isAdmitted = queue.isEmpty() && book.admit(shares, organisation, now)
+        if (!isAdmitted && !awaitToken(organisation, queue)) return refuse(organisation)
+        ask(shares, organisation)
+        return QuotaDecision.Admitted
+    }
+
+    override suspend fun start() {
+        val scope = context.scope
+        val (tokens, shares) = QuotaMessenger.TOKENS_PATH to QuotaMessenger.SHARES_PATH
+        peersRouter.peerRoute(scope, tokens, TokenRequest.serializer(), TokenGrant.serializer(), ::grant)
+        peersRouter.peerRoute(scope, shares, ShareRequest.serializer(), ShareGrant.serializer(), ::lend)
+        scope.launch {
+            while (isActive) {
+                tick()
+                delay(TICK_MILLIS)
+            }
+        }
+    }
+
+    override suspend fun leave() = book.stopGiving()
+
+    /** Waits until nothing that this node lent can be used any more, so that its slots may be released. */
+    override suspend fun stop() {
+        withTimeoutOrNull(LONGEST_SETTLEMENT_MILLIS) {
+            while (book.hasGiven(context.clock.millis())) delay(TICK_MILLIS)
+        }
+    }
+
+    private suspend fun awaitToken(organisation: Organisation, queue: ArrayDeque<CompletableDeferred<Unit>>): Boolean {
+        val token = CompletableDeferred<Unit>()
+        queue += token
+        book.changeWaiting(organisation.id, 1)
+        try {
+            withTimeoutOrNull(QUOTA_WAIT_MILLIS) {
+                while (!token.isCompleted) {
+                    serve(organisation)
+                    withTimeoutOrNull(RETRY_MILLIS) { token.await() }
+                }
+            }
+        } finally {
+            if (queue.remove(token)) book.changeWaiting(organisation.id, -1)
+        }
+        return token.isCompleted
+    }
+
+    /** Admits waiting requests in order and asks for tokens for the rest. */
+    private fun serve(organisation: Organisation) {
+        val shares = shares() ?: return
+        val queue = waiting[organisation.id] ?: return
+        while (queue.isNotEmpty() && book.admit(shares, organisation, context.clock.millis())) {
+            book.changeWaiting(organisation.id, -1)
+            queue.removeFirst().complete(Unit)
+        }
+        ask(shares, organisation)
+    }
+
+    private fun ask(shares: QuotaShares, organisation: Organisation) {
+        var ask = book.ask(shares, organisation, context.clock.millis())
+        while (ask != null) {
+            send(ask)
+            ask = book.ask(shares, organisation, context.clock.millis())
+        }
+    }
+
+    private fun send(ask: Ask) {
+        messages.increment()
+        context.scope.launch {
+            val grant = messenger.send(ask)
+            book.answered(ask, grant, context.clock.millis())
+            organisation(ask.request.organisation)?.let { serve(it) }
+        }
+    }
+
+    private fun tick() {
+        val now = context.clock.millis()
+        book.tick(now).forEach { send(it) }
+        val shares = shares() ?: return
+        book.shareAsks(shares, organisations(), now).forEach { borrow(it) }
+        waiting.values.removeIf { it.isEmpty() }
+    }
+
+    private fun borrow(ask: ShareAsk) {
+        messages.increment()
+        context.scope.launch {
+            val grant = messenger.send(ask) ?: return@launch
+            val shares = shares() ?: return@launch
+            book.sharesLent(shares, organisations(), ask, grant, context.clock.millis())
+        }
+    }
+
+    private fun grant(request: TokenRequest): TokenGrant? {
+        val shares = shares()
+        val organisation = organisation(request.organisation)
+        if (shares == null || organisation == null || request.holder != context.incarnation) return null
+        return book.grant(shares, organisation, request, context.clock.millis())
+    }
+
+    private fun lend(request: ShareRequest): ShareGrant? =
+        shares()?.let { book.lendShares(it, organisations(), request, context.clock.millis()) }
+
+    private fun refuse(organisation: Organisation): QuotaDecision {
+        val isConfirmed = book.isConfirmed(context.clock.millis())
+        val reason = if (isConfirmed) RefusalReason.RATE_EXCEEDED else RefusalReason.QUOTA_UNCONFIRMED
+        return QuotaDecision.Refused(reason, ceil(MILLIS_PER_SECOND / organisation.ratePerSecond).toLong())
+    }
+
+    private fun organisations(): List<Organisation> = configuration.current.value.catalogue?.organisations.orEmpty()
+
+    private fun organisation(id: String): Organisation? = configuration.current.value.catalogue?.organisation(id)
+
+    private fun shares(): QuotaShares? {
+        val catalogue = configuration.current.value.catalogue ?: return null
+        val known = sharesOf
+        if (known != null && known.first === catalogue) return known.second
+        return QuotaShares(catalogue).also { sharesOf = catalogue to it }
+    }
+
+    private companion object {
+        const val QUOTA_WAIT_MILLIS = 250L
+        const val RETRY_MILLIS = 20L
+        const val TICK_MILLIS = 100L
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Longer than a token lease and a lent share last. */
+        const val LONGEST_SETTLEMENT_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/quota/QuotaMessenger.kt
@@ -0,0 +1,48 @@
+package org.poplarshift.node.quota
+
+import kotlinx.serialization.KSerializer
+import org.poplarshift.core.quota.Ask
+import org.poplarshift.core.quota.ShareAsk
+import org.poplarshift.core.quota.ShareGrant
+import org.poplarshift.core.quota.ShareRequest
+import org.poplarshift.core.quota.TokenGrant
+import org.poplarshift.core.quota.TokenRequest
+import org.poplarshift.node.peer.PeerClient
+import org.poplarshift.node.peer.PeerResult
+
+/** Sends requests for tokens and shares to slot holders. */
+class QuotaMessenger(
+    private val client: PeerClient,
+    private val incarnation: String,
+    private val addressOf: (incarnation: String) -> String?,
+) {
+    /** Sends [ask]; null when no answer came in time. */
+    suspend fun send(ask: Ask): TokenGrant? =
+        post(ask.holder, TOKENS_PATH, ask.request, TokenRequest.serializer(), TokenGrant.serializer())
+
+    /** Sends [ask]; null when no answer came in time. */
+    suspend fun send(ask: ShareAsk): ShareGrant? {
+        val request = ShareRequest(incarnation, ask.organisations)
+        return post(ask.holder, SHARES_PATH, request, ShareRequest.serializer(), ShareGrant.serializer())
+    }
+
+    private suspend fun <Request, Response> post(
+        holder: String,
+        path: String,
+        request: Request,
+        requestSerializer: KSerializer<Request>,
+        responseSerializer: KSerializer<Response>,
+    ): Response? {
+        val address = addressOf(holder) ?: return null
+        val result = client.post(address, path, request, requestSerializer, responseSerializer, TIMEOUT_MILLIS)
+        return (result as? PeerResult.Answered)?.response
+    }
+
+    companion object {
+        const val TOKENS_PATH = "/peer/tokens"
+        const val SHARES_PATH = "/peer/shares"
+
+        /** A little longer than a request waits, so that a late answer still serves the next requests. */
+        private const val TIMEOUT_MILLIS = 300L
+    }
+}
--- a/verification/src/main/kotlin/org/poplarshift/verification/alloy/AlloyModelChecker.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/alloy/AlloyModelChecker.kt
@@ -4,6 +4,7 @@
 import edu.mit.csail.sdg.parser.CompUtil
 import edu.mit.csail.sdg.translator.A4Options
 import edu.mit.csail.sdg.translator.A4Solution
+import edu.mit.csail.sdg.translator.A4TupleSet
 import edu.mit.csail.sdg.translator.TranslateAlloyToKodkod
 import kodkod.engine.satlab.SATFactory
 
@@ -31,4 +32,11 @@
 
     /** Whether the assertion of the `check` command [label] holds within its scope. */
     fun holds(label: String): Boolean = !run(label).satisfiable()
+
+    /** The atoms that satisfy [expression], such as `{ c: Claim | append[c] }`, in one state of [solution]'s trace. */
+    fun evaluate(solution: A4Solution, expression: String, state: Int): List<List<String>> {
+        val parsed = CompUtil.parseOneExpression_fromString(module, expression)
+        val tuples = solution.eval(parsed, state) as A4TupleSet
+        return tuples.map { tuple -> (0 until tuple.arity()).map { tuple.atom(it) } }
+    }
 }
