--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -3,8 +3,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
+import org.poplarshift.core.ownership.Slot
 import org.poplarshift.node.batch.BatchPart
-import org.poplarshift.node.batch.LocalSlotOwnership
 import org.poplarshift.node.caller.AttemptLoop
 import org.poplarshift.node.caller.CallerAuthentication
 import org.poplarshift.node.caller.CallerMetrics
@@ -28,13 +28,17 @@
 import org.poplarshift.node.idempotency.RequestLedger
 import org.poplarshift.node.idempotency.RequestLog
 import org.poplarshift.node.log.TailingLogFollower
+import org.poplarshift.node.ownership.DefaultSlotOwnership
 import org.poplarshift.node.peer.DefaultPeerDirectory
 import org.poplarshift.node.peer.ExchangePart
 import org.poplarshift.node.peer.Gossip
 import org.poplarshift.node.peer.HttpPeerClient
 import org.poplarshift.node.peer.VmListReader
+import org.poplarshift.node.quota.FleetQuotaGate
 import org.poplarshift.node.quota.LocalQuotaGate
 import org.poplarshift.node.quota.QuotaGate
+import org.poplarshift.node.quota.QuotaMessenger
+import org.poplarshift.node.settings.QuotaMode
 import org.poplarshift.node.status.HealthRoutes
 import org.poplarshift.node.status.StatusRoute
 import org.poplarshift.wire.LogStream
@@ -56,7 +60,18 @@
     val peers = DefaultPeerDirectory(context.self, context.settings.seedPeers, context.clock)
     private val configurationExchange = ConfigurationExchange(configuration, peerClient, peersServer.router)
 
-    val quota: QuotaGate = LocalQuotaGate(context.clock)
+    val ownership = DefaultSlotOwnership(context, configuration, peerClient, peersServer.router)
+    private val fleetQuota = FleetQuotaGate(
+        context,
+        configuration,
+        peersServer.router,
+        QuotaMessenger(peerClient, context.incarnation, ownership::addressOf),
+        ownership.holding,
+    )
+    val quota: QuotaGate = when (context.settings.quotaMode) {
+        QuotaMode.FLEET -> fleetQuota
+        QuotaMode.LOCAL -> LocalQuotaGate(context.clock)
+    }
     val dispatcher = DefaultUpstreamDispatcher(
         context = context,
         configuration = configuration,
@@ -79,11 +94,10 @@
     private val callerIdleMillis = context.settings.limits.callerIdleMillis
     private val online = OnlineHandler(openRequests, runner, callerMetrics, context.clock, callerIdleMillis)
 
-    private val slots = LocalSlotOwnership(context, configuration)
     val batch = BatchPart(
         context,
         configuration,
-        slots,
+        ownership,
         dispatcher.batch,
         dispatcher,
         upstreamClient,
@@ -107,12 +121,15 @@
         configurationExchange,
         ConfigurationSnapshotWriter(context, configuration),
         VmListReader(context, peers),
+        ownership,
+        fleetQuota,
         dispatcher,
         logLedger,
-        slots,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
-        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
+        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics) {
+            ownership.ownedSlots.value.map { it.slot }.filter(ownership::isHolding).map(Slot::toString)
+        },
         ModelRoutes(callersServer.router, configuration, authentication, online),
         CompletionRoutes(context, callersServer.router, configuration, authentication, online),
         batch,
