--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -112,7 +112,7 @@
         slots,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
-        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics),
+        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics, slots),
         ModelRoutes(callersServer.router, configuration, authentication, online),
         CompletionRoutes(context, callersServer.router, configuration, authentication, online),
         batch,
--- a/node/src/main/kotlin/org/poplarshift/node/status/StatusRoute.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/status/StatusRoute.kt
@@ -8,14 +8,11 @@
 import org.poplarshift.node.caller.OpenRequests
 import org.poplarshift.node.configuration.ConfigurationStore
 import org.poplarshift.node.http.json
+import org.poplarshift.node.ownership.SlotOwnership
 import org.poplarshift.node.peer.Peer
 import org.poplarshift.node.peer.PeerDirectory
 
-/**
- * Serves `GET /status` on the peers port.
- *
- * @param slots the names of the slots that this node may use now
- */
+/** Serves `GET /status` on the peers port. */
 class StatusRoute(
     private val context: NodeContext,
     private val peersRouter: Router,
@@ -24,7 +21,7 @@
     private val peers: PeerDirectory,
     private val openRequests: OpenRequests,
     private val metrics: CallerMetrics,
-    private val slots: () -> List<String> = { emptyList() },
+    private val slots: SlotOwnership,
 ) : NodePart {
     override suspend fun start() {
         peersRouter.get("/status").handler { it.json(StatusReport.serializer(), report()) }
@@ -40,7 +37,7 @@
         configurationAgeMillis = configuration.ageMillis,
         openRequests = openRequests.size,
         peers = peers.peers.value.map { status(it) },
-        slots = slots(),
+        slots = slots.ownedSlots.value.map { "${it.slot}" }.sorted(),
         refusals = metrics.refusalCounts(),
     )
 
