--- a/node/src/main/kotlin/org/poplarshift/node/Node.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Node.kt
@@ -3,7 +3,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
-import org.poplarshift.core.ownership.Slot
 import org.poplarshift.node.batch.BatchPart
 import org.poplarshift.node.caller.AttemptLoop
 import org.poplarshift.node.caller.CallerAuthentication
@@ -127,9 +126,7 @@
         logLedger,
         LeavingHeader(lifecycle, callersServer.router),
         openRequests,
-        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics) {
-            ownership.ownedSlots.value.map { it.slot }.filter(ownership::isHolding).map(Slot::toString)
-        },
+        StatusRoute(context, peersServer.router, lifecycle, configuration, peers, openRequests, callerMetrics, ownership),
         ModelRoutes(callersServer.router, configuration, authentication, online),
         CompletionRoutes(context, callersServer.router, configuration, authentication, online),
         batch,
