--- a/examples/functions.sh
+++ b/examples/functions.sh
@@ -38,7 +38,6 @@
     if [ "$SECONDS" -ge "$deadline" ]; then
       echo "$what did not happen in time; see $directory/logs" >&2
       tail -n 5 "$directory"/logs/*.log >&2
-      keep=yes
       exit 1
     fi
     sleep 0.2
@@ -137,7 +136,11 @@
     if [ "$pid" = "${pids[-1]}" ]; then await_end "${pids[@]:1}"; fi
   done
   await_end "${pids[@]}"
-  if [ "$status" = 0 ] || [ "${keep:-no}" = no ]; then rm -rf "$directory"; fi
+  rm -rf "$directory/keys"
+  case "$status" in
+    0 | 130 | 143) rm -rf "$directory" ;;
+    *) echo "failed with exit code $status; logs are in $directory/logs" >&2 ;;
+  esac
   exit "$status"
 }
 
