--- /dev/null
+++ b/verification/src/test/kotlin/org/poplarshift/verification/scenario/FailureSteps.kt
@@ -0,0 +1,113 @@
+package org.poplarshift.verification.scenario
+
+import io.cucumber.java.en.Then
+import io.cucumber.java.en.When
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Steps that bring about failures. */
+class FailureSteps(private val world: ScenarioWorld) {
+    private val federation get() = world.federation
+    private val plan get() = world.federation.plan
+
+    private val unlisted = mutableSetOf<String>()
+
+    @When("node {string} is killed")
+    fun kill(vm: String) {
+        federation.process(vm).kill()
+        drop(vm)
+    }
+
+    @When("the platform's list drops node {string}")
+    fun drop(vm: String) {
+        unlisted += vm
+        federation.list(plan.nodes.map { it.vm } - unlisted)
+    }
+
+    @When("node {string} is paused")
+    fun pause(vm: String) = federation.process(vm).pause()
+
+    @When("node {string} is resumed")
+    fun resume(vm: String) = federation.process(vm).resume()
+
+    @When("node {string} is asked to shut down")
+    fun terminate(vm: String) = federation.process(vm).terminate()
+
+    @When("node {string} is started again")
+    fun restart(vm: String) {
+        unlisted -= vm
+        federation.list(plan.nodes.map { it.vm } - unlisted)
+        federation.startNode(vm)
+    }
+
+    @When("node {string} is started again and is ready")
+    fun restartAndAwait(vm: String) {
+        restart(vm)
+        federation.awaitReady(vm)
+    }
+
+    @Then("node {string} exits with code {int} within {long} seconds")
+    fun exits(vm: String, code: Int, seconds: Long) {
+        val actual = federation.process(vm).exitCode(seconds)
+        check(actual == code) { "$vm: exit code $actual, see ${federation.process(vm).logFile}" }
+    }
+
+    @When("the platform is down")
+    fun platformDown() = federation.setFaults(
+        federation.platformAddress,
+        mapOf(
+            "logOutage" to JsonPrimitive("refuse"),
+            "vmListOutage" to JsonPrimitive("refuse"),
+            "weightStoreOutage" to JsonPrimitive("refuse"),
+        ),
+    )
+
+    @When("the platform is up again")
+    fun platformUp() = federation.setFaults(federation.platformAddress, emptyMap())
+
+    @When("the next {int} appends take effect and their responses are lost")
+    fun loseAppendResponses(count: Int) =
+        federation.setFaults(federation.platformAddress, mapOf("lostAppendResponses" to JsonPrimitive(count)))
+
+    @When("zone {string} is cut from the platform")
+    fun cutFromPlatform(zone: String) =
+        federation.setPartitionedSources(federation.platformAddress, plan.nodesOf(zone).map { it.vm })
+
+    @When("node {string} is cut from the platform")
+    fun cutNodeFromPlatform(vm: String) = federation.setPartitionedSources(federation.platformAddress, listOf(vm))
+
+    @When("zone {string} is cut from the other zones")
+    fun cutFromZones(zone: String) {
+        val (inside, outside) = plan.nodes.partition { it.zone == zone }
+        inside.forEach { node -> outside.forEach { federation.relay.partition(node.ip(), it.ip()) } }
+    }
+
+    @When("node {string} is cut from the other nodes")
+    fun cutFromNodes(vm: String) {
+        val node = plan.node(vm)
+        (plan.nodes - node).forEach { federation.relay.partition(node.ip(), it.ip()) }
+    }
+
+    @When("all partitions heal")
+    fun heal() {
+        federation.relay.heal()
+        platformUp()
+    }
+
+    @When("all established connections to the engines go silent")
+    fun silence() = plan.engines.forEach {
+        federation.setFaults(it.address, mapOf("silenceEstablished" to JsonPrimitive(true)))
+    }
+
+    @When("the engine {string} reports that it leaves")
+    fun leaving(worker: String) = federation.setFaults(
+        plan.engines.first { it.id == worker }.address,
+        mapOf("leaving" to JsonPrimitive(true)),
+    )
+
+    @When("the next response of each engine is crossed")
+    fun cross() = plan.engines.forEach {
+        federation.setFaults(it.address, mapOf("crossNextResponses" to JsonPrimitive(1)))
+    }
+
+    private fun PlannedNode.ip() = peersListen.address
+}
--- /dev/null
+++ b/verification/src/test/kotlin/org/poplarshift/verification/scenario/Federation.kt
@@ -0,0 +1,181 @@
+package org.poplarshift.verification.scenario
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import org.poplarshift.core.catalogue.Catalogue
+import org.poplarshift.core.configuration.ConfigurationRecord
+import org.poplarshift.core.configuration.KeyDirectory
+import org.poplarshift.standins.engine.EngineSettings
+import org.poplarshift.standins.federation.FederationDescription
+import org.poplarshift.standins.platform.PlatformSettings
+import org.poplarshift.standins.platform.Vm
+import org.poplarshift.standins.platform.VmsBody
+import org.poplarshift.standins.service.ServiceSettings
+import org.poplarshift.wire.LogEnvelope
+import org.poplarshift.wire.LogStream
+import org.poplarshift.wire.WireJson
+import java.io.File
+
+/** A federation of real processes: the stand-ins in one, each node in its own. */
+class Federation(val plan: FederationPlan, private val scenario: String) : AutoCloseable {
+    val http = JsonClient()
+    val relay = PeerRelay()
+    private val processes = LinkedHashMap<String, JavaProcess>()
+    private var appended = 0L
+
+    /** The version of the newest catalogue that was published with [publish]. */
+    var catalogueVersion = ConfigurationRecord.NO_VERSION
+        private set
+
+    /** The offset of the newest record of the stream `configuration` that was appended here. */
+    var newestOffset = ConfigurationRecord.NO_VERSION
+        private set
+
+    /** Starts the stand-ins and waits for the platform. */
+    fun startStandIns() {
+        val description = FederationDescription(
+            platform = PlatformSettings(
+                port = plan.platformPort,
+                vms = plan.nodes.map { listed(it) },
+            ),
+            engines = plan.engines.map {
+                EngineSettings(worker = it.id, port = port(it.address), capacity = it.capacity)
+            },
+            services = plan.services.map { ServiceSettings(worker = it.id, port = port(it.address)) },
+        )
+        val file =
+            file("federation.json", WireJson.strict.encodeToString(FederationDescription.serializer(), description))
+        launch(
+            "stand-ins",
+            "org.poplarshift.standins.StandInsMainKt",
+            listOf("federation", file.path),
+            STAND_INS_MEGABYTES,
+        )
+        Deadline.await(START_SECONDS, "the platform stand-in answers") {
+            http.send("GET", platformAddress, "/vms").statusCode() == HTTP_OK
+        }
+        plan.nodes.forEach { relay.forward(from = it.peers, to = it.peersListen) }
+    }
+
+    val platformAddress: String get() = "127.0.0.1:${plan.platformPort}"
+
+    /** Starts the node [vm], without waiting for it. */
+    fun startNode(vm: String) {
+        val file = file("$vm.json", Json.encodeToString(JsonObject.serializer(), settings(plan.node(vm))))
+        launch(vm, "org.poplarshift.node.NodeMainKt", listOf("--settings", file.path), NODE_MEGABYTES)
+    }
+
+    /** Shows the nodes [vms] in the platform's list of VMs, and no others. */
+    fun list(vms: List<String>) {
+        val body = WireJson.strict.encodeToString(VmsBody.serializer(), VmsBody(vms.map { listed(plan.node(it)) }))
+        val answer = http.send("PUT", platformAddress, "/vms", body)
+        check(answer.statusCode() in HTTP_OK until HTTP_REDIRECT) { "vms: ${answer.statusCode()} ${answer.body()}" }
+    }
+
+    private fun listed(node: PlannedNode) =
+        Vm(vm = node.vm, availabilityZone = node.zone, peerAddress = node.peers.text())
+
+    /** Waits until the node [vm] is ready. */
+    fun awaitReady(vm: String) = Deadline.await(START_SECONDS, "$vm is ready, see ${processes[vm]?.logFile}") {
+        http.send("GET", plan.node(vm).peersListen.text(), "/health/ready").statusCode() == HTTP_OK
+    }
+
+    /** The process of the node [vm], or of the stand-ins. */
+    fun process(vm: String): JavaProcess = processes.getValue(vm)
+
+    /** Publishes [catalogue] as an operator does. */
+    fun publish(catalogue: Catalogue) {
+        catalogueVersion = publishBasedOn(catalogueVersion, catalogue)
+    }
+
+    /** Publishes [catalogue] as an operator does who has edited the version [basedOn]; returns the record's offset. */
+    fun publishBasedOn(basedOn: Long, catalogue: Catalogue): Long =
+        append(ConfigurationRecord.CataloguePublished(basedOn, catalogue))
+
+    /** Gives the key [key] to [organisation]. */
+    fun giveKey(organisation: String, key: String) {
+        append(ConfigurationRecord.KeyGiven(keyId(key), organisation, KeyDirectory.hash(key)))
+    }
+
+    /** Withdraws the key [key]. */
+    fun withdrawKey(key: String): Long = append(ConfigurationRecord.KeyWithdrawn(keyId(key)))
+
+    /** Appends a record to the stream `configuration` and returns its offset. */
+    fun append(record: ConfigurationRecord): Long {
+        val envelope = LogEnvelope(producer = "operator-$scenario", sequence = appended++, record = record)
+        val serializer = LogEnvelope.serializer(ConfigurationRecord.serializer())
+        val line = WireJson.lenient.encodeToString(serializer, envelope)
+        val answer = http.send("POST", platformAddress, "/log/${LogStream.CONFIGURATION}/records", line)
+        check(answer.statusCode() == HTTP_OK) { "append: ${answer.statusCode()} ${answer.body()}" }
+        newestOffset = Json.parseToJsonElement(answer.body()).jsonObject.getValue("offset").jsonPrimitive.long
+        return newestOffset
+    }
+
+    /** Replaces the faults of the stand-in at [address]. */
+    fun setFaults(address: String, faults: Map<String, JsonPrimitive>) {
+        val answer = http.send("PUT", address, "/faults", JsonObject(faults).toString())
+        check(answer.statusCode() in HTTP_OK until HTTP_REDIRECT) { "faults: ${answer.statusCode()} ${answer.body()}" }
+    }
+
+    /** Faults for which a stand-in gives no answer to the nodes [vms]. */
+    fun setPartitionedSources(address: String, vms: List<String>) {
+        val sources = buildJsonObject {
+            putJsonArray("partitionedSources") { vms.forEach { add(plan.node(it).peersListen.address.hostAddress) } }
+        }
+        val answer = http.send("PUT", address, "/faults", sources.toString())
+        check(answer.statusCode() in HTTP_OK until HTTP_REDIRECT) { "faults: ${answer.statusCode()} ${answer.body()}" }
+    }
+
+    override fun close() {
+        processes.values.forEach { it.resume() }
+        processes.values.forEach { it.kill() }
+        relay.close()
+    }
+
+    private fun settings(node: PlannedNode): JsonObject = buildJsonObject {
+        put("vm", node.vm)
+        put("availabilityZone", node.zone)
+        put("callersAddress", node.callers.text())
+        put("peersAddress", node.peers.text())
+        put("peersListenAddress", node.peersListen.text())
+        putJsonObject("platform") {
+            put("logAddress", platformAddress)
+            put("vmListAddress", platformAddress)
+            put("weightStoreAddress", platformAddress)
+        }
+        putJsonArray("seedPeers") { (plan.nodes - node).forEach { add(it.peers.text()) } }
+        putJsonObject("shutdown") { put("listLagMillis", 1_000) }
+    }
+
+    private fun launch(name: String, mainClass: String, arguments: List<String>, megabytes: Int) {
+        processes[name] = JavaProcess("$scenario/$name", mainClass, arguments, megabytes)
+    }
+
+    private fun file(name: String, content: String): File = File("target/scenarios/$scenario/$name").apply {
+        parentFile.mkdirs()
+        writeText(content)
+    }
+
+    private fun port(address: String): Int = address.substringAfterLast(':').toInt()
+
+    private fun keyId(key: String): String = "id-$key"
+
+    companion object {
+        /** The name of the process with all stand-ins. */
+        const val STAND_INS = "stand-ins"
+        private const val HTTP_OK = 200
+        private const val HTTP_REDIRECT = 300
+        private const val START_SECONDS = 40L
+        private const val NODE_MEGABYTES = 256
+        private const val STAND_INS_MEGABYTES = 512
+    }
+}
--- /dev/null
+++ b/verification/src/test/kotlin/org/poplarshift/verification/scenario/FederationPlan.kt
@@ -0,0 +1,105 @@
+package org.poplarshift.verification.scenario
+
+import org.poplarshift.core.catalogue.AvailabilityZone
+import org.poplarshift.core.catalogue.BatchPolicy
+import org.poplarshift.core.catalogue.Catalogue
+import org.poplarshift.core.catalogue.Organisation
+import org.poplarshift.core.catalogue.Route
+import org.poplarshift.core.catalogue.Upstream
+import org.poplarshift.core.catalogue.UpstreamKind
+import org.poplarshift.core.catalogue.UpstreamTimeouts
+import org.poplarshift.core.catalogue.Worker
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+
+/**
+ * The addresses of a small federation on loopback. Zones are named `a`, `b`, ...; nodes `a-1`, `a-2`, ...; each zone
+ * has two workers of the model upstream `writer` and one of the plain service `labels`.
+ *
+ * Every node has an IP number of its own, so that stand-ins and relay can partition it from the others.
+ */
+class FederationPlan(zoneCount: Int, nodesInZone: Int) {
+    val zones = (0 until zoneCount).map { ('a' + it).toString() }
+    val nodes = zones.flatMapIndexed { zoneIndex, zone -> List(nodesInZone) { node(zone, zoneIndex, it + 1) } }
+    val platformPort = freePort(LOOPBACK)
+    val engines = zones.flatMap { zone ->
+        List(WRITERS_IN_ZONE) { worker("writer-$zone-${it + 1}", zone, capacity = 8) }
+    }
+    val services = zones.map { worker("labels-$it", it, capacity = 16) }
+
+    /** The node with the name [vm]. */
+    fun node(vm: String): PlannedNode = nodes.first { it.vm == vm }
+
+    /** The nodes of the zone [zone]. */
+    fun nodesOf(zone: String): List<PlannedNode> = nodes.filter { it.zone == zone }
+
+    /** The catalogue with [organisations]. */
+    fun catalogue(organisations: List<Organisation>): Catalogue = Catalogue(
+        zones = zones.map { AvailabilityZone(name = it, region = "loopback", slots = SLOTS_IN_ZONE) },
+        organisations = organisations,
+        upstreams = listOf(
+            Upstream(
+                id = "writer",
+                owner = "models",
+                kind = UpstreamKind.MODEL,
+                workers = engines,
+                models = listOf("writer"),
+                timeouts = UpstreamTimeouts(firstByteMillis = 5_000, idleMillis = 3_000),
+            ),
+            Upstream(
+                id = "labels",
+                owner = "shipping",
+                kind = UpstreamKind.SERVICE,
+                workers = services,
+                timeouts = UpstreamTimeouts(firstByteMillis = 3_000, idleMillis = 3_000),
+            ),
+        ),
+        routes = listOf(
+            Route("print-label", "shipping", "POST", "/labels", "labels", idempotent = false),
+            Route("opening-hours", "shipping", "GET", "/hours", "labels", open = true),
+        ),
+        batch = BatchPolicy(headroom = 1),
+    )
+
+    private fun node(zone: String, zoneIndex: Int, number: Int): PlannedNode {
+        val own = InetAddress.getByName("127.0.${zoneIndex + 1}.$number")
+        val relay = InetAddress.getByName("127.1.${zoneIndex + 1}.$number")
+        return PlannedNode(
+            vm = "$zone-$number",
+            zone = zone,
+            callers = InetSocketAddress(own, freePort(own)),
+            peersListen = InetSocketAddress(own, freePort(own)),
+            peers = InetSocketAddress(relay, freePort(relay)),
+        )
+    }
+
+    private fun worker(id: String, zone: String, capacity: Int) =
+        Worker(id = id, address = "127.0.0.1:${freePort(LOOPBACK)}", zone = zone, capacity = capacity)
+
+    private fun freePort(address: InetAddress): Int = ServerSocket(0, 1, address).use { it.localPort }
+
+    companion object {
+        /** Ownership slots of each zone. */
+        const val SLOTS_IN_ZONE = 2
+        private const val WRITERS_IN_ZONE = 2
+        private val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
+    }
+}
+
+/**
+ * One node of a federation.
+ *
+ * @property peersListen where the node listens for its peers
+ * @property peers the relay in front of it, which is the address that it tells its peers
+ */
+data class PlannedNode(
+    val vm: String,
+    val zone: String,
+    val callers: InetSocketAddress,
+    val peersListen: InetSocketAddress,
+    val peers: InetSocketAddress,
+)
+
+/** IP number and port, as settings have them. */
+fun InetSocketAddress.text(): String = "${address.hostAddress}:$port"
--- /dev/null
+++ b/verification/src/test/kotlin/org/poplarshift/verification/scenario/FederationSteps.kt
@@ -0,0 +1,93 @@
+package org.poplarshift.verification.scenario
+
+import io.cucumber.java.After
+import io.cucumber.java.Before
+import io.cucumber.java.Scenario
+import io.cucumber.java.en.Given
+import io.cucumber.java.en.Then
+import io.cucumber.java.en.When
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.poplarshift.core.catalogue.Organisation
+
+/** Steps that start, change and watch a federation. */
+class FederationSteps(private val world: ScenarioWorld) {
+    private var scenarioName = ""
+
+    @Before
+    fun remember(scenario: Scenario) {
+        scenarioName = scenario.name.lowercase().replace(Regex("[^a-z0-9]+"), "-")
+    }
+
+    @After
+    fun stop() {
+        if (world.isStarted) world.federation.close()
+    }
+
+    @Given("organisation {string} with a rate of {double}\\/s and a burst of {double}")
+    fun organisation(name: String, rate: Double, burst: Double) {
+        world.organisations += Organisation(id = name, owner = name, ratePerSecond = rate, burst = burst)
+    }
+
+    @Given("a federation of {int} zones with {int} nodes in each is running")
+    fun running(zones: Int, nodes: Int) {
+        world.create(FederationPlan(zones, nodes), scenarioName)
+        val federation = world.federation
+        federation.publish(federation.plan.catalogue(world.organisations))
+        world.organisations.forEach { federation.giveKey(it.id, world.key(it.id)) }
+        federation.plan.nodes.forEach { federation.startNode(it.vm) }
+        federation.plan.nodes.forEach { federation.awaitReady(it.vm) }
+        awaitSlots()
+    }
+
+    @When("an operator raises the burst of {string} to {double}")
+    fun raiseBurst(organisation: String, burst: Double) {
+        world.organisations.replaceAll { if (it.id == organisation) it.copy(burst = burst) else it }
+        world.federation.publish(world.federation.plan.catalogue(world.organisations))
+    }
+
+    @When("two operators publish a catalogue at the same time")
+    fun race() {
+        val federation = world.federation
+        val basedOn = federation.catalogueVersion
+        val one = world.organisations.map { it.copy(burst = it.burst + 1) }
+        val two = world.organisations.map { it.copy(burst = it.burst + 2) }
+        winner = federation.publishBasedOn(basedOn, federation.plan.catalogue(one))
+        federation.publishBasedOn(basedOn, federation.plan.catalogue(two))
+    }
+
+    private var winner = 0L
+
+    @Then("every node has the first of the two in force within {long} seconds")
+    fun firstWins(seconds: Long) = awaitVersion(seconds, "catalogueVersion", winner)
+
+    @Then("every node has the newest configuration in force within {long} seconds")
+    fun inForce(seconds: Long) = awaitVersion(seconds, "configurationVersion", world.federation.newestOffset)
+
+    private fun awaitVersion(seconds: Long, field: String, version: Long) {
+        val nodes = world.federation.plan.nodes.filter { world.federation.process(it.vm).isAlive }
+        Deadline.await(seconds, "$field $version is in force at all nodes") {
+            nodes.all { status(it.vm).getValue(field).jsonPrimitive.long == version }
+        }
+    }
+
+    /** Slots start with empty buckets once all are held; before that a part of each rate is out of use. */
+    private fun awaitSlots() {
+        val plan = world.federation.plan
+        Deadline.await(SLOT_SECONDS, "all slots are held") {
+            val held = plan.nodes.sumOf { status(it.vm)["slots"]?.jsonArray?.size ?: 0 }
+            held >= plan.zones.size * FederationPlan.SLOTS_IN_ZONE
+        }
+    }
+
+    private fun status(vm: String) = Json.parseToJsonElement(
+        world.federation.http.send("GET", world.federation.plan.node(vm).peersListen.text(), "/status").body(),
+    ).jsonObject
+
+    private companion object {
+        const val SLOT_SECONDS = 30L
+    }
+}
