Close silent platform connections and simplify what the formatter had split

Cause: a platform connection that fell silent within a response kept its place in the pool; five conditions were split over lines by the formatter and read badly. Change: an idle timeout of 30 s on the platform's client; early returns and local values in place of the split conditions; behaviour unchanged there.

--- a/core/src/main/kotlin/org/poplarshift/core/ownership/OwnershipReducer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ownership/OwnershipReducer.kt
@@ -64,13 +64,8 @@
     private fun isInOrder(state: OwnershipState, record: SlotClaimed): Boolean {
         val inForce = state.claims[record.slot]
         if (inForce == null) return record.knownThrough >= state.firstOffset - 1
-        return if (record.supersedes ==
-            null
-        ) {
-            inForce.version < record.knownFrom
-        } else {
-            record.supersedes == inForce.version
-        }
+        val supersedes = record.supersedes ?: return inForce.version < record.knownFrom
+        return supersedes == inForce.version
     }
 
     private fun waitOf(state: OwnershipState, record: SlotClaimed): ClaimWait {
--- a/core/src/main/kotlin/org/poplarshift/core/ownership/SlotKeeper.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ownership/SlotKeeper.kt
@@ -88,11 +88,8 @@
 
     /** Votes on a takeover; a holder doesn't promise its own slot, since it counts itself when it is confirmed. */
     fun promise(request: SlotPromiseRequest, nowMillis: Long): SlotPromiseResponse {
-        if (request.claim.slot in
-            leases
-        ) {
-            return SlotPromiseResponse(identity.incarnation, request.claim, promised = false)
-        }
+        val isHolder = request.claim.slot in leases
+        if (isHolder) return SlotPromiseResponse(identity.incarnation, request.claim, promised = false)
         return voter.promise(request, nowMillis)
     }
 
--- a/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
@@ -52,17 +52,10 @@
     fun apply(record: QuarantineRecord, nowEpochMillis: Long, nowMillis: Long) {
         val age = maxOf(0, nowEpochMillis - record.writtenEpochMillis)
         if (age >= retentionMillis) return
+        val remaining = retentionMillis - age
         val news = when (record) {
-            is QuarantineRecord.StrikesNoted -> QuarantineNews(
-                strikes = record.strikes.withRemaining(
-                    retentionMillis - age,
-                ),
-            )
-            is QuarantineRecord.StrikesCleared -> QuarantineNews(
-                cleared = record.strikes.withRemaining(
-                    retentionMillis - age,
-                ),
-            )
+            is QuarantineRecord.StrikesNoted -> QuarantineNews(strikes = record.strikes.withRemaining(remaining))
+            is QuarantineRecord.StrikesCleared -> QuarantineNews(cleared = record.strikes.withRemaining(remaining))
         }
         merge(news, nowMillis)
     }
--- a/node/src/main/kotlin/org/poplarshift/node/PlatformPortsFactory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/PlatformPortsFactory.kt
@@ -16,6 +16,7 @@
         val options = WebClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setIdleTimeout(IDLE_SECONDS)
             .setLocalAddress(settings.outgoingHost)
         val client = WebClient.create(vertx, options, PoolOptions().setHttp1MaxSize(CONNECTIONS))
         val platform = settings.platform
@@ -29,6 +30,9 @@
     private const val CONNECT_TIMEOUT_MILLIS = 1_000
     private const val KEEP_ALIVE_SECONDS = 10
 
+    // Longer than any long poll. A connection that falls silent within a response would keep its place in the pool.
+    private const val IDLE_SECONDS = 30
+
     // Each followed stream keeps one connection busy with a long poll; appends must not wait behind them.
     private const val CONNECTIONS = 32
 }
--- a/node/src/main/kotlin/org/poplarshift/node/ownership/OwnershipLog.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ownership/OwnershipLog.kt
@@ -64,18 +64,12 @@
     }
 
     private fun apply(record: LogRecord) {
-        val decoded = try {
-            WireJson.lenient.decodeFromString(ENVELOPE, record.record).record
+        try {
+            val decoded = WireJson.lenient.decodeFromString(ENVELOPE, record.record).record
+            keeper.apply(record.offset, decoded, context.clock.millis())
         } catch (exception: SerializationException) {
             log.error { "ownership: record ${record.offset} is not readable: ${exception.message}" }
-            null
-        }
-        if (decoded ==
-            null
-        ) {
             keeper.skip(record.offset)
-        } else {
-            keeper.apply(record.offset, decoded, context.clock.millis())
         }
     }
 
