--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerSeat.kt
@@ -0,0 +1,94 @@
+package org.poplarshift.core.dispatch
+
+/** What one node knows of one worker. Times are monotonic milliseconds of the node. */
+class WorkerSeat(var worker: FleetWorker) {
+    private var othersReported = 0.0
+    private var reportedMillis = Long.MIN_VALUE
+    private var suspectUntilMillis = Long.MIN_VALUE
+    private var consecutiveFailures = 0
+    private var peakOwnSinceReport = 0
+
+    /** Online requests of this node that the worker has not finished. */
+    var online = 0
+        private set
+
+    /** Batch requests of this node that the worker has not finished. */
+    var batch = 0
+        private set
+
+    /** Counts a request that is sent. */
+    fun onSent(isBatch: Boolean) {
+        if (isBatch) batch++ else online++
+        peakOwnSinceReport = maxOf(peakOwnSinceReport, online + batch)
+    }
+
+    /** Counts a request that has ended. */
+    fun onEnded(isBatch: Boolean) {
+        if (isBatch) batch-- else online--
+    }
+
+    /** Takes the number of requests at the worker that it reported. */
+    fun onReport(requests: Int, nowMillis: Long) {
+        // The report may be from before this node's newest requests; subtracting the peak never counts own requests as
+        // those of others.
+        othersReported = maxOf(0, requests - peakOwnSinceReport).toDouble()
+        reportedMillis = nowMillis
+        peakOwnSinceReport = online + batch
+    }
+
+    /** Takes an answer that shows the worker alive. */
+    fun onAlive() {
+        consecutiveFailures = 0
+        suspectUntilMillis = Long.MIN_VALUE
+    }
+
+    /** Takes a connection that could not be made, or the answer that another worker has the address. */
+    fun onUnreachable(nowMillis: Long) = suspect(nowMillis)
+
+    /** Takes a request that got no answer in time. */
+    fun onSilent(nowMillis: Long) = suspect(nowMillis)
+
+    /** Takes a request whose connection was lost. Only several in a row make the worker suspect. */
+    fun onLost(nowMillis: Long) {
+        if (consecutiveFailures + 1 >= LOST_LIMIT) suspect(nowMillis) else consecutiveFailures++
+    }
+
+    private fun suspect(nowMillis: Long) {
+        consecutiveFailures++
+        val doublings = minOf(consecutiveFailures - 1, MAXIMUM_DOUBLINGS)
+        suspectUntilMillis = nowMillis + (FIRST_SUSPICION_MILLIS shl doublings)
+    }
+
+    /** Takes the worker's answer that it is full. */
+    fun onFull(nowMillis: Long) {
+        othersReported = maxOf(othersReported, (worker.slots - online - batch).toDouble())
+        reportedMillis = nowMillis
+    }
+
+    /** Whether the worker gets no new requests for now. */
+    fun isSuspect(nowMillis: Long): Boolean = nowMillis < suspectUntilMillis
+
+    /** Requests at the worker, of all nodes, as far as known. */
+    fun load(nowMillis: Long): Double = online + batch + others(nowMillis)
+
+    /** Slots that are probably free; negative when requests wait at the worker. */
+    fun room(nowMillis: Long): Double = worker.slots - load(nowMillis)
+
+    private fun others(nowMillis: Long): Double {
+        if (reportedMillis == Long.MIN_VALUE) return 0.0
+        val age = (nowMillis - reportedMillis).coerceAtLeast(0)
+        return othersReported * (1.0 - age.toDouble() / REPORT_LIFE_MILLIS).coerceAtLeast(0.0)
+    }
+
+    private companion object {
+        // A few times the usual duration of a request, after which a report says nothing of the present load.
+        const val REPORT_LIFE_MILLIS = 3_000L
+
+        // Long enough that a dark worker is tried rarely, short enough that a reset costs little.
+        const val FIRST_SUSPICION_MILLIS = 500L
+        const val MAXIMUM_DOUBLINGS = 2
+
+        // Single answers get lost at sound workers too.
+        const val LOST_LIMIT = 3
+    }
+}
--- a/examples/functions.sh
+++ b/examples/functions.sh
@@ -1,7 +1,7 @@
 # Functions of examples/run. They use the variables root, name, example, directory and pids of the caller, and those of
 # the example's federation.sh.
 
-jars=(stand-ins/target/poplarshift-stand-ins.jar node/target/poplarshift-node.jar operator/target/poplarshift.jar)
+jars=(target/poplarshift-stand-ins/poplarshift-stand-ins.jar target/poplarshift-node/poplarshift-node.jar target/poplarshift-operator/poplarshift.jar)
 
 # Builds the programs unless their jars are newer than all sources. MAVEN_FLAGS is passed on, such as -o.
 build_if_needed() {
@@ -45,7 +45,7 @@
 }
 
 start_stand_ins() {
-  start stand-ins java -Xmx512m -jar "$root/stand-ins/target/poplarshift-stand-ins.jar" federation "$example/federation.json"
+  start stand-ins java -Xmx512m -jar "$root/target/poplarshift-stand-ins/poplarshift-stand-ins.jar" federation "$example/federation.json"
   await 30 "the start of the platform" curl -sf "http://$PLATFORM/vms"
 }
 
--- a/node/src/main/kotlin/org/poplarshift/node/NodeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeCommand.kt
@@ -7,7 +7,10 @@
 import org.poplarshift.node.settings.SettingsResult
 import picocli.CommandLine
 import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Option
+import picocli.CommandLine.ParameterException
+import picocli.CommandLine.Spec
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
@@ -19,20 +22,29 @@
     mixinStandardHelpOptions = true,
     versionProvider = NodeVersion::class,
     sortOptions = false,
+    subcommands = [ServeCommand::class],
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = ["0:ended after SIGTERM", "1:could not start", "2:wrong usage or settings"],
 )
 class NodeCommand : Callable<Int> {
-    @Option(names = ["--settings"], required = true, paramLabel = "FILE", description = ["The settings, as JSON."])
-    lateinit var settingsFile: Path
+    @Spec
+    lateinit var specification: CommandSpec
 
-    override fun call(): Int = when (val result = SettingsReader().read(settingsFile)) {
-        is SettingsResult.Invalid -> {
-            result.problems.forEach { System.err.println("poplarshift-node: ${it.describe()}") }
-            CommandLine.ExitCode.USAGE
-        }
+    // Picocli would ask for a required option before a subcommand as well.
+    @Option(names = ["--settings"], paramLabel = "FILE", description = ["The settings, as JSON. Required."])
+    var settingsFile: Path? = null
+
+    override fun call(): Int {
+        val file = settingsFile
+            ?: throw ParameterException(specification.commandLine(), "Missing required option: '--settings=FILE'")
+        return when (val result = SettingsReader().read(file)) {
+            is SettingsResult.Invalid -> {
+                result.problems.forEach { System.err.println("poplarshift-node: ${it.describe()}") }
+                CommandLine.ExitCode.USAGE
+            }
 
-        is SettingsResult.Valid -> run(result.settings)
+            is SettingsResult.Valid -> run(result.settings)
+        }
     }
 
     private fun run(settings: NodeSettings): Int {
--- a/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
@@ -1,13 +1,14 @@
 package org.poplarshift.node
 
+import org.poplarshift.serving.MonotonicClock
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import org.poplarshift.core.membership.Member
 import org.poplarshift.node.settings.NodeSettings
-import org.poplarshift.platform.LogService
-import org.poplarshift.platform.VmList
-import org.poplarshift.platform.WeightStore
+import org.poplarshift.ports.LogService
+import org.poplarshift.ports.VmList
+import org.poplarshift.ports.WeightStore
 
 /**
  * What every part of a node shares.
--- a/node/src/main/kotlin/org/poplarshift/node/PlatformPortsFactory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/PlatformPortsFactory.kt
@@ -5,9 +5,9 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.ext.web.client.WebClientOptions
 import org.poplarshift.node.settings.NodeSettings
-import org.poplarshift.platform.HttpLogService
-import org.poplarshift.platform.HttpVmList
-import org.poplarshift.platform.HttpWeightStore
+import org.poplarshift.ports.HttpLogService
+import org.poplarshift.ports.HttpVmList
+import org.poplarshift.ports.HttpWeightStore
 
 /** Makes the ports to the platform that the settings name. */
 object PlatformPortsFactory {
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -0,0 +1,87 @@
+package org.poplarshift.node
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.file.FileSystemOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import org.poplarshift.node.settings.LogFormat
+import org.poplarshift.platform.PlatformPorts
+import org.poplarshift.platform.PlatformSettings
+import org.poplarshift.serving.ServingNode
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+
+/** Serves callers on one entry VM of the users' platform. */
+@Command(
+    name = "serve",
+    description = ["Serves callers on one entry VM of the platform that deploy/ describes."],
+    mixinStandardHelpOptions = true,
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = ["0:ended after SIGTERM", "1:could not start", "2:wrong usage or settings"],
+)
+class ServeCommand : Callable<Int> {
+    @Option(
+        names = ["--settings"],
+        paramLabel = "FILE",
+        defaultValue = "\${env:POPLARSHIFT_BOOT}",
+        description = ["The settings, as JSON; by default the file that the platform names."],
+    )
+    var settingsFile: Path? = null
+
+    override fun call(): Int {
+        val file = settingsFile
+        if (file == null) {
+            System.err.println("poplarshift-node: no settings file is named")
+            return CommandLine.ExitCode.USAGE
+        }
+        val settings = PlatformSettings.read(file).getOrElse {
+            System.err.println("poplarshift-node: ${it.message}")
+            return CommandLine.ExitCode.USAGE
+        }
+        return run(settings)
+    }
+
+    private fun run(settings: PlatformSettings): Int {
+        Logging.configure(LogFormat.JSON)
+        val vertx = Vertx.vertx(options())
+        val failures = CoroutineExceptionHandler { _, exception -> logger.error(exception) { "node: a task has failed" } }
+        val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher() + failures)
+        val node = ServingNode(vertx, scope, settings.toServing(), PlatformPorts(vertx, settings))
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                runBlocking { scope.async { node.stop() }.await() }
+                // The JVM would otherwise exit with 143 after SIGTERM.
+                Runtime.getRuntime().halt(CommandLine.ExitCode.OK)
+            },
+        )
+        try {
+            runBlocking { scope.async { node.start() }.await() }
+        } catch (exception: Exception) {
+            logger.error(exception) { "node: could not start" }
+            Runtime.getRuntime().halt(CommandLine.ExitCode.SOFTWARE)
+        }
+        CountDownLatch(1).await()
+        return CommandLine.ExitCode.OK
+    }
+
+    // All state belongs to one event loop; more threads would only cost memory.
+    private fun options() = VertxOptions()
+        .setEventLoopPoolSize(1)
+        .setWorkerPoolSize(1)
+        .setInternalBlockingPoolSize(1)
+        .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/batch/BatchLog.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchLog.kt
@@ -11,8 +11,8 @@
 import org.poplarshift.node.WallClock
 import org.poplarshift.node.log.LogFollower
 import org.poplarshift.node.log.StreamWriter
-import org.poplarshift.platform.LogRecord
-import org.poplarshift.platform.ReadResult
+import org.poplarshift.ports.LogRecord
+import org.poplarshift.ports.ReadResult
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/node/src/main/kotlin/org/poplarshift/node/caller/AttemptLoop.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/AttemptLoop.kt
@@ -6,7 +6,7 @@
 import org.poplarshift.core.retry.RetrySequence
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.dispatch.DispatchDecision
 import org.poplarshift.node.dispatch.UpstreamDispatcher
 import org.poplarshift.node.dispatch.WorkerGrant
--- a/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.node.caller
 
+import org.poplarshift.serving.http.HopByHopHeaders
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
--- a/node/src/main/kotlin/org/poplarshift/node/caller/FirstByteSink.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/FirstByteSink.kt
@@ -2,7 +2,7 @@
 
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.forward.AnswerSink
 
 /** Notes when the first byte of a response body arrived. */
--- a/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.job
 import org.poplarshift.core.verdict.Ran
 import org.poplarshift.core.verdict.RefusalReason
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.http.ErrorAnswer
 import org.poplarshift.node.http.cutConnection
 import org.poplarshift.node.http.refuse
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/ConfigurationSnapshotWriter.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/ConfigurationSnapshotWriter.kt
@@ -9,7 +9,7 @@
 import org.poplarshift.core.configuration.SnapshotPolicy
 import org.poplarshift.node.NodeContext
 import org.poplarshift.node.NodePart
-import org.poplarshift.platform.AppendResult
+import org.poplarshift.ports.AppendResult
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/DefaultBatchWorkers.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/DefaultBatchWorkers.kt
@@ -2,7 +2,7 @@
 
 import org.poplarshift.core.catalogue.Upstream
 import org.poplarshift.core.quarantine.SuspectStatus
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 
 /** Gives the batch part what online requests leave of the workers in [pools]. */
 class DefaultBatchWorkers(
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/HttpLoadPoller.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/HttpLoadPoller.kt
@@ -10,7 +10,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.routing.LoadReport
-import org.poplarshift.node.http.SocketAddresses
+import org.poplarshift.serving.http.SocketAddresses
 import org.poplarshift.wire.WireJson
 import java.net.ConnectException
 
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/QuarantineLog.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/QuarantineLog.kt
@@ -10,8 +10,8 @@
 import org.poplarshift.core.quarantine.QuarantineTable
 import org.poplarshift.node.NodeContext
 import org.poplarshift.node.log.TailingLogFollower
-import org.poplarshift.platform.AppendResult
-import org.poplarshift.platform.LogRecord
+import org.poplarshift.ports.AppendResult
+import org.poplarshift.ports.LogRecord
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPool.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPool.kt
@@ -10,7 +10,7 @@
 import org.poplarshift.core.routing.WorkerSelection
 import org.poplarshift.core.routing.WorkerSelector
 import org.poplarshift.core.verdict.RefusalReason
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import kotlin.random.Random
 
 /**
--- a/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPools.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/dispatch/WorkerPools.kt
@@ -2,7 +2,7 @@
 
 import org.poplarshift.core.catalogue.Catalogue
 import org.poplarshift.core.catalogue.Upstream
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 
 /** The pools of all upstreams. Worker identifiers are unique over all upstreams. */
 class WorkerPools(
--- a/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/DefaultUpstreamClient.kt
@@ -14,8 +14,8 @@
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.node.MonotonicClock
-import org.poplarshift.node.http.SocketAddresses
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.http.SocketAddresses
 
 /**
  * Sends requests over pooled HTTP connections.
--- a/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/StreamCanceller.kt
@@ -7,7 +7,7 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.ext.web.client.WebClientOptions
 import org.poplarshift.core.catalogue.Worker
-import org.poplarshift.node.http.SocketAddresses
+import org.poplarshift.serving.http.SocketAddresses
 
 /** Tells engines to stop streams. It does not wait for the result: an engine that is gone has stopped as well. */
 class StreamCanceller(vertx: Vertx, localHost: String) {
--- a/node/src/main/kotlin/org/poplarshift/node/forward/SuspectConnections.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/forward/SuspectConnections.kt
@@ -1,7 +1,7 @@
 package org.poplarshift.node.forward
 
 import io.vertx.core.http.HttpConnection
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import java.util.WeakHashMap
 
 /**
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.node.http
 
+import org.poplarshift.serving.http.SocketAddresses
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
--- a/node/src/main/kotlin/org/poplarshift/node/log/LogFollower.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/log/LogFollower.kt
@@ -1,6 +1,6 @@
 package org.poplarshift.node.log
 
-import org.poplarshift.platform.LogRecord
+import org.poplarshift.ports.LogRecord
 
 /** Follows one stream of the platform's log from its retention start on, through outages. */
 interface LogFollower {
--- a/node/src/main/kotlin/org/poplarshift/node/ownership/DefaultSlotOwnership.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ownership/DefaultSlotOwnership.kt
@@ -25,7 +25,7 @@
 import org.poplarshift.node.peer.PeerClient
 import org.poplarshift.node.peer.PeerResult
 import org.poplarshift.node.peer.peerRoute
-import org.poplarshift.platform.VmListResult
+import org.poplarshift.ports.VmListResult
 
 /** Runs the ownership protocol of this node: reads the log, claims, confirms, votes, and releases on shutdown. */
 class DefaultSlotOwnership(
--- a/node/src/main/kotlin/org/poplarshift/node/ownership/OwnershipLog.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ownership/OwnershipLog.kt
@@ -6,9 +6,9 @@
 import org.poplarshift.core.ownership.OwnershipRecord
 import org.poplarshift.core.ownership.SlotKeeper
 import org.poplarshift.node.NodeContext
-import org.poplarshift.platform.AppendResult
-import org.poplarshift.platform.LogRecord
-import org.poplarshift.platform.ReadResult
+import org.poplarshift.ports.AppendResult
+import org.poplarshift.ports.LogRecord
+import org.poplarshift.ports.ReadResult
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/node/src/main/kotlin/org/poplarshift/node/peer/HttpPeerClient.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/HttpPeerClient.kt
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.KSerializer
-import org.poplarshift.node.http.SocketAddresses
+import org.poplarshift.serving.http.SocketAddresses
 import org.poplarshift.wire.WireJson
 
 /**
--- a/node/src/main/kotlin/org/poplarshift/node/peer/VmListReader.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/VmListReader.kt
@@ -6,8 +6,8 @@
 import kotlinx.coroutines.launch
 import org.poplarshift.node.NodeContext
 import org.poplarshift.node.NodePart
-import org.poplarshift.platform.VmListResult.Unavailable
-import org.poplarshift.platform.VmListResult.Vms
+import org.poplarshift.ports.VmListResult.Unavailable
+import org.poplarshift.ports.VmListResult.Vms
 
 /** Reads the platform's list of VMs every [periodMillis]; keeps the last reading while the platform is down. */
 class VmListReader(
--- a/node/src/main/kotlin/org/poplarshift/node/quota/LocalQuotaGate.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/quota/LocalQuotaGate.kt
@@ -2,7 +2,7 @@
 
 import org.poplarshift.core.catalogue.Organisation
 import org.poplarshift.core.verdict.RefusalReason
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import kotlin.math.ceil
 
 /**
--- a/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/settings/NodeSettings.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.poplarshift.core.routing.RoutingPolicyChoice
-import org.poplarshift.node.http.SocketAddresses
+import org.poplarshift.serving.http.SocketAddresses
 
 /**
  * The settings of one node, read from a JSON file. `settings.schema.json` gives ranges and required fields.
--- a/node/src/test/kotlin/org/poplarshift/node/batch/BatchFixture.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/BatchFixture.kt
@@ -10,7 +10,7 @@
 import org.poplarshift.node.fixture.FakeWorker
 import org.poplarshift.node.fixture.Fleet
 import org.poplarshift.node.fixture.RunningNode
-import org.poplarshift.platform.LogService
+import org.poplarshift.ports.LogService
 import org.poplarshift.wire.WireJson
 
 /** A fleet with one model worker and one service worker, and helpers of the batch API. */
--- a/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
@@ -14,7 +14,7 @@
 import org.poplarshift.node.fixture.FakeLogService
 import org.poplarshift.node.fixture.FakeWorker
 import org.poplarshift.node.fixture.FaultyLog
-import org.poplarshift.platform.LogService
+import org.poplarshift.ports.LogService
 import org.poplarshift.wire.OnlineDemand
 import org.poplarshift.wire.WireJson
 import java.net.URI
--- a/node/src/test/kotlin/org/poplarshift/node/batch/CarryWriterTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/CarryWriterTest.kt
@@ -14,7 +14,7 @@
 import org.poplarshift.node.WallClock
 import org.poplarshift.node.fixture.FakeLogService
 import org.poplarshift.node.fixture.RunningNode
-import org.poplarshift.platform.ReadResult
+import org.poplarshift.ports.ReadResult
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/node/src/test/kotlin/org/poplarshift/node/dispatch/TestNode.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/dispatch/TestNode.kt
@@ -30,13 +30,13 @@
 import org.poplarshift.node.peer.PeerDirectory
 import org.poplarshift.node.settings.NodeSettings
 import org.poplarshift.node.settings.PlatformSettings
-import org.poplarshift.platform.AppendResult
-import org.poplarshift.platform.LogService
-import org.poplarshift.platform.ReadResult
-import org.poplarshift.platform.VmList
-import org.poplarshift.platform.VmListResult
-import org.poplarshift.platform.WeightStore
-import org.poplarshift.platform.WeightStoreResult
+import org.poplarshift.ports.AppendResult
+import org.poplarshift.ports.LogService
+import org.poplarshift.ports.ReadResult
+import org.poplarshift.ports.VmList
+import org.poplarshift.ports.VmListResult
+import org.poplarshift.ports.WeightStore
+import org.poplarshift.ports.WeightStoreResult
 import java.net.ServerSocket
 
 /** Workers whose answers to polls a test sets. */
--- a/node/src/test/kotlin/org/poplarshift/node/idempotency/LogRequestLedgerTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/idempotency/LogRequestLedgerTest.kt
@@ -15,7 +15,7 @@
 import org.poplarshift.node.fixture.FaultyLog
 import org.poplarshift.node.fixture.Fleet
 import org.poplarshift.node.fixture.RunningNode
-import org.poplarshift.platform.LogService
+import org.poplarshift.ports.LogService
 
 /** Guards requirement R10 at real nodes: a request with an `Idempotency-Key` runs once, whichever node gets it. */
 class LogRequestLedgerTest :
--- a/operator/src/main/kotlin/org/poplarshift/operator/PlatformOption.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/PlatformOption.kt
@@ -5,7 +5,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.runBlocking
 import org.poplarshift.operator.configuration.ConfigurationLog
-import org.poplarshift.platform.HttpLogService
+import org.poplarshift.ports.HttpLogService
 import picocli.CommandLine.Option
 
 /** The platform that a command talks to. */
--- a/operator/src/main/kotlin/org/poplarshift/operator/configuration/ConfigurationLog.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/configuration/ConfigurationLog.kt
@@ -7,10 +7,10 @@
 import org.poplarshift.core.configuration.ConfigurationReducer
 import org.poplarshift.core.configuration.ConfigurationResult
 import org.poplarshift.operator.OperatorException
-import org.poplarshift.platform.AppendResult
-import org.poplarshift.platform.LogRecord
-import org.poplarshift.platform.LogService
-import org.poplarshift.platform.ReadResult
+import org.poplarshift.ports.AppendResult
+import org.poplarshift.ports.LogRecord
+import org.poplarshift.ports.LogService
+import org.poplarshift.ports.ReadResult
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/operator/src/main/kotlin/org/poplarshift/operator/status/StatusCommand.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/status/StatusCommand.kt
@@ -7,8 +7,8 @@
 import org.poplarshift.core.configuration.KeyDirectory
 import org.poplarshift.operator.ExitCode
 import org.poplarshift.operator.OperatorException
-import org.poplarshift.platform.HttpVmList
-import org.poplarshift.platform.VmListResult
+import org.poplarshift.ports.HttpVmList
+import org.poplarshift.ports.VmListResult
 import picocli.CommandLine.Command
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Option
--- a/operator/src/test/kotlin/org/poplarshift/operator/ConfigurationCommandsTest.kt
+++ b/operator/src/test/kotlin/org/poplarshift/operator/ConfigurationCommandsTest.kt
@@ -10,8 +10,8 @@
 import io.vertx.ext.web.client.WebClient
 import io.vertx.kotlin.coroutines.coAwait
 import org.poplarshift.core.configuration.KeyDirectory
-import org.poplarshift.platform.HttpLogService
-import org.poplarshift.platform.ReadResult
+import org.poplarshift.ports.HttpLogService
+import org.poplarshift.ports.ReadResult
 import org.poplarshift.standins.http.Outage
 import org.poplarshift.standins.platform.PlatformFaults
 import org.poplarshift.standins.platform.PlatformStandIn
--- a/platform/src/main/kotlin/org/poplarshift/platform/HttpVmList.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/HttpVmList.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.WebClient
--- a/platform/src/main/kotlin/org/poplarshift/platform/ListedVm.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/ListedVm.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/platform/src/main/kotlin/org/poplarshift/platform/LogService.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/LogService.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 /**
  * The platform's append-only log. Each stream has its own offsets, which start at 0 and grow by one.
--- a/platform/src/main/kotlin/org/poplarshift/platform/VmList.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/VmList.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 /** The platform's list of VMs. It lags behind what happens. */
 interface VmList {
--- a/platform/src/main/kotlin/org/poplarshift/platform/VmListResult.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/VmListResult.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 /** The outcome of reading the list of VMs. */
 sealed interface VmListResult {
--- a/platform/src/main/kotlin/org/poplarshift/platform/WeightStore.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/WeightStore.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 /** The platform's rate-limited store of model weights. */
 interface WeightStore {
--- a/platform/src/main/kotlin/org/poplarshift/platform/WeightStoreResult.kt
+++ b/ports/src/main/kotlin/org/poplarshift/ports/WeightStoreResult.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 /** The outcome of a reservation at the weight store. */
 sealed interface WeightStoreResult {
--- a/platform/src/test/kotlin/org/poplarshift/platform/HttpAdaptersTest.kt
+++ b/ports/src/test/kotlin/org/poplarshift/ports/HttpAdaptersTest.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.platform
+package org.poplarshift.ports
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
--- a/node/src/main/kotlin/org/poplarshift/node/MonotonicClock.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/MonotonicClock.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.node
+package org.poplarshift.serving
 
 /** Time that never goes back, in milliseconds since an arbitrary origin. */
 fun interface MonotonicClock {
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -0,0 +1,143 @@
+package org.poplarshift.serving
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import org.poplarshift.core.dispatch.WorkerBoard
+import org.poplarshift.serving.allowance.AllowanceGate
+import org.poplarshift.serving.allowance.PeerTokens
+import org.poplarshift.serving.fleet.ConfigurationHolder
+import org.poplarshift.serving.fleet.FleetMember
+import org.poplarshift.serving.fleet.FleetMembers
+import org.poplarshift.serving.fleet.WorkerRegistry
+import org.poplarshift.serving.forward.Forwarding
+import org.poplarshift.serving.forward.WorkerConnections
+import org.poplarshift.serving.forward.WorkerDispatcher
+import org.poplarshift.serving.ingress.CallHandlers
+import org.poplarshift.serving.ingress.CallerServer
+import org.poplarshift.serving.ingress.PlainServer
+import org.poplarshift.serving.log.TopicFollower
+import org.poplarshift.serving.observe.CallRecorder
+import org.poplarshift.serving.observe.NodeGauges
+import org.poplarshift.serving.submission.BatchRunner
+import org.poplarshift.serving.submission.SubmissionService
+import org.poplarshift.serving.submission.SubmissionStore
+
+/** One node: all parts on one event loop. */
+class ServingNode(
+    vertx: Vertx,
+    private val scope: CoroutineScope,
+    private val settings: ServingSettings,
+    ports: ServingPorts,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) {
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val board = WorkerBoard(settings.zone)
+    private val members: FleetMembers = FleetMembers(
+        ports.log,
+        clock,
+        settings.memberTopic,
+        FleetMember(settings.name, settings.zone, settings.peerAddress),
+        onChange = { updateAllowances() },
+    )
+    private val tokens = PeerTokens(vertx, settings.localHost, members)
+    private val allowances: AllowanceGate = AllowanceGate(scope, clock, tokens) { members.size }
+    private val configuration = ConfigurationHolder(ports::decodeConfiguration) { allowances.update(it) }
+    private val dispatcher = WorkerDispatcher(scope, board, clock)
+    private val connections = WorkerConnections(vertx, settings.localHost, clock)
+    private val forwarding = Forwarding(dispatcher, connections, ports.workerProtocol, clock)
+    private val registry = WorkerRegistry(board, clock, ports::decodeWorker) { sweepConnections() }
+    private val store = SubmissionStore(ports.log, clock, settings.submissionTopic, settings.submissionPartitions)
+    private val batch = BatchRunner(scope, store, ports.group, forwarding, clock, settings.retentionMillis)
+    private val submissions = SubmissionService(store, ports.callerProtocol, clock)
+    private val handlers = CallHandlers(clock, configuration, allowances, forwarding, submissions)
+    private val callers =
+        CallerServer(vertx, scope, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
+    private val readiness = PlainServer(vertx) { path -> if (ports.callerProtocol.isReadiness(path)) readinessStatus() else NOT_FOUND }
+    private val metricsServer = PlainServer(vertx, { metrics.scrape() }) { OK }
+    private val followers = listOf(
+        TopicFollower(ports.log, clock, settings.configurationTopic, FIRST, configuration, LONG_READ_MILLIS),
+        TopicFollower(ports.log, clock, settings.workerTopic, FIRST, registry, WORKER_READ_MILLIS, WORKER_PAUSE_MILLIS)
+            .also { registry.follower = it },
+        TopicFollower(ports.log, clock, settings.memberTopic, FIRST, members, LONG_READ_MILLIS, MEMBER_PAUSE_MILLIS),
+    )
+
+    /** Starts to serve. */
+    suspend fun start() {
+        followers.forEach { scope.launch { it.run() } }
+        store.partitions.forEach { scope.launch { it.follower.run() } }
+        scope.launch { members.run() }
+        scope.launch { registry.run() }
+        scope.launch { keepTidy() }
+        tokens.listen(settings.peerAddress) { organisation, wanted -> allowances.give(organisation, wanted) }
+        readiness.listen(settings.readinessAddress)
+        settings.metricsAddress?.let { metricsServer.listen(it) }
+        NodeGauges.register(metrics, configuration, members, registry, batch, connections, dispatcher)
+        callers.listen(settings.callersAddress)
+        scope.launch { startBatch() }
+        logger.atInfo {
+            message = "node: started"
+            payload = mapOf("node" to settings.name, "zone" to settings.zone, "callers" to settings.callersAddress)
+        }
+    }
+
+    /** Stops being ready, hands batch work over, and returns when the callers' requests have ended. */
+    suspend fun stop() {
+        logger.info { "node: leaving, ${callers.active} requests are active" }
+        callers.isLeaving = true
+        val handover = scope.launch { batch.leave() }
+        callers.drain(QUIET_MILLIS, settings.drainMillis)
+        joinAll(handover)
+        logger.info { "node: stopped, ${callers.active} requests are active" }
+    }
+
+    private suspend fun startBatch() {
+        store.partitions.forEach { it.follower.awaitStart() }
+        batch.run()
+    }
+
+    private fun readinessStatus(): Int {
+        val isReady = !callers.isLeaving && configuration.current != null && registry.known.isNotEmpty()
+        return if (isReady) OK else UNAVAILABLE
+    }
+
+    private fun updateAllowances() = allowances.update(configuration.current)
+
+    private fun sweepConnections() = connections.sweep(board.workers.map { it.id }.toSet())
+
+    private suspend fun keepTidy() {
+        var round = 0
+        while (true) {
+            delay(TIDY_MILLIS)
+            sweepConnections()
+            if (++round % CLEAN_ROUNDS == 0) batch.clean()
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+        const val FIRST = 0
+
+        // Bounds how long a read on a connection that went silent goes unnoticed.
+        const val LONG_READ_MILLIS = 2_500L
+
+        // Workers renew their entries all the time; reading several at once saves calls, and a draining worker must
+        // get nothing new two seconds later.
+        const val WORKER_READ_MILLIS = 1_000L
+        const val WORKER_PAUSE_MILLIS = 600L
+        const val MEMBER_PAUSE_MILLIS = 500L
+        const val TIDY_MILLIS = 500L
+        const val CLEAN_ROUNDS = 20
+
+        // The balancer notices after two questions a second apart, and open connections may bring requests until then.
+        const val QUIET_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -0,0 +1,98 @@
+package org.poplarshift.serving.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.poplarshift.core.submission.KeyedValue
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.log.AppendResult
+import org.poplarshift.serving.log.LogRecord
+import org.poplarshift.serving.log.PartitionedLog
+import org.poplarshift.serving.log.RecordReceiver
+
+/**
+ * What a node tells the others.
+ *
+ * @property peerAddress IP number and port for messages between nodes
+ */
+@Serializable
+data class FleetMember(val name: String, val zone: String, val peerAddress: String)
+
+/**
+ * The nodes of the fleet, as they announce themselves in a keyed topic.
+ *
+ * A node counts until it takes its record back or has not renewed it for [SILENCE_MILLIS]. A node that is cut off from
+ * the log can't renew its record and still serves callers; it must count as long as that may last.
+ */
+class FleetMembers(
+    private val log: PartitionedLog,
+    private val clock: MonotonicClock,
+    private val topic: String,
+    private val own: FleetMember,
+    private val onChange: () -> Unit = {},
+) : RecordReceiver {
+    private class Seen(val member: FleetMember, val millis: Long)
+
+    private val seen = HashMap<String, Seen>()
+
+    /** Number of nodes, this one included. */
+    val size: Int
+        get() = maxOf(1, alive().size + if (own.name in seen) 0 else 1)
+
+    /** The other nodes. */
+    val peers: List<FleetMember>
+        get() = alive().filter { it.name != own.name }
+
+    override fun onRestart() = seen.clear()
+
+    override fun onRecord(record: LogRecord) {
+        if (record.value.isEmpty()) {
+            seen.remove(record.key)
+        } else {
+            val member = try {
+                Json.decodeFromString(FleetMember.serializer(), record.value.decodeToString())
+            } catch (exception: SerializationException) {
+                logger.warn { "fleet: record ${record.key} at offset ${record.offset}: ${exception.message}; left out" }
+                return
+            }
+            seen[record.key] = Seen(member, clock.millis())
+        }
+    }
+
+    override fun onCaughtUp() = onChange()
+
+    /** Announces this node and renews its record until it is cancelled. */
+    suspend fun run() {
+        while (true) {
+            val value = Json.encodeToString(FleetMember.serializer(), own).encodeToByteArray()
+            val result = log.append(topic, PARTITION, listOf(KeyedValue(own.name, value)))
+            if (result !is AppendResult.Appended) logger.info { "fleet: this node is not announced: $result" }
+            delay(if (result is AppendResult.Appended) RENEWAL_MILLIS else RETRY_MILLIS)
+        }
+    }
+
+    /** Takes the record back. */
+    suspend fun leave() {
+        val result = log.append(topic, PARTITION, listOf(KeyedValue(own.name, ByteArray(0))))
+        if (result !is AppendResult.Appended) logger.info { "fleet: the record of this node stays: $result" }
+    }
+
+    private fun alive(): List<FleetMember> {
+        val now = clock.millis()
+        return seen.values.filter { now - it.millis <= SILENCE_MILLIS }.map { it.member }
+    }
+
+    companion object {
+        private val logger = KotlinLogging.logger {}
+
+        /** The partition of the topic that is used. */
+        const val PARTITION = 0
+
+        // Longer than the usual outages of the log and of zones, because nodes serve on meanwhile.
+        const val SILENCE_MILLIS = 60_000L
+        private const val RENEWAL_MILLIS = 15_000L
+        private const val RETRY_MILLIS = 500L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
@@ -0,0 +1,131 @@
+package org.poplarshift.serving.forward
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.core.dispatch.WorkerBoard
+import org.poplarshift.core.dispatch.WorkerSeat
+import org.poplarshift.serving.MonotonicClock
+
+/**
+ * What a request needs from a worker.
+ *
+ * @property rank smaller goes first among waiting requests
+ * @property headroom slots that it leaves free
+ * @property excluded workers that it must not use
+ * @property waitMillis how long it waits for room
+ */
+data class SeatDemand(
+    val service: String,
+    val rank: Int,
+    val waitMillis: Long,
+    val excluded: Set<String> = emptySet(),
+    val headroom: Int = 0,
+    val isBatch: Boolean = false,
+)
+
+/** The outcome of looking for a worker. */
+sealed interface SeatResult {
+    /** The request may go to [seat] and must be released there. */
+    class Taken(val seat: WorkerSeat) : SeatResult
+
+    /** No worker of the service can take the request, however long it waits. */
+    data object NoWorker : SeatResult
+
+    /** No worker had room in time. */
+    data object NoRoom : SeatResult
+}
+
+/** Gives requests to workers that have room, and keeps those that wait in order. */
+class WorkerDispatcher(
+    private val scope: CoroutineScope,
+    private val board: WorkerBoard,
+    private val clock: MonotonicClock,
+) {
+    private class Waiter(val demand: SeatDemand, val sequence: Long) {
+        val seat = CompletableDeferred<SeatResult>()
+    }
+
+    private val waiters = ArrayList<Waiter>()
+    private var sequence = 0L
+    private var isTicking = false
+
+    /** Requests that wait for room, batch included. */
+    val waiting: Int
+        get() = waiters.size
+
+    /** Online requests that wait for room. */
+    val waitingOnline: Int
+        get() = waiters.count { !it.demand.isBatch }
+
+    /** Takes a seat, waiting when none has room. */
+    suspend fun acquire(demand: SeatDemand): SeatResult {
+        if (!board.hasWorker(demand.service, demand.excluded, clock.millis())) return SeatResult.NoWorker
+        if (waiters.none { it.isBefore(demand) }) take(demand)?.let { return SeatResult.Taken(it) }
+        if (demand.waitMillis <= 0) return SeatResult.NoRoom
+        return await(Waiter(demand, sequence++))
+    }
+
+    /** Ends a request at [seat]. */
+    fun release(seat: WorkerSeat, isBatch: Boolean) {
+        seat.onEnded(isBatch)
+        if (waiters.isNotEmpty()) serveWaiters()
+    }
+
+    private suspend fun await(waiter: Waiter): SeatResult {
+        val place = waiters.indexOfFirst { it.demand.rank > waiter.demand.rank }
+        waiters.add(if (place < 0) waiters.size else place, waiter)
+        tick()
+        try {
+            return withTimeoutOrNull(waiter.demand.waitMillis) { waiter.seat.await() } ?: taken(waiter) ?: SeatResult.NoRoom
+        } catch (exception: CancellationException) {
+            taken(waiter)?.let { if (it is SeatResult.Taken) release(it.seat, waiter.demand.isBatch) }
+            throw exception
+        } finally {
+            waiters.remove(waiter)
+        }
+    }
+
+    // The seat may have been given in the same moment in which the time ran out or the request was cancelled.
+    @OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
+    private fun taken(waiter: Waiter): SeatResult? = if (waiter.seat.isCompleted) waiter.seat.getCompleted() else null
+
+    private fun Waiter.isBefore(other: SeatDemand): Boolean = demand.service == other.service && demand.rank <= other.rank
+
+    private fun take(demand: SeatDemand): WorkerSeat? =
+        board.choose(demand.service, demand.headroom, demand.excluded, clock.millis())?.also { it.onSent(demand.isBatch) }
+
+    private fun serveWaiters() {
+        val now = clock.millis()
+        for (waiter in waiters.toList()) {
+            val demand = waiter.demand
+            val result = when {
+                !board.hasWorker(demand.service, demand.excluded, now) -> SeatResult.NoWorker
+                else -> take(demand)?.let { SeatResult.Taken(it) }
+            } ?: continue
+            waiters.remove(waiter)
+            waiter.seat.complete(result)
+        }
+    }
+
+    // Room that other nodes leave shows only by time, as the estimate of their load fades.
+    private fun tick() {
+        if (isTicking) return
+        isTicking = true
+        scope.launch {
+            while (waiters.isNotEmpty()) {
+                delay(TICK_MILLIS)
+                serveWaiters()
+            }
+            isTicking = false
+        }
+    }
+
+    private companion object {
+        // A small part of the time in which a first event is on time.
+        const val TICK_MILLIS = 10L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -0,0 +1,129 @@
+package org.poplarshift.serving.forward
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** A request to one worker. */
+class OutgoingRequest(
+    val id: String,
+    val method: HttpMethod,
+    val path: String,
+    val headers: MultiMap,
+    val body: Buffer,
+)
+
+/** The head of an answer, or why there is none. */
+sealed interface ExchangeHead {
+    /** The worker answers. */
+    class Answer(val head: AnswerHead, val headers: MultiMap) : ExchangeHead
+
+    /** The connection was lost, or the answer is not one to the request. */
+    data class Lost(val reason: String) : ExchangeHead
+
+    /** Nothing came in the time allowed. */
+    data object Silence : ExchangeHead
+}
+
+/** One request on one connection, from its first byte to the end of the answer. */
+class WorkerExchange(private val connection: WorkerConnection, private val protocol: WorkerProtocol) {
+    private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
+    private var response: HttpClientResponse? = null
+    private var isComplete = false
+    private var answer: AnswerHead? = null
+
+    /** Whether the connection may serve another request. */
+    val isReusable: Boolean
+        get() = isComplete && answer?.closes == false && hasStatedEnd()
+
+    /** How long the worker keeps the connection, or null when it does not say. */
+    val idleMillis: Long?
+        get() = answer?.idleMillis
+
+    /** Sends [request] and waits up to [timeoutMillis] for the head of the answer. */
+    suspend fun send(request: OutgoingRequest, timeoutMillis: Long): ExchangeHead {
+        val received = try {
+            withTimeoutOrNull(timeoutMillis) { respond(request) } ?: return ExchangeHead.Silence
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            return ExchangeHead.Lost(exception.message ?: exception.javaClass.simpleName)
+        }
+        response = received
+        val head = protocol.readAnswer(received.statusCode(), received.headers())
+        // A worker may send a second answer, which then stands where that of the next request is expected.
+        if (head.requestId != null && head.requestId != request.id) return ExchangeHead.Lost(WRONG_ANSWER)
+        answer = head
+        return ExchangeHead.Answer(head, received.headers())
+    }
+
+    /** The next part of the body; waits up to [timeoutMillis]. */
+    suspend fun next(timeoutMillis: Long): ResponsePart {
+        response?.fetch(1)
+        val part = withTimeoutOrNull(timeoutMillis) { parts.receive() } ?: return ResponsePart.Silence
+        if (part == ResponsePart.End) isComplete = true
+        return part
+    }
+
+    /** The whole body; a part other than bytes tells why there is none. */
+    suspend fun readAll(timeoutMillis: Long, maximumBytes: Int): BodyResult {
+        val body = Buffer.buffer()
+        val isRead = withTimeoutOrNull(timeoutMillis) {
+            while (true) {
+                when (val part = next(timeoutMillis)) {
+                    is ResponsePart.Bytes -> body.appendBuffer(part.bytes)
+                    ResponsePart.End -> return@withTimeoutOrNull BodyResult.Whole(body)
+                    is ResponsePart.Lost -> return@withTimeoutOrNull BodyResult.Broken(part.reason)
+                    ResponsePart.Silence -> return@withTimeoutOrNull BodyResult.Broken("silent within the body")
+                }
+                if (body.length() > maximumBytes) return@withTimeoutOrNull BodyResult.Broken("body of over $maximumBytes bytes")
+            }
+            @Suppress("UNREACHABLE_CODE")
+            null
+        }
+        return isRead ?: BodyResult.Broken("body took over $timeoutMillis ms")
+    }
+
+    private suspend fun respond(request: OutgoingRequest): HttpClientResponse {
+        val options = RequestOptions().setMethod(request.method).setURI(request.path).setHeaders(request.headers)
+        val pending = connection.http.request(options).coAwait()
+        pending.exceptionHandler { logger.debug { "exchange: request ${request.id}: ${it.message}" } }
+        val sent = if (request.body.length() == 0) pending.send() else pending.send(request.body)
+        // The response is paused in the event that delivers it; the coroutine resumes in a later event.
+        return sent.onSuccess { listen(it) }.coAwait()
+    }
+
+    private fun listen(received: HttpClientResponse) {
+        received.pause()
+        received.handler { parts.trySend(ResponsePart.Bytes(it)) }
+        received.endHandler { parts.trySend(ResponsePart.End) }
+        received.exceptionHandler { parts.trySend(ResponsePart.Lost(it.message ?: it.javaClass.simpleName)) }
+    }
+
+    private fun hasStatedEnd(): Boolean {
+        val received = response ?: return false
+        return received.getHeader("Content-Length") != null ||
+            received.getHeader("Transfer-Encoding")?.contains("chunked", ignoreCase = true) == true
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val WRONG_ANSWER = "answer to another request"
+    }
+}
+
+/** The outcome of reading a body. */
+sealed interface BodyResult {
+    /** The body is complete. */
+    class Whole(val bytes: Buffer) : BodyResult
+
+    /** The body is not complete. */
+    data class Broken(val reason: String) : BodyResult
+}
--- a/node/src/main/kotlin/org/poplarshift/node/caller/HopByHopHeaders.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/http/HopByHopHeaders.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.node.caller
+package org.poplarshift.serving.http
 
 import io.vertx.core.MultiMap
 
--- a/node/src/main/kotlin/org/poplarshift/node/http/SocketAddresses.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/http/SocketAddresses.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.node.http
+package org.poplarshift.serving.http
 
 import io.vertx.core.net.SocketAddress
 
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -0,0 +1,153 @@
+package org.poplarshift.serving.ingress
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.core.ingress.IngressConfiguration
+import org.poplarshift.core.ingress.IngressOrganisation
+import org.poplarshift.core.ingress.IngressRoute
+import org.poplarshift.core.ingress.RouteKind
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.allowance.AllowanceGate
+import org.poplarshift.serving.allowance.AllowanceResult
+import org.poplarshift.serving.fleet.ConfigurationHolder
+import org.poplarshift.serving.forward.AttemptPlan
+import org.poplarshift.serving.forward.AttemptSession
+import org.poplarshift.serving.forward.Forwarding
+import org.poplarshift.serving.forward.OnlineCall
+import org.poplarshift.serving.forward.OnlineForwarder
+import org.poplarshift.serving.forward.OnlineOutcome
+import org.poplarshift.serving.observe.CallRecord
+import org.poplarshift.serving.submission.SubmissionService
+
+/** Serves decoded calls. Each function returns the refusal to send, or null when the answer was sent. */
+class CallHandlers(
+    private val clock: MonotonicClock,
+    private val configuration: ConfigurationHolder,
+    private val allowances: AllowanceGate,
+    private val forwarding: Forwarding,
+    private val submissions: SubmissionService,
+    private val random: () -> Double = Math::random,
+) {
+    private val forwarder = OnlineForwarder(forwarding)
+
+    /** Serves [incoming]. */
+    suspend fun handle(incoming: IncomingCall, sink: HttpCallerSink, record: CallRecord): Refusal? {
+        val current = configuration.current ?: return Refusal.NO_CONFIGURATION
+        record.version = current.version
+        val organisation = current.findOrganisation(incoming.call.head.key)
+        record.organisation = organisation?.name
+        return when (val call = incoming.call) {
+            is CallerCall.Malformed -> Refusal.BAD_REQUEST
+            is CallerCall.Request -> request(incoming, current, organisation, sink, record)
+            is CallerCall.ReadResults -> authorised(current, organisation) ?: submissions.read(call, organisation, sink)
+            is CallerCall.ReadItem -> authorised(current, organisation) ?: submissions.readItem(call, organisation, sink)
+            is CallerCall.EndSubmission -> authorised(current, organisation) ?: submissions.end(call, organisation, sink)
+        }
+    }
+
+    private fun authorised(current: IngressConfiguration, organisation: IngressOrganisation?): Refusal? =
+        if (current.hasOrganisations && organisation == null) Refusal.UNKNOWN_KEY else null
+
+    private suspend fun request(
+        incoming: IncomingCall,
+        current: IngressConfiguration,
+        organisation: IngressOrganisation?,
+        sink: HttpCallerSink,
+        record: CallRecord,
+    ): Refusal? {
+        val head = incoming.call.head
+        val route = current.findRoute(head.host, head.path) ?: return Refusal.UNKNOWN_ROUTE
+        record.route = route.name
+        if (!route.isPublic) authorised(current, organisation)?.let { return it }
+        val id = head.requestId ?: return Refusal.BAD_REQUEST
+        if (route.kind == RouteKind.BATCH) return submissions.submit(id, route, organisation, incoming, sink, record)
+        if (organisation != null) {
+            when (val result = allowances.spend(organisation)) {
+                AllowanceResult.Within -> Unit
+                is AllowanceResult.Exceeded -> return Refusal.overRate(result.retryMillis)
+            }
+        }
+        return forward(onlineCall(id, route, organisation, incoming, record), sink, record)
+    }
+
+    private fun onlineCall(
+        id: String,
+        route: IngressRoute,
+        organisation: IngressOrganisation?,
+        incoming: IncomingCall,
+        record: CallRecord,
+    ): OnlineCall {
+        val waitsMillis = incoming.call.head.waitsMillis ?: route.timeoutMillis
+        return OnlineCall(
+            id = id,
+            route = route,
+            service = route.chooseService(random()).orEmpty(),
+            organisation = organisation?.name,
+            method = incoming.method,
+            uri = incoming.uri,
+            headers = incoming.headers,
+            body = incoming.body,
+            receivedMillis = record.receivedMillis,
+            endMillis = record.receivedMillis + minOf(waitsMillis, route.timeoutMillis),
+            rank = organisation?.priority ?: route.priority,
+            resumeAfter = incoming.call.head.resumeAfter,
+        )
+    }
+
+    private suspend fun forward(call: OnlineCall, sink: HttpCallerSink, record: CallRecord): Refusal? {
+        val attempts = if (call.route.mayRepeat) call.route.maximumAttempts else 1
+        val plan = AttemptPlan(
+            id = call.id,
+            service = call.service,
+            organisation = call.organisation,
+            method = call.method,
+            uri = call.uri,
+            headers = call.headers,
+            body = call.body,
+            endMillis = call.endMillis,
+            maximumAttempts = attempts,
+        )
+        val session = AttemptSession(plan, forwarding)
+        record.attempts = session.trace
+        val outcome = withTimeoutOrNull((call.endMillis - clock.millis()).coerceAtLeast(1)) {
+            forwarder.serve(call, session, sink)
+        }
+        return conclude(outcome ?: timedOut(sink, session), sink, record)
+    }
+
+    private fun timedOut(sink: HttpCallerSink, session: AttemptSession): OnlineOutcome = when {
+        sink.status != null -> OnlineOutcome.Broken("time is up")
+        session.mayHaveRun == 0 && !session.isSending -> OnlineOutcome.Refused("time is up")
+        else -> OnlineOutcome.Failed("time is up", isTimeout = true)
+    }
+
+    private fun conclude(outcome: OnlineOutcome, sink: HttpCallerSink, record: CallRecord): Refusal? = when (outcome) {
+        is OnlineOutcome.Delivered -> {
+            record.end("delivered")
+            null
+        }
+
+        is OnlineOutcome.Broken -> {
+            record.end("broken: ${outcome.reason}")
+            sink.cut()
+            null
+        }
+
+        is OnlineOutcome.Refused -> Refusal.busy(outcome.reason)
+        is OnlineOutcome.Failed -> Refusal(if (outcome.isTimeout) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
+    }
+
+    /** Sends a whole answer without a body of a worker. */
+    companion object {
+        private const val BAD_GATEWAY = 502
+        private const val GATEWAY_TIMEOUT = 504
+
+        /** Answers with [status] and [body]. */
+        fun answer(sink: HttpCallerSink, status: Int, body: Buffer, contentType: String?) {
+            val headers = MultiMap.caseInsensitiveMultiMap()
+            contentType?.let { headers.add("Content-Type", it) }
+            sink.whole(status, headers, body)
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -0,0 +1,147 @@
+package org.poplarshift.serving.ingress
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.MultiMap
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fleet.ConfigurationHolder
+import org.poplarshift.serving.http.SocketAddresses
+import org.poplarshift.serving.observe.CallRecord
+import org.poplarshift.serving.observe.CallRecorder
+
+/** The listener for callers. */
+class CallerServer(
+    private val vertx: Vertx,
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val protocol: CallerProtocol,
+    private val configuration: ConfigurationHolder,
+    private val handlers: CallHandlers,
+    private val recorder: CallRecorder,
+) {
+    private var server: HttpServer? = null
+
+    /** Requests that have no final answer yet. */
+    var active = 0
+        private set
+
+    /** Monotonic milliseconds at which the last request came. */
+    var lastRequestMillis = Long.MIN_VALUE
+        private set
+
+    /** Whether the node is about to end. */
+    var isLeaving = false
+
+    /** Starts to accept connections at [address]. */
+    suspend fun listen(address: String) {
+        val socket = SocketAddresses.parse(address)
+        val options = HttpServerOptions()
+            .setHost(socket.host())
+            .setPort(socket.port())
+            .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
+            .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+            .setMaxChunkSize(MAXIMUM_CHUNK_BYTES)
+            .setHandle100ContinueAutomatically(true)
+            .setHttp2ClearTextEnabled(false)
+            .setTcpNoDelay(true)
+            .setIdleTimeout(IDLE_SECONDS)
+            .setAcceptBacklog(ACCEPT_BACKLOG)
+        server = vertx.createHttpServer(options)
+            .connectionHandler { it.exceptionHandler { cause -> logger.debug { "ingress: connection: ${cause.message}" } } }
+            .exceptionHandler { cause -> logger.debug { "ingress: ${cause.message}" } }
+            .requestHandler { request -> handle(request) }
+            .listen()
+            .coAwait()
+    }
+
+    /** Waits until no request is active and none has come for [quietMillis], but no longer than [limitMillis]. */
+    suspend fun drain(quietMillis: Long, limitMillis: Long) {
+        val endMillis = clock.millis() + limitMillis
+        while (clock.millis() < endMillis) {
+            if (active == 0 && clock.millis() - lastRequestMillis >= quietMillis) return
+            delay(DRAIN_POLL_MILLIS)
+        }
+    }
+
+    private fun handle(request: HttpServerRequest) {
+        val receivedMillis = clock.millis()
+        lastRequestMillis = receivedMillis
+        val limit = configuration.current?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
+        val body = RequestBody(request, limit)
+        val sink = HttpCallerSink(request) { isLeaving }
+        val call = protocol.decode(request.method(), request.uri(), request.headers())
+        val record = CallRecord(call.head, request.method().name(), receivedMillis)
+        active++
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
+            try {
+                serve(call, request, body, sink, record)
+            } catch (exception: CancellationException) {
+                record.end("caller_gone")
+                throw exception
+            } catch (exception: Exception) {
+                record.end("internal")
+                logger.error(exception) { "ingress: request ${call.head.requestId} failed" }
+                if (sink.status == null) refuse(sink, Refusal(500, "internal")) else sink.cut()
+            } finally {
+                active--
+                recorder.finish(record, sink.status, clock.millis())
+            }
+        }
+        request.response().closeHandler { if (job.isActive && !request.response().ended()) job.cancel() }
+        request.response().exceptionHandler { logger.debug { "ingress: response: ${it.message}" } }
+        request.exceptionHandler { if (job.isActive) job.cancel() }
+    }
+
+    private suspend fun serve(
+        call: CallerCall,
+        request: HttpServerRequest,
+        body: RequestBody,
+        sink: HttpCallerSink,
+        record: CallRecord,
+    ) {
+        val bytes = body.await()
+        if (bytes == null) {
+            record.end(Refusal.BODY_TOO_LARGE.reason)
+            refuse(sink, Refusal.BODY_TOO_LARGE, closes = true)
+            return
+        }
+        val refusal = handlers.handle(IncomingCall(call, request.method(), request.uri(), request.headers(), bytes), sink, record)
+        if (refusal == null) return
+        record.end(refusal.reason)
+        refuse(sink, refusal)
+    }
+
+    private fun refuse(sink: HttpCallerSink, refusal: Refusal, closes: Boolean = false) {
+        val headers = MultiMap.caseInsensitiveMultiMap()
+        refusal.retryMillis?.let { headers.addAll(protocol.retryHeaders(it)) }
+        if (closes) headers.add("Connection", "close")
+        sink.whole(refusal.status, headers, Buffer.buffer())
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val MAXIMUM_LINE_BYTES = 16_384
+        const val MAXIMUM_HEADER_BYTES = 65_536
+        const val MAXIMUM_CHUNK_BYTES = 65_536
+
+        // Before the first configuration is known; large enough for any request that is then refused.
+        const val DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+
+        // Longer than callers may keep a connection idle under any usual configuration.
+        const val IDLE_SECONDS = 75
+
+        // A dropped opening packet is sent again only after a second.
+        const val ACCEPT_BACKLOG = 1_024
+        const val DRAIN_POLL_MILLIS = 20L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/HttpCallerSink.kt
@@ -0,0 +1,57 @@
+package org.poplarshift.serving.ingress
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerRequest
+import kotlinx.coroutines.CompletableDeferred
+import org.poplarshift.serving.forward.CallerSink
+
+/**
+ * Answers one caller.
+ *
+ * @param isLeaving whether the caller should close the connection after the answer
+ */
+class HttpCallerSink(private val request: HttpServerRequest, private val isLeaving: () -> Boolean) : CallerSink {
+    private val response = request.response()
+
+    /** Status of the answer that was begun, or null. */
+    var status: Int? = null
+        private set
+
+    override fun whole(status: Int, headers: MultiMap, body: Buffer) {
+        if (response.ended() || response.closed()) return
+        begin(status, headers)
+        response.end(body)
+    }
+
+    override fun start(status: Int, headers: MultiMap) {
+        begin(status, headers)
+        response.setChunked(true)
+        // Callers learn that a worker has the request before the first event is there.
+        response.writeHead()
+    }
+
+    override suspend fun write(bytes: Buffer) {
+        if (response.closed()) return
+        response.write(bytes)
+        if (!response.writeQueueFull()) return
+        val drained = CompletableDeferred<Unit>()
+        response.drainHandler { drained.complete(Unit) }
+        drained.await()
+    }
+
+    override fun end() {
+        if (!response.closed()) response.end()
+    }
+
+    override fun cut() {
+        request.connection().close()
+    }
+
+    private fun begin(status: Int, headers: MultiMap) {
+        this.status = status
+        response.setStatusCode(status)
+        response.headers().addAll(headers)
+        if (isLeaving()) response.putHeader("Connection", "close")
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/IncomingCall.kt
@@ -0,0 +1,14 @@
+package org.poplarshift.serving.ingress
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+
+/** A caller's request with its whole body. */
+class IncomingCall(
+    val call: CallerCall,
+    val method: HttpMethod,
+    val uri: String,
+    val headers: MultiMap,
+    val body: Buffer,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
@@ -0,0 +1,38 @@
+package org.poplarshift.serving.ingress
+
+/**
+ * Why the node itself answers a request.
+ *
+ * @property status 429 and 503 promise that the request has not run and never will
+ * @property retryMillis when the caller may come back, or null
+ */
+data class Refusal(val status: Int, val reason: String, val retryMillis: Long? = null) {
+    companion object {
+        val BAD_REQUEST = Refusal(400, "bad_request")
+        val UNKNOWN_KEY = Refusal(401, "unknown_key")
+        val UNKNOWN_ROUTE = Refusal(404, "unknown_route")
+        val UNKNOWN_SUBMISSION = Refusal(404, "unknown_submission")
+        val UNKNOWN_ITEM = Refusal(404, "unknown_item")
+        val BODY_TOO_LARGE = Refusal(413, "body_too_large")
+        val WAITING_TOKENS = Refusal(429, "waiting_tokens", SHORT_RETRY_MILLIS)
+        val NO_CONFIGURATION = Refusal(503, "no_configuration", SHORT_RETRY_MILLIS)
+        val LOG_UNAVAILABLE = Refusal(503, "log_unavailable", LOG_RETRY_MILLIS)
+        val NOT_CAUGHT_UP = Refusal(503, "not_caught_up", SHORT_RETRY_MILLIS)
+        val OUTCOME_UNKNOWN = Refusal(504, "outcome_unknown")
+
+        /** Workers have no room or can't be reached. */
+        fun busy(reason: String) = Refusal(503, reason, BUSY_RETRY_MILLIS)
+
+        /** The organisation is over its rate. */
+        fun overRate(retryMillis: Long) = Refusal(429, "rate", retryMillis)
+
+        // Another node may serve at once.
+        private const val SHORT_RETRY_MILLIS = 100L
+
+        // A few request durations, after which some of the waiting requests have ended.
+        private const val BUSY_RETRY_MILLIS = 200L
+
+        // Outages of the log last seconds, but other nodes may reach it.
+        private const val LOG_RETRY_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
@@ -0,0 +1,36 @@
+package org.poplarshift.serving.observe
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import org.poplarshift.serving.fleet.ConfigurationHolder
+import org.poplarshift.serving.fleet.FleetMembers
+import org.poplarshift.serving.fleet.WorkerRegistry
+import org.poplarshift.serving.forward.WorkerConnections
+import org.poplarshift.serving.forward.WorkerDispatcher
+import org.poplarshift.serving.submission.BatchRunner
+
+/** Gauges of what a node believes and does. */
+object NodeGauges {
+    /** Registers them with [registry]. */
+    fun register(
+        registry: MeterRegistry,
+        configuration: ConfigurationHolder,
+        members: FleetMembers,
+        workers: WorkerRegistry,
+        batch: BatchRunner,
+        connections: WorkerConnections,
+        dispatcher: WorkerDispatcher,
+    ) {
+        gauge(registry, "configuration_version") { configuration.current?.version ?: 0L }
+        gauge(registry, "fleet_nodes") { members.size }
+        gauge(registry, "workers_known") { workers.known.size }
+        gauge(registry, "batch_items_running") { batch.runningItems }
+        gauge(registry, "batch_partitions") { batch.partitions.size }
+        gauge(registry, "worker_connections_made") { connections.made }
+        gauge(registry, "requests_waiting") { dispatcher.waiting }
+    }
+
+    private fun gauge(registry: MeterRegistry, name: String, value: () -> Number) {
+        Gauge.builder(name, value).register(registry)
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -0,0 +1,194 @@
+package org.poplarshift.serving.submission
+
+import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.delay
+import org.poplarshift.core.ingress.IngressOrganisation
+import org.poplarshift.core.ingress.IngressRoute
+import org.poplarshift.core.submission.ItemResult
+import org.poplarshift.core.submission.LedgerEffect
+import org.poplarshift.core.submission.ProposedItem
+import org.poplarshift.core.submission.SubmissionRecord
+import org.poplarshift.core.submission.SubmissionState
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.ingress.CallHandlers
+import org.poplarshift.serving.ingress.CallerCall
+import org.poplarshift.serving.ingress.CallerProtocol
+import org.poplarshift.serving.ingress.HttpCallerSink
+import org.poplarshift.serving.ingress.IncomingCall
+import org.poplarshift.serving.ingress.Refusal
+import org.poplarshift.serving.ingress.SubmittedItem
+import org.poplarshift.serving.observe.CallRecord
+
+/** Serves the calls of callers with batch submissions. Each returns the refusal to send, or null. */
+class SubmissionService(
+    private val store: SubmissionStore,
+    private val protocol: CallerProtocol,
+    private val clock: MonotonicClock,
+    private val wallClockMillis: () -> Long = System::currentTimeMillis,
+) {
+    /** Accepts a submission once it is in the log. */
+    suspend fun submit(
+        id: String,
+        route: IngressRoute,
+        organisation: IngressOrganisation?,
+        incoming: IncomingCall,
+        sink: HttpCallerSink,
+        record: CallRecord,
+    ): Refusal? {
+        val owner = organisation?.name.orEmpty()
+        val partition = store.partitionOf(owner)
+        if (!partition.follower.isStarted) return Refusal.NOT_CAUGHT_UP
+        val known = partition.ledger.find(id)
+        if (known != null) return repeated(known, owner, sink, record)
+        val items = protocol.decodeSubmission(incoming.body) ?: return Refusal.BAD_REQUEST
+        val terms = route.batch ?: return Refusal.BAD_REQUEST
+        val tokens = items.sumOf { it.tokens }
+        if (!partition.ledger.fits(owner, route.name, tokens, terms.waitingTokensLimit)) return Refusal.WAITING_TOKENS
+        val proposal = propose(id, route, owner, items)
+        val content = items.fold(ByteArray(0)) { joined, item -> joined + item.body }
+        return when (val result = write(partition, proposal, content, record)) {
+            is WriteResult.Refused -> Refusal.LOG_UNAVAILABLE
+            is WriteResult.Unknown -> Refusal.OUTCOME_UNKNOWN
+            is WriteResult.Applied -> conclude(result.effect, sink, record)
+        }
+    }
+
+    /** Reads results, waiting for the first when the caller wants that. */
+    suspend fun read(call: CallerCall.ReadResults, organisation: IngressOrganisation?, sink: HttpCallerSink): Refusal? {
+        val owner = organisation?.name.orEmpty()
+        val partition = store.partitionOf(owner)
+        find(call.submission, owner) ?: return missing(partition, call.submission, owner)
+        val endMillis = clock.millis() + minOf(call.waitMillis, LONGEST_WAIT_MILLIS)
+        while (true) {
+            val state = find(call.submission, owner) ?: return missing(partition, call.submission, owner)
+            val left = endMillis - clock.millis()
+            if (call.after < state.results.size || left <= 0 || state.isComplete) break
+            partition.awaitChange(left)
+        }
+        val state = find(call.submission, owner) ?: return Refusal.NOT_CAUGHT_UP
+        val isEmpty = call.after >= state.results.size
+        if (isEmpty && !state.isComplete && !partition.isCurrent(READ_AGE_MILLIS) && !partition.confirm()) {
+            return Refusal.NOT_CAUGHT_UP
+        }
+        answer(state, call.after, sink)
+        return null
+    }
+
+    /** Returns the body of an item that is not listed. */
+    suspend fun readItem(call: CallerCall.ReadItem, organisation: IngressOrganisation?, sink: HttpCallerSink): Refusal? {
+        val owner = organisation?.name.orEmpty()
+        val state = find(call.submission, owner)
+            ?: return missing(store.partitionOf(owner), call.submission, owner)
+        val item = state.item(call.item) ?: return Refusal.UNKNOWN_ITEM
+        CallHandlers.answer(sink, OK, Buffer.buffer(item.body), "application/octet-stream")
+        return null
+    }
+
+    /** Ends a submission once the end is in the log. */
+    suspend fun end(call: CallerCall.EndSubmission, organisation: IngressOrganisation?, sink: HttpCallerSink): Refusal? {
+        val owner = organisation?.name.orEmpty()
+        val partition = store.partitionOf(owner)
+        val state = find(call.submission, owner) ?: return missing(partition, call.submission, owner)
+        if (!state.isEnded) {
+            when (partition.write(SubmissionRecord.Ended(call.submission), ByteArray(0))) {
+                is WriteResult.Applied -> Unit
+                is WriteResult.Refused -> return Refusal.LOG_UNAVAILABLE
+                is WriteResult.Unknown -> return Refusal.OUTCOME_UNKNOWN
+            }
+        }
+        CallHandlers.answer(sink, OK, Buffer.buffer(), contentType = null)
+        return null
+    }
+
+    private fun find(id: String, owner: String): SubmissionState? = store.find(id, owner)
+
+    // Only a node that has read everything may say that a submission does not exist.
+    private suspend fun missing(partition: SubmissionPartition, id: String, owner: String): Refusal {
+        if (!partition.confirm()) return Refusal.NOT_CAUGHT_UP
+        return if (find(id, owner) == null) Refusal.UNKNOWN_SUBMISSION else Refusal.NOT_CAUGHT_UP
+    }
+
+    // The log refuses appends while too many wait; another try soon after is cheaper than another call of the caller.
+    private suspend fun write(
+        partition: SubmissionPartition,
+        proposal: SubmissionRecord.Proposed,
+        content: ByteArray,
+        record: CallRecord,
+    ): WriteResult {
+        repeat(APPEND_RETRIES) {
+            val result = partition.write(proposal, content)
+            if (result !is WriteResult.Refused) return result
+            record.attempts = record.attempts + "log:${result.reason}"
+            delay(APPEND_RETRY_MILLIS)
+        }
+        return partition.write(proposal, content)
+    }
+
+    private fun propose(
+        id: String,
+        route: IngressRoute,
+        owner: String,
+        items: List<SubmittedItem>,
+    ): SubmissionRecord.Proposed {
+        val terms = checkNotNull(route.batch)
+        return SubmissionRecord.Proposed(
+            submission = id,
+            organisation = owner,
+            route = route.name,
+            host = route.host,
+            service = route.chooseService(Math.random()).orEmpty(),
+            waitingTokensLimit = terms.waitingTokensLimit,
+            firstSentMillis = wallClockMillis(),
+            dueMillis = terms.dueMillis,
+            abandonMillis = terms.abandonMillis,
+            maximumAttempts = route.maximumAttempts,
+            items = items.map { ProposedItem(it.id, it.path, it.headers, it.tokens, it.body.size) },
+        )
+    }
+
+    private fun repeated(known: SubmissionState, owner: String, sink: HttpCallerSink, record: CallRecord): Refusal? {
+        if (known.proposal.organisation != owner) return Refusal.BAD_REQUEST
+        return accept(sink, record)
+    }
+
+    private fun conclude(effect: LedgerEffect, sink: HttpCallerSink, record: CallRecord): Refusal? = when (effect) {
+        is LedgerEffect.Accepted, LedgerEffect.Repeated -> accept(sink, record)
+        LedgerEffect.Rejected -> Refusal.WAITING_TOKENS
+        else -> Refusal.BAD_REQUEST
+    }
+
+    private fun accept(sink: HttpCallerSink, record: CallRecord): Refusal? {
+        record.end("accepted")
+        CallHandlers.answer(sink, ACCEPTED, Buffer.buffer(), contentType = null)
+        return null
+    }
+
+    private fun answer(state: SubmissionState, after: Int, sink: HttpCallerSink) {
+        val from = after.coerceIn(0, state.results.size)
+        val page = ArrayList<ItemResult>()
+        var bytes = 0
+        for (result in state.results.subList(from, state.results.size)) {
+            if (page.isNotEmpty() && bytes + result.output.size > PAGE_BYTES) break
+            page += result
+            bytes += result.output.size
+        }
+        val body = protocol.encodeResults(state.items.size, from + page.size, page)
+        CallHandlers.answer(sink, OK, body, "application/json")
+    }
+
+    private companion object {
+        const val OK = 200
+        const val ACCEPTED = 202
+
+        // Callers stop waiting 1.5 s after the time that they ask to be kept waiting.
+        const val LONGEST_WAIT_MILLIS = 1_000L
+
+        // Reads of the log return at the latest after this time, unless their connection has gone silent.
+        const val READ_AGE_MILLIS = 3_500L
+
+        // Leaves room for escaping below the limit of 1 MB for a page.
+        const val PAGE_BYTES = 800_000
+        const val APPEND_RETRIES = 1
+        const val APPEND_RETRY_MILLIS = 80L
+    }
+}
--- a/node/src/test/kotlin/org/poplarshift/node/caller/HopByHopHeadersTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/http/HopByHopHeadersTest.kt
@@ -1,4 +1,4 @@
-package org.poplarshift.node.caller
+package org.poplarshift.serving.http
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
--- a/verification/src/main/kotlin/org/poplarshift/verification/batch/BatchCostMeasurement.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/batch/BatchCostMeasurement.kt
@@ -21,10 +21,10 @@
 import org.poplarshift.node.PlatformPorts
 import org.poplarshift.node.settings.NodeSettings
 import org.poplarshift.node.settings.PlatformSettings
-import org.poplarshift.platform.VmList
-import org.poplarshift.platform.VmListResult
-import org.poplarshift.platform.WeightStore
-import org.poplarshift.platform.WeightStoreResult
+import org.poplarshift.ports.VmList
+import org.poplarshift.ports.VmListResult
+import org.poplarshift.ports.WeightStore
+import org.poplarshift.ports.WeightStoreResult
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.LogStream
 import org.poplarshift.wire.WireJson
--- a/verification/src/main/kotlin/org/poplarshift/verification/batch/CountingLog.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/batch/CountingLog.kt
@@ -1,10 +1,10 @@
 package org.poplarshift.verification.batch
 
 import kotlinx.coroutines.delay
-import org.poplarshift.platform.AppendResult
-import org.poplarshift.platform.LogRecord
-import org.poplarshift.platform.LogService
-import org.poplarshift.platform.ReadResult
+import org.poplarshift.ports.AppendResult
+import org.poplarshift.ports.LogRecord
+import org.poplarshift.ports.LogService
+import org.poplarshift.ports.ReadResult
 
 /** A log in memory that counts appends and bytes. */
 class CountingLog : LogService {
--- a/verification/src/main/kotlin/org/poplarshift/verification/routing/DispatchCost.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/routing/DispatchCost.kt
@@ -5,7 +5,7 @@
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.routing.RoutingPolicyChoice
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.dispatch.DispatchSettings
 import org.poplarshift.node.dispatch.DispatchTicket
 import org.poplarshift.node.dispatch.TrackedWorker
--- a/verification/src/main/kotlin/org/poplarshift/verification/routing/VirtualNode.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/routing/VirtualNode.kt
@@ -4,7 +4,7 @@
 import org.poplarshift.core.catalogue.Upstream
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.node.MonotonicClock
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.dispatch.DispatchDecision
 import org.poplarshift.node.dispatch.DispatchSettings
 import org.poplarshift.node.dispatch.DispatchTicket
--- a/verification/src/test/kotlin/org/poplarshift/verification/routing/CrashingRequestTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/routing/CrashingRequestTest.kt
@@ -27,7 +27,7 @@
 import org.poplarshift.node.settings.NodeSettings
 import org.poplarshift.node.settings.PlatformSettings
 import org.poplarshift.node.settings.QuotaMode
-import org.poplarshift.platform.HttpLogService
+import org.poplarshift.ports.HttpLogService
 import org.poplarshift.standins.engine.EngineSettings
 import org.poplarshift.standins.engine.EngineStandIn
 import org.poplarshift.standins.platform.PlatformStandIn
