Exchange loads between nodes and let batch yield to online requests

Cause: nodes knew other nodes' requests only from the workers' answers, so that they sent to full workers, and batch kept half of the slots at online peaks.

--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/PeerLoads.kt
@@ -0,0 +1,48 @@
+package org.poplarshift.core.dispatch
+
+/**
+ * What one node tells the others of its requests.
+ *
+ * @property online requests at each worker, by its id
+ * @property batch batch requests at each worker, by its id
+ * @property waiting online requests that wait for a worker, by service
+ */
+data class NodeLoad(
+    val node: String,
+    val zone: String,
+    val online: Map<String, Int>,
+    val batch: Map<String, Int>,
+    val waiting: Map<String, Int>,
+)
+
+/** The newest loads that other nodes have told, as long as they are fresh. */
+class PeerLoads {
+    private class Told(val load: NodeLoad, val millis: Long)
+
+    private val byNode = HashMap<String, Told>()
+
+    /** Takes [load], received at [nowMillis]. */
+    fun onLoad(load: NodeLoad, nowMillis: Long) {
+        byNode[load.node] = Told(load, nowMillis)
+    }
+
+    /** Forgets what is too old, and passes sums on to the workers of [board]. */
+    fun apply(board: WorkerBoard, nowMillis: Long) {
+        byNode.values.removeIf { nowMillis - it.millis > FRESH_MILLIS }
+        board.updatePeers(sums { it.online }, sums { it.batch })
+    }
+
+    /** Online requests of other nodes that wait for a worker of [service]. */
+    fun waiting(service: String): Int = byNode.values.sumOf { it.load.waiting[service] ?: 0 }
+
+    private fun sums(part: (NodeLoad) -> Map<String, Int>): Map<String, Int> {
+        val sums = HashMap<String, Int>()
+        for (told in byNode.values) part(told.load).forEach { (worker, count) -> sums.merge(worker, count, Int::plus) }
+        return sums
+    }
+
+    private companion object {
+        // Several rounds of messages; a node that is silent for longer has probably ended or is cut off.
+        const val FRESH_MILLIS = 600L
+    }
+}
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerBoard.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerBoard.kt
@@ -31,12 +31,21 @@
         workersByService = seats.values.groupBy { it.worker.service }
     }
 
-    /** The record of worker [id], or null when it is gone. */
-    fun seat(id: String): WorkerSeat? = seats[id]
+    /** Takes the numbers of requests of other nodes at each worker. */
+    fun updatePeers(online: Map<String, Int>, batch: Map<String, Int>) {
+        for ((id, seat) in seats) {
+            seat.peersOnline = online[id] ?: 0
+            seat.peersBatch = batch[id] ?: 0
+        }
+    }
+
+    /** What is known of each worker. */
+    val all: Collection<WorkerSeat>
+        get() = seats.values
 
     /** Workers of [service] that take new requests. */
-    fun available(service: String, nowMillis: Long): List<WorkerSeat> =
-        workersByService[service].orEmpty().filter { !it.worker.isDraining && !it.isSuspect(nowMillis) }
+    fun available(service: String): List<WorkerSeat> =
+        workersByService[service].orEmpty().filter { !it.worker.isDraining && !it.isSuspect }
 
     /**
      * The least loaded worker of [service] that has room, or null.
@@ -45,13 +54,12 @@
      * @param excluded workers that the request has reached already
      */
     fun choose(service: String, headroom: Int, excluded: Set<String>, nowMillis: Long): WorkerSeat? =
-        available(service, nowMillis)
+        available(service)
             .filter { it.worker.id !in excluded && it.room(nowMillis) > headroom }
             .minByOrNull { rank(it, nowMillis) }
 
     /** Whether [service] has any worker that a request that has reached [excluded] could use once it has room. */
-    fun hasWorker(service: String, excluded: Set<String>, nowMillis: Long): Boolean =
-        available(service, nowMillis).any { it.worker.id !in excluded }
+    fun hasWorker(service: String, excluded: Set<String>): Boolean = available(service).any { it.worker.id !in excluded }
 
     private fun rank(seat: WorkerSeat, nowMillis: Long): Double {
         val distance = if (seat.worker.zone == ownZone) 0.0 else OTHER_ZONE_REQUESTS
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerSeat.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerSeat.kt
@@ -4,7 +4,6 @@
 class WorkerSeat(var worker: FleetWorker) {
     private var othersReported = 0.0
     private var reportedMillis = Long.MIN_VALUE
-    private var suspectUntilMillis = Long.MIN_VALUE
     private var consecutiveFailures = 0
     private var peakOwnSinceReport = 0
 
@@ -16,6 +15,18 @@
     var batch = 0
         private set
 
+    /** Online requests of other nodes, as these have told. */
+    var peersOnline = 0
+        internal set
+
+    /** Batch requests of other nodes, as these have told. */
+    var peersBatch = 0
+        internal set
+
+    /** Whether the worker gets no new requests until a connection to it succeeds. */
+    var isSuspect = false
+        private set
+
     /** Counts a request that is sent. */
     fun onSent(isBatch: Boolean) {
         if (isBatch) batch++ else online++
@@ -36,27 +47,25 @@
         peakOwnSinceReport = online + batch
     }
 
-    /** Takes an answer that shows the worker alive. */
+    /** Takes a sign that the worker is alive and can be reached. */
     fun onAlive() {
         consecutiveFailures = 0
-        suspectUntilMillis = Long.MIN_VALUE
+        isSuspect = false
     }
 
     /** Takes a connection that could not be made, or the answer that another worker has the address. */
-    fun onUnreachable(nowMillis: Long) = suspect(nowMillis)
+    fun onUnreachable() {
+        isSuspect = true
+    }
 
     /** Takes a request that got no answer in time. */
-    fun onSilent(nowMillis: Long) = suspect(nowMillis)
-
-    /** Takes a request whose connection was lost. Only several in a row make the worker suspect. */
-    fun onLost(nowMillis: Long) {
-        if (consecutiveFailures + 1 >= LOST_LIMIT) suspect(nowMillis) else consecutiveFailures++
+    fun onSilent() {
+        isSuspect = true
     }
 
-    private fun suspect(nowMillis: Long) {
-        consecutiveFailures++
-        val doublings = minOf(consecutiveFailures - 1, MAXIMUM_DOUBLINGS)
-        suspectUntilMillis = nowMillis + (FIRST_SUSPICION_MILLIS shl doublings)
+    /** Takes a request whose connection was lost. Only several in a row make the worker suspect. */
+    fun onLost() {
+        if (++consecutiveFailures >= LOST_LIMIT) isSuspect = true
     }
 
     /** Takes the worker's answer that it is full. */
@@ -65,9 +74,6 @@
         reportedMillis = nowMillis
     }
 
-    /** Whether the worker gets no new requests for now. */
-    fun isSuspect(nowMillis: Long): Boolean = nowMillis < suspectUntilMillis
-
     /** Requests at the worker, of all nodes, as far as known. */
     fun load(nowMillis: Long): Double = online + batch + others(nowMillis)
 
@@ -75,18 +81,16 @@
     fun room(nowMillis: Long): Double = worker.slots - load(nowMillis)
 
     private fun others(nowMillis: Long): Double {
-        if (reportedMillis == Long.MIN_VALUE) return 0.0
+        val told = (peersOnline + peersBatch).toDouble()
+        if (reportedMillis == Long.MIN_VALUE) return told
         val age = (nowMillis - reportedMillis).coerceAtLeast(0)
-        return othersReported * (1.0 - age.toDouble() / REPORT_LIFE_MILLIS).coerceAtLeast(0.0)
+        val reported = othersReported * (1.0 - age.toDouble() / REPORT_LIFE_MILLIS).coerceAtLeast(0.0)
+        return maxOf(told, reported)
     }
 
     private companion object {
-        // A few times the usual duration of a request, after which a report says nothing of the present load.
-        const val REPORT_LIFE_MILLIS = 3_000L
-
-        // Long enough that a dark worker is tried rarely, short enough that a reset costs little.
-        const val FIRST_SUSPICION_MILLIS = 500L
-        const val MAXIMUM_DOUBLINGS = 2
+        // About the duration of a request, after which a report says nothing of the present load.
+        const val REPORT_LIFE_MILLIS = 700L
 
         // Single answers get lost at sound workers too.
         const val LOST_LIMIT = 3
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -25,6 +25,11 @@
 import org.poplarshift.serving.observe.CallRecorder
 import org.poplarshift.serving.observe.NodeGauges
 import org.poplarshift.serving.submission.BatchRunner
+import org.poplarshift.serving.fleet.LoadExchange
+import org.poplarshift.serving.forward.WorkerWatch
+import org.poplarshift.serving.peer.PeerClient
+import org.poplarshift.serving.peer.PeerServer
+import org.poplarshift.serving.submission.FleetLoad
 import org.poplarshift.serving.submission.SubmissionService
 import org.poplarshift.serving.submission.SubmissionStore
 
@@ -38,22 +43,28 @@
 ) {
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val board = WorkerBoard(settings.zone)
+    private val self = FleetMember(settings.name, settings.zone, settings.peerAddress)
     private val members: FleetMembers = FleetMembers(
         ports.log,
         clock,
         settings.memberTopic,
-        FleetMember(settings.name, settings.zone, settings.peerAddress),
+        self,
         onChange = { updateAllowances() },
     )
-    private val tokens = PeerTokens(vertx, settings.localHost, members)
+    private val peerClient = PeerClient(vertx, settings.localHost)
+    private val peerServer = PeerServer(vertx)
+    private val tokens = PeerTokens(peerClient, members)
     private val allowances: AllowanceGate = AllowanceGate(scope, clock, tokens) { members.size }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { allowances.update(it) }
     private val dispatcher = WorkerDispatcher(scope, board, clock)
     private val connections = WorkerConnections(vertx, settings.localHost, clock)
-    private val forwarding = Forwarding(dispatcher, connections, ports.workerProtocol, clock)
+    private val watch = WorkerWatch(scope, board, connections)
+    private val forwarding = Forwarding(dispatcher, connections, watch, ports.workerProtocol, clock)
+    private val exchange = LoadExchange(scope, clock, self, members, peerClient, board, dispatcher)
     private val registry = WorkerRegistry(board, clock, ports::decodeWorker) { sweepConnections() }
     private val store = SubmissionStore(ports.log, clock, settings.submissionTopic, settings.submissionPartitions)
-    private val batch = BatchRunner(scope, store, ports.group, forwarding, clock, settings.retentionMillis)
+    private val fleetLoad = FleetLoad(board, exchange.loads) { service -> dispatcher.waitingOnline[service] ?: 0 }
+    private val batch = BatchRunner(scope, store, ports.group, forwarding, fleetLoad, settings.retentionMillis)
     private val submissions = SubmissionService(store, ports.callerProtocol, clock)
     private val handlers = CallHandlers(clock, configuration, allowances, forwarding, submissions)
     private val callers =
@@ -74,7 +85,10 @@
         scope.launch { members.run() }
         scope.launch { registry.run() }
         scope.launch { keepTidy() }
-        tokens.listen(settings.peerAddress) { organisation, wanted -> allowances.give(organisation, wanted) }
+        tokens.serve(peerServer) { organisation, wanted -> allowances.give(organisation, wanted) }
+        exchange.serve(peerServer)
+        peerServer.listen(settings.peerAddress)
+        scope.launch { exchange.run() }
         readiness.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batch, connections, dispatcher)
@@ -91,7 +105,7 @@
         logger.info { "node: leaving, ${callers.active} requests are active" }
         callers.isLeaving = true
         val handover = scope.launch { batch.leave() }
-        callers.drain(QUIET_MILLIS, settings.drainMillis)
+        callers.drain(NOTICE_MILLIS, settings.drainMillis)
         joinAll(handover)
         logger.info { "node: stopped, ${callers.active} requests are active" }
     }
@@ -115,6 +129,7 @@
         while (true) {
             delay(TIDY_MILLIS)
             sweepConnections()
+            watch.check()
             if (++round % CLEAN_ROUNDS == 0) batch.clean()
         }
     }
@@ -137,7 +152,7 @@
         const val TIDY_MILLIS = 500L
         const val CLEAN_ROUNDS = 20
 
-        // The balancer notices after two questions a second apart, and open connections may bring requests until then.
-        const val QUIET_MILLIS = 3_000L
+        // The balancer notices after two questions a second apart.
+        const val NOTICE_MILLIS = 3_000L
     }
 }
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
@@ -0,0 +1,121 @@
+package org.poplarshift.serving.fleet
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.poplarshift.core.dispatch.NodeLoad
+import org.poplarshift.core.dispatch.PeerLoads
+import org.poplarshift.core.dispatch.WorkerBoard
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.forward.WorkerDispatcher
+import org.poplarshift.serving.peer.PeerClient
+import org.poplarshift.serving.peer.PeerServer
+
+/**
+ * Tells the other nodes which requests this node has at the workers, and takes what they tell.
+ *
+ * Workers report their load only with their answers, so that nodes without this exchange would send to the same worker
+ * or wait while another has room.
+ */
+class LoadExchange(
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val own: FleetMember,
+    private val members: FleetMembers,
+    private val client: PeerClient,
+    private val board: WorkerBoard,
+    private val dispatcher: WorkerDispatcher,
+) {
+    @Serializable
+    private data class LoadMessage(
+        val node: String,
+        val zone: String,
+        val online: Map<String, Int>,
+        val batch: Map<String, Int>,
+        val waiting: Map<String, Int>,
+    )
+
+    private val sending = HashSet<String>()
+    private var lastBody = ""
+    private var quietRounds = 0
+    private var firstPeer = 0
+
+    /** What the others have told. */
+    val loads = PeerLoads()
+
+    /** Takes messages of other nodes. */
+    fun serve(server: PeerServer) {
+        server.on(PATH) { body -> if (receive(body)) "" else null }
+    }
+
+    /** Tells the others until it is cancelled. */
+    suspend fun run() {
+        while (true) {
+            delay(ROUND_MILLIS)
+            loads.apply(board, clock.millis())
+            val body = Json.encodeToString(LoadMessage.serializer(), message())
+            // What has not changed is repeated before the others forget it.
+            if (body == lastBody && ++quietRounds < REPEAT_ROUNDS) continue
+            quietRounds = 0
+            lastBody = body
+            receivers().forEach { send(it, body) }
+        }
+    }
+
+    private fun receivers(): List<FleetMember> {
+        val peers = members.peers.sortedBy { it.name }
+        if (peers.size <= RECEIVERS) return peers
+        firstPeer = (firstPeer + RECEIVERS) % peers.size
+        return List(RECEIVERS) { peers[(firstPeer + it) % peers.size] }
+    }
+
+    private fun send(peer: FleetMember, body: String) {
+        // A peer that does not answer gets no second message meanwhile.
+        if (!sending.add(peer.name)) return
+        scope.launch {
+            try {
+                client.post(peer, PATH, body, SEND_MILLIS)
+            } finally {
+                sending.remove(peer.name)
+            }
+        }
+    }
+
+    private fun message(): LoadMessage {
+        val seats = board.all.filter { it.online + it.batch > 0 }
+        return LoadMessage(
+            node = own.name,
+            zone = own.zone,
+            online = seats.filter { it.online > 0 }.associate { it.worker.id to it.online },
+            batch = seats.filter { it.batch > 0 }.associate { it.worker.id to it.batch },
+            waiting = dispatcher.waitingOnline,
+        )
+    }
+
+    private fun receive(body: String): Boolean = try {
+        val message = Json.decodeFromString(LoadMessage.serializer(), body)
+        val load = NodeLoad(message.node, message.zone, message.online, message.batch, message.waiting)
+        loads.onLoad(load, clock.millis())
+        true
+    } catch (exception: SerializationException) {
+        logger.warn { "fleet: a load message can't be read: ${exception.message}" }
+        false
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val PATH = "/load"
+
+        // A small part of the time in which a first event is on time, and of the duration of a request.
+        const val ROUND_MILLIS = 100L
+        const val REPEAT_ROUNDS = 3
+
+        // In larger fleets the others are told in turn, which bounds the messages of a node.
+        const val RECEIVERS = 16
+        const val SEND_MILLIS = 400L
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -113,7 +113,7 @@
         try {
             connection = forwarding.connections.open(seat.worker)
             if (connection == null) {
-                seat.onUnreachable(clock.millis())
+                forwarding.watch.suspect(seat)
                 return refused(seat, "connect_failed")
             }
             val exchange = WorkerExchange(connection, forwarding.protocol)
@@ -141,13 +141,12 @@
         val now = clock.millis()
         return when (result) {
             is ExchangeHead.Lost -> {
-                seat.onLost(now)
+                seat.onLost()
                 ran(seat, result.reason, isSilence = false)
             }
 
             ExchangeHead.Silence -> {
-                seat.onSilent(now)
-                forwarding.connections.discard(seat.worker.id)
+                forwarding.watch.suspect(seat)
                 ran(seat, "silent", isSilence = true)
             }
 
@@ -178,7 +177,7 @@
         connection: WorkerConnection,
         head: AnswerHead,
     ): AttemptResult {
-        if (head.status == HTTP_UNAVAILABLE) seat.onFull(clock.millis()) else seat.onUnreachable(clock.millis())
+        if (head.status == HTTP_UNAVAILABLE) seat.onFull(clock.millis()) else forwarding.watch.suspect(seat)
         exchange.readAll(REFUSAL_BODY_MILLIS, REFUSAL_BODY_BYTES)
         if (exchange.isReusable) forwarding.connections.keep(connection, exchange.idleMillis)
         return refused(seat, "worker_${head.status}")
@@ -216,6 +215,7 @@
 class Forwarding(
     val dispatcher: WorkerDispatcher,
     val connections: WorkerConnections,
+    val watch: WorkerWatch,
     val protocol: WorkerProtocol,
     val clock: MonotonicClock,
 )
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
@@ -57,13 +57,13 @@
     val waiting: Int
         get() = waiters.size
 
-    /** Online requests that wait for room. */
-    val waitingOnline: Int
-        get() = waiters.count { !it.demand.isBatch }
+    /** Online requests that wait for room, by service. */
+    val waitingOnline: Map<String, Int>
+        get() = waiters.filter { !it.demand.isBatch }.groupingBy { it.demand.service }.eachCount()
 
     /** Takes a seat, waiting when none has room. */
     suspend fun acquire(demand: SeatDemand): SeatResult {
-        if (!board.hasWorker(demand.service, demand.excluded, clock.millis())) return SeatResult.NoWorker
+        if (!board.hasWorker(demand.service, demand.excluded)) return SeatResult.NoWorker
         if (waiters.none { it.isBefore(demand) }) take(demand)?.let { return SeatResult.Taken(it) }
         if (demand.waitMillis <= 0) return SeatResult.NoRoom
         return await(Waiter(demand, sequence++))
@@ -99,11 +99,10 @@
         board.choose(demand.service, demand.headroom, demand.excluded, clock.millis())?.also { it.onSent(demand.isBatch) }
 
     private fun serveWaiters() {
-        val now = clock.millis()
         for (waiter in waiters.toList()) {
             val demand = waiter.demand
             val result = when {
-                !board.hasWorker(demand.service, demand.excluded, now) -> SeatResult.NoWorker
+                !board.hasWorker(demand.service, demand.excluded) -> SeatResult.NoWorker
                 else -> take(demand)?.let { SeatResult.Taken(it) }
             } ?: continue
             waiters.remove(waiter)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -18,6 +18,7 @@
 import org.poplarshift.serving.http.SocketAddresses
 import org.poplarshift.serving.observe.CallRecord
 import org.poplarshift.serving.observe.CallRecorder
+import java.util.concurrent.TimeUnit
 
 /** The listener for callers. */
 class CallerServer(
@@ -35,10 +36,6 @@
     var active = 0
         private set
 
-    /** Monotonic milliseconds at which the last request came. */
-    var lastRequestMillis = Long.MIN_VALUE
-        private set
-
     /** Whether the node is about to end. */
     var isLeaving = false
 
@@ -64,18 +61,21 @@
             .coAwait()
     }
 
-    /** Waits until no request is active and none has come for [quietMillis], but no longer than [limitMillis]. */
-    suspend fun drain(quietMillis: Long, limitMillis: Long) {
+    /**
+     * Serves on for [noticeMillis], in which the balancer notices, then closes idle connections and takes no new ones, and
+     * waits until no request is active, but no longer than [limitMillis] in all.
+     */
+    suspend fun drain(noticeMillis: Long, limitMillis: Long) {
         val endMillis = clock.millis() + limitMillis
-        while (clock.millis() < endMillis) {
-            if (active == 0 && clock.millis() - lastRequestMillis >= quietMillis) return
-            delay(DRAIN_POLL_MILLIS)
-        }
+        delay(minOf(noticeMillis, limitMillis))
+        server?.shutdown(limitMillis, TimeUnit.MILLISECONDS)
+        while (active > 0 && clock.millis() < endMillis) delay(DRAIN_POLL_MILLIS)
+        // The last bytes of an answer may still be in the connection's buffer.
+        delay(FLUSH_MILLIS)
     }
 
     private fun handle(request: HttpServerRequest) {
         val receivedMillis = clock.millis()
-        lastRequestMillis = receivedMillis
         val limit = configuration.current?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
         val body = RequestBody(request, limit)
         val sink = HttpCallerSink(request) { isLeaving }
@@ -143,5 +143,6 @@
         // A dropped opening packet is sent again only after a second.
         const val ACCEPT_BACKLOG = 1_024
         const val DRAIN_POLL_MILLIS = 20L
+        const val FLUSH_MILLIS = 150L
     }
 }
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
@@ -0,0 +1,57 @@
+package org.poplarshift.serving.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.serving.fleet.FleetMember
+import org.poplarshift.serving.http.SocketAddresses
+
+/** Sends messages to other nodes. */
+class PeerClient(vertx: Vertx, localHost: String) {
+    private val client = vertx.createHttpClient(
+        HttpClientOptions().setLocalAddress(localHost).setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(IDLE_SECONDS),
+        PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(CONNECTIONS_PER_PEER),
+    )
+
+    /** The answer of [peer] to [body], or null when there is none within [timeoutMillis]. */
+    suspend fun post(peer: FleetMember, path: String, body: String, timeoutMillis: Long): String? {
+        val socket = SocketAddresses.parse(peer.peerAddress)
+        val options = RequestOptions().setMethod(HttpMethod.POST).setHost(socket.host()).setPort(socket.port()).setURI(path)
+        var request: HttpClientRequest? = null
+        var isComplete = false
+        try {
+            val answer = withTimeoutOrNull(timeoutMillis) {
+                val connected = client.request(options).coAwait()
+                request = connected
+                connected.send(Buffer.buffer(body)).compose { it.body() }.coAwait().toString()
+            }
+            isComplete = answer != null
+            return answer
+        } catch (exception: CancellationException) {
+            throw exception
+        } catch (exception: Exception) {
+            logger.debug { "peer: ${peer.name} does not answer $path: ${exception.message}" }
+            return null
+        } finally {
+            // A connection without an answer may be dead; the next message uses a new one.
+            if (!isComplete) request?.reset()
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        // A hundred times the delay between zones.
+        const val CONNECT_MILLIS = 300
+        const val CONNECTIONS_PER_PEER = 4
+        const val IDLE_SECONDS = 30
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -7,13 +7,18 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
-import org.poplarshift.core.submission.ItemState
+import org.poplarshift.core.dispatch.BatchShare
+import org.poplarshift.core.dispatch.PeerLoads
+import org.poplarshift.core.dispatch.WorkerBoard
 import org.poplarshift.core.submission.SubmissionState
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.forward.Forwarding
 import org.poplarshift.serving.log.JoinResult
 import org.poplarshift.serving.log.WorkGroup
 
+/** What the batch runner knows of the load of the fleet. */
+class FleetLoad(val board: WorkerBoard, val peers: PeerLoads, val ownWaiting: (String) -> Int)
+
 /**
  * Runs the items of the partitions that belong to this node.
  *
@@ -25,13 +30,15 @@
     private val store: SubmissionStore,
     private val group: WorkGroup,
     private val forwarding: Forwarding,
-    private val clock: MonotonicClock,
+    private val load: FleetLoad,
     private val retentionMillis: Long,
     private val wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
     private class Running(val run: ItemRun, val partition: Int, val job: Job)
 
+    private val clock: MonotonicClock = forwarding.clock
     private val running = HashMap<String, Running>()
+    private val paused = HashMap<String, Pair<ItemRun, Int>>()
     private val startsAtMillis = HashMap<Int, Long>()
     private var generation = 0L
     private var joinedMillis = Long.MIN_VALUE
@@ -61,6 +68,22 @@
         group.leave()
     }
 
+    /** Removes submissions that need not be kept any longer. */
+    suspend fun clean() {
+        val now = wallClockMillis()
+        for (number in startsAtMillis.keys.toSet()) {
+            val partition = store.partitions[number]
+            val old = partition.ledger.all
+                .filter { it.isEnded || it.isComplete }
+                .filter { now - it.proposal.firstSentMillis > maxOf(retentionMillis, it.proposal.abandonMillis) + MARGIN_MILLIS }
+                .map { it.proposal.submission }
+            if (old.isNotEmpty()) {
+                val result = partition.remove(old)
+                logger.info { "batch: removed ${old.size} old submissions of partition $number: $result" }
+            }
+        }
+    }
+
     private suspend fun keepMembership() {
         while (!isLeaving) {
             when (val result = group.join(generation)) {
@@ -97,74 +120,77 @@
         startsAtMillis.keys.removeAll(partitions)
         val ending = running.values.filter { it.partition in partitions }
         ending.forEach { it.job.cancelAndJoin() }
-        ending.map { scope.launch { it.run.keep() } }.joinAll()
+        val stopped = ending.map { it.run } + paused.values.filter { it.second in partitions }.map { it.first }
+        paused.values.removeIf { it.second in partitions }
+        stopped.map { scope.launch { it.keep() } }.joinAll()
     }
 
     private fun schedule() {
         val now = clock.millis()
         stopEnded()
+        paused.values.removeIf { it.first.isOver }
         if (now - joinedMillis > MEMBERSHIP_MILLIS) return
-        val open = startsAtMillis.filterValues { it <= now }.keys
-            .map { store.partitions[it] }
-            .flatMap { partition -> openItems(partition) }
-            .sortedBy { it.state.proposal.firstSentMillis + it.state.proposal.dueMillis }
-        for (item in open) {
-            if (running.size >= MAXIMUM_RUNNING) return
-            start(item)
+        val waiting = startsAtMillis.filterValues { it <= now }.keys
+            .flatMap { openRuns(store.partitions[it]) }
+            .groupBy { it.first.service }
+        for (service in waiting.keys + running.values.map { it.run.service }) {
+            balance(service, waiting[service].orEmpty().sortedBy { it.first.untilDueMillis })
         }
     }
 
-    private class OpenItem(
-        val partition: SubmissionPartition,
-        val state: SubmissionState,
-        val item: ItemState,
-    )
+    /** Starts or stops runs of [service] so that online requests of all nodes have the slots that they need. */
+    private fun balance(service: String, waiting: List<Pair<ItemRun, Int>>) {
+        val seats = load.board.available(service)
+        val ownRuns = running.values.filter { it.run.service == service }
+        val yielding = ownRuns.filter { !it.run.isUrgent }
+        val change = BatchShare.change(
+            slots = seats.sumOf { it.worker.slots },
+            online = seats.sumOf { it.online + it.peersOnline } + load.ownWaiting(service) + load.peers.waiting(service),
+            batch = ownRuns.size + seats.sumOf { it.peersBatch },
+            ownBatch = yielding.size,
+            reserve = seats.size * RESERVED_SLOTS,
+        )
+        if (change < 0) yielding.sortedByDescending { it.run.untilDueMillis }.take(-change).forEach { pause(it) }
+        val urgent = waiting.filter { it.first.isUrgent }
+        val others = waiting.filter { !it.first.isUrgent }.take(maxOf(0, change - urgent.size))
+        for ((run, partition) in urgent + others) {
+            if (running.size >= MAXIMUM_RUNNING) return
+            start(run, partition)
+        }
+    }
 
-    private fun openItems(partition: SubmissionPartition): List<OpenItem> = partition.ledger.all
+    private fun openRuns(partition: SubmissionPartition): List<Pair<ItemRun, Int>> = partition.ledger.all
         .filter { !it.isEnded && !it.isComplete }
-        .flatMap { state ->
-            state.items
-                .filter { !it.isListed && key(state.proposal.submission, it.proposed.id) !in running }
-                .map { OpenItem(partition, state, it) }
-        }
+        .flatMap { state -> openRuns(partition, state) }
+
+    private fun openRuns(partition: SubmissionPartition, state: SubmissionState): List<Pair<ItemRun, Int>> = state.items
+        .filter { !it.isListed }
+        .map { ItemRun(partition, state, it, forwarding, wallClockMillis) }
+        .filter { it.key !in running }
+        .map { paused[it.key] ?: (it to partition.number) }
 
-    private fun start(open: OpenItem) {
-        val key = key(open.state.proposal.submission, open.item.proposed.id)
-        val run = ItemRun(open.partition, open.state, open.item, forwarding, wallClockMillis)
+    private fun start(run: ItemRun, partition: Int) {
+        paused.remove(run.key)
         val job = scope.launch {
             try {
                 run.run()
             } finally {
-                running.remove(key)
+                running.remove(run.key)
             }
         }
-        if (job.isActive) running[key] = Running(run, open.partition.number, job)
+        if (job.isActive) running[run.key] = Running(run, partition, job)
     }
 
-    private fun stopEnded() {
-        running.values
-            .filter { it.run.isOver }
-            .forEach { it.job.cancel() }
+    private fun pause(stopped: Running) {
+        stopped.job.cancel()
+        running.remove(stopped.run.key)
+        paused[stopped.run.key] = stopped.run to stopped.partition
     }
 
-    /** Removes submissions that need not be kept any longer. */
-    suspend fun clean() {
-        val now = wallClockMillis()
-        for (number in startsAtMillis.keys.toSet()) {
-            val partition = store.partitions[number]
-            val old = partition.ledger.all
-                .filter { it.isEnded || it.isComplete }
-                .filter { now - it.proposal.firstSentMillis > maxOf(retentionMillis, it.proposal.abandonMillis) + MARGIN_MILLIS }
-                .map { it.proposal.submission }
-            if (old.isNotEmpty()) {
-                val result = partition.remove(old)
-                logger.info { "batch: removed ${old.size} old submissions of partition $number: $result" }
-            }
-        }
+    private fun stopEnded() {
+        running.values.filter { it.run.isOver }.forEach { it.job.cancel() }
     }
 
-    private fun key(submission: String, item: String) = "$submission/$item"
-
     private companion object {
         val logger = KotlinLogging.logger {}
 
@@ -176,6 +202,9 @@
         const val MEMBERSHIP_MILLIS = 3_000L
         const val SCHEDULE_MILLIS = 50L
 
+        // Slots of each worker that are left free for the online requests that come before the next decision.
+        const val RESERVED_SLOTS = 1
+
         // Bounds memory; more runs than a fleet of workers has slots for one node.
         const val MAXIMUM_RUNNING = 96
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -38,6 +38,22 @@
             return state.isEnded || state.item(item.proposed.id)?.isListed != false
         }
 
+    /** Milliseconds until the result is due. */
+    val untilDueMillis: Long
+        get() = proposal.firstSentMillis + proposal.dueMillis - wallClockMillis()
+
+    /** Whether the item must no longer yield to online requests if it is to be on time. */
+    val isUrgent: Boolean
+        get() = untilDueMillis in 0..URGENT_MILLIS
+
+    /** The service whose workers run the item. */
+    val service: String
+        get() = proposal.service
+
+    /** Identifies the item among all. */
+    val key: String
+        get() = "${proposal.submission}/${item.proposed.id}"
+
     /** Number of the last event of the output, or null. */
     var lastEvent: Long? = null
         private set
@@ -159,7 +175,7 @@
                 "item" to item.proposed.id,
                 "complete" to isComplete,
                 "reason" to reason,
-                "millis_to_due" to (proposal.firstSentMillis + proposal.dueMillis - wallClockMillis()),
+                "millis_to_due" to untilDueMillis,
             )
         }
     }
@@ -184,10 +200,7 @@
 
     private fun leftMillis(): Long = proposal.firstSentMillis + proposal.abandonMillis - wallClockMillis()
 
-    private fun headroom(): Int {
-        val untilDue = proposal.firstSentMillis + proposal.dueMillis - wallClockMillis()
-        return if (untilDue < URGENT_MILLIS) 0 else SPARED_SLOTS
-    }
+    private fun headroom(): Int = if (isUrgent) 0 else SPARED_SLOTS
 
     private companion object {
         val logger = KotlinLogging.logger {}
@@ -199,10 +212,10 @@
         const val BATCH_RANK = 1_000
 
         // Slots of a worker that batch leaves to the next online requests.
-        const val SPARED_SLOTS = 2
+        const val SPARED_SLOTS = 1
 
-        // An item of usual size needs about half of this time, so that later it must no longer yield.
-        const val URGENT_MILLIS = 9_000L
+        // An item of usual size needs about this time at busy workers.
+        const val URGENT_MILLIS = 6_500L
         const val SEAT_WAIT_MILLIS = 1_000L
         const val RETRY_MILLIS = 150L
 
