--- a/core/src/main/kotlin/org/poplarshift/core/allowance/EscrowBucket.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/allowance/EscrowBucket.kt
@@ -5,15 +5,21 @@
  *
  * All nodes together refill at the organisation's rate and hold at most its burst, because each refills and fills up to
  * an equal share. Tokens that move between nodes are taken from the giver before the receiver gets them, so that a lost
- * message can only lower the total. A new process starts empty: it can't know what its predecessor has spent.
+ * message can only lower the total. A new process starts with what the shortest restart of a process would have refilled,
+ * because it can't know what its predecessor has spent.
  *
  * @param ratePerSecond tokens per second of all nodes together
  * @param burst tokens that all nodes together may hold
  * @param nodes nodes that share the limit
  */
-class EscrowBucket(private var ratePerSecond: Double, private var burst: Double, private var nodes: Int, nowMillis: Long) {
+class EscrowBucket(
+    private var ratePerSecond: Double,
+    private var burst: Double,
+    private var nodes: Int,
+    nowMillis: Long,
+) {
     private var refilledMillis = nowMillis
-    private var tokens = 0.0
+    private var tokens = minOf(burst / nodes, ratePerSecond / nodes * SHORTEST_RESTART_SECONDS)
 
     /** Tokens at hand after the refill up to [nowMillis]. */
     fun tokens(nowMillis: Long): Double {
@@ -76,6 +82,9 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
+        // A process that is killed serves nobody for at least this long.
+        const val SHORTEST_RESTART_SECONDS = 0.5
+
         // Smaller gifts cost more messages than they save refusals.
         const val SMALLEST_GIFT = 0.25
     }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerBoard.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerBoard.kt
@@ -53,13 +53,13 @@
      * @param headroom slots that the request leaves free; negative to let requests wait at the worker
      * @param excluded workers that the request has reached already
      */
-    fun choose(service: String, headroom: Int, excluded: Set<String>, nowMillis: Long): WorkerSeat? =
-        available(service)
-            .filter { it.worker.id !in excluded && it.room(nowMillis) > headroom }
-            .minByOrNull { rank(it, nowMillis) }
+    fun choose(service: String, headroom: Int, excluded: Set<String>, nowMillis: Long): WorkerSeat? = available(service)
+        .filter { it.worker.id !in excluded && it.room(nowMillis) > headroom }
+        .minByOrNull { rank(it, nowMillis) }
 
     /** Whether [service] has any worker that a request that has reached [excluded] could use once it has room. */
-    fun hasWorker(service: String, excluded: Set<String>): Boolean = available(service).any { it.worker.id !in excluded }
+    fun hasWorker(service: String, excluded: Set<String>): Boolean =
+        available(service).any { it.worker.id !in excluded }
 
     private fun rank(seat: WorkerSeat, nowMillis: Long): Double {
         val distance = if (seat.worker.zone == ownZone) 0.0 else OTHER_ZONE_REQUESTS
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -43,12 +43,7 @@
  * @property maximumConnections connections that one worker accepts from all nodes together
  * @property isEngine whether it runs models in batches of slots
  */
-data class IngressService(
-    val name: String,
-    val healthPath: String,
-    val maximumConnections: Int,
-    val isEngine: Boolean,
-)
+data class IngressService(val name: String, val healthPath: String, val maximumConnections: Int, val isEngine: Boolean)
 
 /**
  * An organisation with its keys and its rate limit over all nodes.
--- a/core/src/main/kotlin/org/poplarshift/core/submission/RecordFormat.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/RecordFormat.kt
@@ -15,7 +15,9 @@
     /** Log records of [record]; their values have at most [maximumBytes]. */
     fun encode(id: String, record: SubmissionRecord, content: ByteArray, maximumBytes: Int): List<KeyedValue> {
         val head = json.encodeToString(SubmissionRecord.serializer(), record).encodeToByteArray()
-        val whole = ByteBuffer.allocate(Int.SIZE_BYTES + head.size + content.size).putInt(head.size).put(head).put(content).array()
+        val whole = ByteBuffer.allocate(
+            Int.SIZE_BYTES + head.size + content.size,
+        ).putInt(head.size).put(head).put(content).array()
         val parts = (whole.size + maximumBytes - 1) / maximumBytes
         return List(parts) { part ->
             val value = whole.copyOfRange(part * maximumBytes, minOf(whole.size, (part + 1) * maximumBytes))
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
@@ -58,7 +58,13 @@
         val known = submissions[record.submission]
         if (known != null) {
             known.keys += keys
-            return if (known.proposal.organisation == record.organisation) LedgerEffect.Repeated else LedgerEffect.Foreign
+            return if (known.proposal.organisation ==
+                record.organisation
+            ) {
+                LedgerEffect.Repeated
+            } else {
+                LedgerEffect.Foreign
+            }
         }
         val tokens = record.items.sumOf { it.tokens }
         if (!fits(record.organisation, record.route, tokens, record.waitingTokensLimit)) {
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionRecord.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionRecord.kt
@@ -36,20 +36,12 @@
     /** Ends an item; the output is the content. */
     @Serializable
     @SerialName("result")
-    data class Result(
-        override val submission: String,
-        val item: String,
-        val isComplete: Boolean,
-    ) : SubmissionRecord
+    data class Result(override val submission: String, val item: String, val isComplete: Boolean) : SubmissionRecord
 
     /** Keeps the events of a run up to [lastEvent], so that another node can resume; the output is the content. */
     @Serializable
     @SerialName("progress")
-    data class Progress(
-        override val submission: String,
-        val item: String,
-        val lastEvent: Long,
-    ) : SubmissionRecord
+    data class Progress(override val submission: String, val item: String, val lastEvent: Long) : SubmissionRecord
 
     /** The caller wants no more results. */
     @Serializable
--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/BatchShareTest.kt
@@ -0,0 +1,26 @@
+package org.poplarshift.core.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+/**
+ * Guards against batch that keeps slots which online requests need at the peaks of a day with steps of load, and against
+ * slots that stay empty between them.
+ */
+class BatchShareTest :
+    FunSpec({
+        data class Case(val name: String, val online: Int, val batch: Int, val ownBatch: Int, val expected: Int)
+        listOf(
+            Case("a quiet fleet fills up to the reserve", online = 0, batch = 0, ownBatch = 0, expected = 56),
+            Case("what others run counts", online = 10, batch = 40, ownBatch = 10, expected = 6),
+            Case("nothing changes when all is used", online = 16, batch = 40, ownBatch = 10, expected = 0),
+            Case("at a peak each node stops its part", online = 36, batch = 40, ownBatch = 10, expected = -5),
+            Case("a node with nothing to stop stops nothing", online = 60, batch = 40, ownBatch = 0, expected = 0),
+            Case("an overload stops all", online = 90, batch = 20, ownBatch = 20, expected = -20),
+        ).forEach { case ->
+            test(case.name) {
+                BatchShare.change(slots = 64, case.online, case.batch, case.ownBatch, reserve = 8) shouldBe
+                    case.expected
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/PeerLoadsTest.kt
@@ -0,0 +1,25 @@
+package org.poplarshift.core.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+/** Guards against loads of nodes that have ended, which would keep their slots empty for good. */
+class PeerLoadsTest :
+    FunSpec({
+        test("the newest load of each node counts until it is too old") {
+            val worker =
+                FleetWorker("w", "service", "10.0.0.1:80", "here", slots = 8, isDraining = false, startedMillis = 1)
+            val board = WorkerBoard("here").apply { update(listOf(worker)) }
+            val loads = PeerLoads()
+            loads.onLoad(NodeLoad("a", "here", mapOf("w" to 5), emptyMap(), mapOf("service" to 2)), nowMillis = 0)
+            loads.onLoad(NodeLoad("a", "here", mapOf("w" to 3), emptyMap(), mapOf("service" to 1)), nowMillis = 100)
+            loads.onLoad(NodeLoad("b", "here", mapOf("w" to 1), mapOf("w" to 2), emptyMap()), nowMillis = 500)
+            loads.apply(board, nowMillis = 600)
+            board.seat("w")?.peersOnline shouldBe 4
+            board.seat("w")?.peersBatch shouldBe 2
+            loads.waiting("service") shouldBe 1
+            loads.apply(board, nowMillis = 800)
+            board.seat("w")?.peersOnline shouldBe 1
+            loads.waiting("service") shouldBe 0
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/ingress/IngressConfigurationTest.kt
@@ -0,0 +1,63 @@
+package org.poplarshift.core.ingress
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+/** Guards against requests that go by a shorter prefix, another host or another organisation's key. */
+class IngressConfigurationTest :
+    FunSpec({
+        fun route(name: String, host: String, prefix: String) = IngressRoute(
+            name = name,
+            host = host,
+            pathPrefix = prefix,
+            kind = RouteKind.SAFE,
+            timeoutMillis = 1_000,
+            targetLatencyMillis = 100,
+            priority = 0,
+            targets = listOf(WeightedService("service", 1.0)),
+            maximumAttempts = 1,
+        )
+        val configuration = IngressConfiguration(
+            version = 1,
+            routes = listOf(
+                route("short", "a.example", "/x/"),
+                route("long", "a.example", "/x/y/"),
+                route("other", "b.example", "/x/"),
+            ),
+            services = emptyMap(),
+            limits = CallerLimits(1, 1, 1, 1),
+            organisations = listOf(IngressOrganisation("one", setOf("key-1", "key-2"), null, 0.0, 0.0)),
+        )
+
+        data class Case(val host: String, val path: String, val expected: String?)
+        listOf(
+            Case("a.example", "/x/1", "short"),
+            Case("a.example", "/x/y/1", "long"),
+            Case("A.Example:8080", "/x/y/", "long"),
+            Case("b.example", "/x/y/1", "other"),
+            Case("a.example", "/x", null),
+            Case("c.example", "/x/1", null),
+        ).forEach { case ->
+            test("${case.host}${case.path} goes to ${case.expected}") {
+                configuration.findRoute(case.host, case.path)?.name shouldBe case.expected
+            }
+        }
+
+        test("a key finds its organisation, another or none does not") {
+            configuration.findOrganisation("key-2")?.name shouldBe "one"
+            configuration.findOrganisation("key-3") shouldBe null
+            configuration.findOrganisation(null) shouldBe null
+        }
+
+        test("targets get requests by their weights") {
+            val weighted = route(
+                "w",
+                "a",
+                "/",
+            ).copy(targets = listOf(WeightedService("a", 90.0), WeightedService("b", 10.0)))
+            weighted.chooseService(0.0) shouldBe "a"
+            weighted.chooseService(0.89) shouldBe "a"
+            weighted.chooseService(0.91) shouldBe "b"
+            weighted.chooseService(0.9999) shouldBe "b"
+        }
+    })
--- a/node/src/main/kotlin/org/poplarshift/node/NodeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeCommand.kt
@@ -22,7 +22,7 @@
     mixinStandardHelpOptions = true,
     versionProvider = NodeVersion::class,
     sortOptions = false,
-    subcommands = [ServeCommand::class],
+    subcommands = [ServeCommand::class, RehearseCommand::class],
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = ["0:ended after SIGTERM", "1:could not start", "2:wrong usage or settings"],
 )
--- a/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeContext.kt
@@ -1,6 +1,5 @@
 package org.poplarshift.node
 
-import org.poplarshift.serving.MonotonicClock
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
@@ -9,6 +8,7 @@
 import org.poplarshift.ports.LogService
 import org.poplarshift.ports.VmList
 import org.poplarshift.ports.WeightStore
+import org.poplarshift.serving.MonotonicClock
 
 /**
  * What every part of a node shares.
--- /dev/null
+++ b/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
@@ -0,0 +1,93 @@
+package org.poplarshift.node
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.poplarshift.node.settings.LogFormat
+import org.poplarshift.platform.PlatformPorts
+import org.poplarshift.platform.PlatformSettings
+import org.poplarshift.serving.ServingNode
+import picocli.CommandLine.Command
+import java.net.ServerSocket
+import java.util.concurrent.Callable
+
+/**
+ * Starts a node on loopback whose log can't be reached, sends it a request and ends.
+ *
+ * The build runs it to record the classes of a node in an archive, which shortens each later start.
+ */
+@Command(
+    name = "rehearse",
+    description = ["Starts a node on loopback without a log and ends; the build records its classes."],
+    mixinStandardHelpOptions = true,
+)
+class RehearseCommand : Callable<Int> {
+    override fun call(): Int {
+        Logging.configure(LogFormat.JSON)
+        val vertx = Vertx.vertx(ServeCommand.vertxOptions())
+        val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher())
+        val settings = settings()
+        runBlocking {
+            val node = ServingNode(vertx, scope, settings.toServing(), PlatformPorts(vertx, settings))
+            scope.async {
+                node.start()
+                delay(ROUND_MILLIS)
+                request(vertx, settings.callers)
+                request(vertx, settings.readiness)
+            }.await()
+        }
+        return 0
+    }
+
+    private suspend fun request(vertx: Vertx, address: String) {
+        val options = RequestOptions()
+            .setMethod(HttpMethod.POST)
+            .setHost(LOOPBACK)
+            .setPort(address.substringAfter(':').toInt())
+            .setURI("/-/ready")
+        val response = vertx.createHttpClient().request(options).compose { it.send(Buffer.buffer("rehearsal")) }.coAwait()
+        response.body().coAwait()
+    }
+
+    private fun settings(): PlatformSettings {
+        val ports = freePorts()
+        return PlatformSettings(
+            name = "rehearsal",
+            zone = "rehearsal",
+            host = LOOPBACK,
+            callers = "$LOOPBACK:${ports[0]}",
+            readiness = "$LOOPBACK:${ports[1]}",
+            firstFreePort = ports[2],
+            retentionSeconds = 1.0,
+            shutdownSeconds = 2.0,
+            log = PlatformSettings.LogSettings(
+                address = "$LOOPBACK:${ports[3]}",
+                recordBytes = 1_024,
+                callBytes = 2_048,
+                partitions = 1,
+                shortestMembershipMillis = 1_000,
+            ),
+        )
+    }
+
+    private fun freePorts(): List<Int> {
+        val sockets = List(PORTS) { ServerSocket(0) }
+        return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
+    }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val PORTS = 4
+
+        // Long enough for the first tries to reach the log.
+        const val ROUND_MILLIS = 700L
+    }
+}
--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -53,8 +53,9 @@
 
     private fun run(settings: PlatformSettings): Int {
         Logging.configure(LogFormat.JSON)
-        val vertx = Vertx.vertx(options())
-        val failures = CoroutineExceptionHandler { _, exception -> logger.error(exception) { "node: a task has failed" } }
+        val vertx = Vertx.vertx(vertxOptions())
+        val failures =
+            CoroutineExceptionHandler { _, exception -> logger.error(exception) { "node: a task has failed" } }
         val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher() + failures)
         val node = ServingNode(vertx, scope, settings.toServing(), PlatformPorts(vertx, settings))
         Runtime.getRuntime().addShutdownHook(
@@ -74,14 +75,14 @@
         return CommandLine.ExitCode.OK
     }
 
-    // All state belongs to one event loop; more threads would only cost memory.
-    private fun options() = VertxOptions()
-        .setEventLoopPoolSize(1)
-        .setWorkerPoolSize(1)
-        .setInternalBlockingPoolSize(1)
-        .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))
+    companion object {
+        private val logger = KotlinLogging.logger {}
 
-    private companion object {
-        val logger = KotlinLogging.logger {}
+        /** All state belongs to one event loop; more threads would only cost memory. */
+        fun vertxOptions(): VertxOptions = VertxOptions()
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1)
+            .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false))
     }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/caller/AttemptLoop.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/AttemptLoop.kt
@@ -6,13 +6,13 @@
 import org.poplarshift.core.retry.RetrySequence
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.dispatch.DispatchDecision
 import org.poplarshift.node.dispatch.UpstreamDispatcher
 import org.poplarshift.node.dispatch.WorkerGrant
 import org.poplarshift.node.forward.UpstreamClient
 import org.poplarshift.node.forward.UpstreamRequest
 import org.poplarshift.node.http.ErrorAnswer
+import org.poplarshift.serving.MonotonicClock
 
 /** Sends a request to one worker after another, as far as the core allows retries. */
 class AttemptLoop(
--- a/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/CallerSink.kt
@@ -1,12 +1,12 @@
 package org.poplarshift.node.caller
 
-import org.poplarshift.serving.http.HopByHopHeaders
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerResponse
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.node.forward.AnswerSink
+import org.poplarshift.serving.http.HopByHopHeaders
 
 /**
  * Passes a response to the caller.
--- a/node/src/main/kotlin/org/poplarshift/node/caller/FirstByteSink.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/FirstByteSink.kt
@@ -2,8 +2,8 @@
 
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.forward.AnswerSink
+import org.poplarshift.serving.MonotonicClock
 
 /** Notes when the first byte of a response body arrived. */
 class FirstByteSink(private val sink: AnswerSink, private val clock: MonotonicClock) : AnswerSink {
--- a/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/OnlineHandler.kt
@@ -6,11 +6,11 @@
 import kotlinx.coroutines.job
 import org.poplarshift.core.verdict.Ran
 import org.poplarshift.core.verdict.RefusalReason
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.http.ErrorAnswer
 import org.poplarshift.node.http.cutConnection
 import org.poplarshift.node.http.refuse
 import org.poplarshift.node.idempotency.LedgerDecision
+import org.poplarshift.serving.MonotonicClock
 import java.util.UUID
 
 /** Runs a caller's request from its first byte to the last of its response. */
--- a/node/src/main/kotlin/org/poplarshift/node/caller/RequestPreparation.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/caller/RequestPreparation.kt
@@ -1,6 +1,5 @@
 package org.poplarshift.node.caller
 
-import org.poplarshift.serving.http.HopByHopHeaders
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
@@ -10,6 +9,7 @@
 import org.poplarshift.node.http.ErrorAnswer
 import org.poplarshift.node.http.readBody
 import org.poplarshift.node.settings.LimitSettings
+import org.poplarshift.serving.http.HopByHopHeaders
 
 /** Reads a caller's request and removes the caller's key and what belongs to one connection only. */
 class RequestPreparation(private val limits: LimitSettings) {
--- a/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStore.kt
@@ -10,9 +10,9 @@
 import org.poplarshift.core.configuration.ConfigurationResult
 import org.poplarshift.core.configuration.KeyDirectory
 import org.poplarshift.core.configuration.KeyEntry
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.log.LogFollower
 import org.poplarshift.ports.LogRecord
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.WireJson
 
--- a/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/http/NodeServer.kt
@@ -1,6 +1,5 @@
 package org.poplarshift.node.http
 
-import org.poplarshift.serving.http.SocketAddresses
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
@@ -11,6 +10,7 @@
 import org.poplarshift.core.verdict.Ran
 import org.poplarshift.core.verdict.RefusalReason
 import org.poplarshift.node.NodeContext
+import org.poplarshift.serving.http.SocketAddresses
 import java.util.concurrent.TimeUnit
 
 /**
--- a/node/src/main/kotlin/org/poplarshift/node/log/StreamWriter.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/log/StreamWriter.kt
@@ -2,9 +2,9 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.serialization.KSerializer
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.ports.AppendResult
 import org.poplarshift.ports.LogService
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.WireJson
 
--- a/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/log/TailingLogFollower.kt
@@ -7,11 +7,11 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.isActive
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.ports.LogRecord
 import org.poplarshift.ports.LogService
 import org.poplarshift.ports.ReadResult.Records
 import org.poplarshift.ports.ReadResult.Unavailable
+import org.poplarshift.serving.MonotonicClock
 
 /** Follows [stream] by long polling and retries after [retryMillis] when the log is unavailable. */
 class TailingLogFollower(
--- a/node/src/main/kotlin/org/poplarshift/node/peer/DefaultPeerDirectory.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/peer/DefaultPeerDirectory.kt
@@ -10,9 +10,9 @@
 import org.poplarshift.core.membership.MembershipView
 import org.poplarshift.core.membership.ViewedVm
 import org.poplarshift.core.membership.VmCondition
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.ports.ListedVm
 import org.poplarshift.ports.VmState
+import org.poplarshift.serving.MonotonicClock
 
 /** Publishes what [MembershipView] knows of the other nodes. */
 class DefaultPeerDirectory(
--- a/node/src/test/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStoreTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/configuration/DefaultConfigurationStoreTest.kt
@@ -7,10 +7,10 @@
 import org.poplarshift.core.configuration.ConfigurationRecord.KeyGiven
 import org.poplarshift.core.configuration.ConfigurationRecord.KeyWithdrawn
 import org.poplarshift.core.configuration.KeyDirectory
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.fixture.Fleet
 import org.poplarshift.node.log.LogFollower
 import org.poplarshift.ports.LogRecord
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.wire.LogEnvelope
 import org.poplarshift.wire.WireJson
 
--- a/node/src/test/kotlin/org/poplarshift/node/log/TailingLogFollowerTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/log/TailingLogFollowerTest.kt
@@ -7,12 +7,12 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.fixture.FakeLogService
 import org.poplarshift.node.fixture.LogConnection
 import org.poplarshift.ports.AppendResult
 import org.poplarshift.ports.LogService
 import org.poplarshift.ports.ReadResult
+import org.poplarshift.serving.MonotonicClock
 
 /** Guards against a follower that stops, applies a record twice or reads in a tight loop. */
 class TailingLogFollowerTest :
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -14,21 +14,21 @@
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
+import org.poplarshift.serving.fleet.LoadExchange
 import org.poplarshift.serving.fleet.WorkerRegistry
 import org.poplarshift.serving.forward.Forwarding
 import org.poplarshift.serving.forward.WorkerConnections
 import org.poplarshift.serving.forward.WorkerDispatcher
+import org.poplarshift.serving.forward.WorkerWatch
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerServer
 import org.poplarshift.serving.ingress.PlainServer
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
 import org.poplarshift.serving.observe.NodeGauges
-import org.poplarshift.serving.submission.BatchRunner
-import org.poplarshift.serving.fleet.LoadExchange
-import org.poplarshift.serving.forward.WorkerWatch
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerServer
+import org.poplarshift.serving.submission.BatchRunner
 import org.poplarshift.serving.submission.FleetLoad
 import org.poplarshift.serving.submission.SubmissionService
 import org.poplarshift.serving.submission.SubmissionStore
@@ -69,7 +69,8 @@
     private val handlers = CallHandlers(clock, configuration, allowances, forwarding, submissions)
     private val callers =
         CallerServer(vertx, scope, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
-    private val readiness = PlainServer(vertx) { path -> if (ports.callerProtocol.isReadiness(path)) readinessStatus() else NOT_FOUND }
+    private val readiness =
+        PlainServer(vertx) { path -> if (ports.callerProtocol.isReadiness(path)) readinessStatus() else NOT_FOUND }
     private val metricsServer = PlainServer(vertx, { metrics.scrape() }) { OK }
     private val followers = listOf(
         TopicFollower(ports.log, clock, settings.configurationTopic, FIRST, configuration, LONG_READ_MILLIS),
--- a/serving/src/main/kotlin/org/poplarshift/serving/allowance/AllowanceGate.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/allowance/AllowanceGate.kt
@@ -89,7 +89,7 @@
         if (fleetSize() < 2 || clock.millis() < (askAgainMillis[name] ?: Long.MIN_VALUE)) return null
         val answer = CompletableDeferred<Unit>()
         asking[name] = answer
-        val wanted = maxOf(2.0, organisation.burst / fleetSize())
+        val wanted = maxOf(SMALLEST_QUESTION, organisation.burst / fleetSize())
         scope.launch {
             try {
                 val given = source.ask(name, wanted)
@@ -111,6 +111,9 @@
         // Asks ahead of need, so that few requests wait for another node.
         const val LOW_TOKENS = 1.0
 
+        // Enough for the next requests when the share of a node is less than that.
+        const val SMALLEST_QUESTION = 4.0
+
         // Two trips between zones and some processing; the request is refused when it takes longer.
         const val ASK_MILLIS = 60L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/allowance/PeerTokens.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/allowance/PeerTokens.kt
@@ -1,9 +1,12 @@
 package org.poplarshift.serving.allowance
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
@@ -28,12 +31,11 @@
     }
 
     override suspend fun ask(organisation: String, wanted: Double): Double {
-        var given = 0.0
-        for (peer in members.peers.shuffled().take(PEERS_ASKED)) {
-            given += askPeer(peer, organisation, wanted - given)
-            if (given >= wanted / 2) break
+        val asked = members.peers.shuffled().take(PEERS_ASKED)
+        if (asked.isEmpty()) return 0.0
+        return coroutineScope {
+            asked.map { async { askPeer(it, organisation, wanted / asked.size) } }.awaitAll().sum()
         }
-        return given
     }
 
     // Tokens that a peer gives after the time is up are lost, which only lowers the total.
@@ -56,6 +58,6 @@
 
         // Several times the delay between zones.
         const val ASK_MILLIS = 25L
-        const val PEERS_ASKED = 3
+        const val PEERS_ASKED = 4
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/ConfigurationHolder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/ConfigurationHolder.kt
@@ -38,7 +38,9 @@
         when (val result = decode(record.key, record.value)) {
             ConfigurationResult.Other -> Unit
             is ConfigurationResult.Invalid ->
-                logger.error { "configuration: record ${record.key} at offset ${record.offset}: ${result.reason}; not used" }
+                logger.error {
+                    "configuration: record ${record.key} at offset ${record.offset}: ${result.reason}; not used"
+                }
 
             is ConfigurationResult.Valid -> use(result.configuration)
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -2,8 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.MonotonicClock
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
@@ -4,8 +4,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.dispatch.NodeLoad
 import org.poplarshift.core.dispatch.PeerLoads
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
@@ -88,7 +88,13 @@
         if (previous == null || previous.isDraining != worker.isDraining || previous.address != worker.address) {
             logger.atInfo {
                 message = if (worker.isDraining) "registry: worker is draining" else "registry: worker is ready"
-                payload = mapOf("worker" to worker.id, "service" to worker.service, "zone" to worker.zone, "address" to worker.address)
+                payload =
+                    mapOf(
+                        "worker" to worker.id,
+                        "service" to worker.service,
+                        "zone" to worker.zone,
+                        "address" to worker.address,
+                    )
             }
         }
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -106,7 +106,12 @@
         }
     }
 
-    private suspend fun sendTo(seat: WorkerSeat, isBatch: Boolean, headMillis: Long, resumeAfter: Long?): AttemptResult {
+    private suspend fun sendTo(
+        seat: WorkerSeat,
+        isBatch: Boolean,
+        headMillis: Long,
+        resumeAfter: Long?,
+    ): AttemptResult {
         var isHandedOver = false
         var connection: WorkerConnection? = null
         val release = { forwarding.dispatcher.release(seat, isBatch) }
@@ -159,6 +164,7 @@
                     else -> {
                         seat.onAlive()
                         mayHaveRun++
+                        excluded += seat.worker.id
                         trace += "${seat.worker.id}:${head.status}"
                         AttemptResult.Answered(
                             Attempt(seat, exchange, connection, forwarding.connections, release),
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -22,7 +22,10 @@
         var start = 0
         var position = maxOf(1, scanned)
         while (position < pending.length()) {
-            if (pending.getByte(position) == NEWLINE && pending.getByte(position - 1) == NEWLINE && position - 1 >= start) {
+            if (pending.getByte(position) == NEWLINE &&
+                pending.getByte(position - 1) == NEWLINE &&
+                position - 1 >= start
+            ) {
                 events += StreamEvent.parse(pending.getBuffer(start, position + 1))
                 start = position + 1
                 position = start
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -15,7 +15,7 @@
 
     private suspend fun servePlain(call: OnlineCall, session: AttemptSession, sink: CallerSink): OnlineOutcome {
         while (true) {
-            val demand = SeatDemand(call.service, call.rank, waitMillis(call, session))
+            val demand = SeatDemand(call.service, call.rank, waitMillis(session), onTimeMillis = onTimeMillis(call))
             when (val result = session.attempt(demand, headMillis(call, session), resumeAfter = null)) {
                 is AttemptResult.NotRun -> return lastResort(session, result.reason)
                 is AttemptResult.MayHaveRun ->
@@ -42,7 +42,15 @@
         return when (body) {
             is BodyResult.Broken -> {
                 session.trace += body.reason
-                if (mayTryAgain(call, session)) null else OnlineOutcome.Failed(body.reason, isTimeout = session.leftMillis <= 0)
+                if (mayTryAgain(call, session)) {
+                    null
+                } else {
+                    OnlineOutcome.Failed(
+                        body.reason,
+                        isTimeout =
+                        session.leftMillis <= 0,
+                    )
+                }
             }
 
             is BodyResult.Whole -> when {
@@ -64,8 +72,7 @@
     private fun lastResort(session: AttemptSession, reason: String): OnlineOutcome =
         if (session.mayHaveRun == 0) OnlineOutcome.Refused(reason) else OnlineOutcome.Failed(reason, isTimeout = false)
 
-    private fun waitMillis(call: OnlineCall, session: AttemptSession): Long =
-        (session.leftMillis * WAIT_PART).toLong().coerceAtMost(call.route.targetLatencyMillis * WAIT_TARGETS)
+    private fun waitMillis(session: AttemptSession): Long = (session.leftMillis * WAIT_PART).toLong()
 
     // While another worker may still answer in time, a silent one gets only a part of what is left.
     private fun headMillis(call: OnlineCall, session: AttemptSession): Long {
@@ -75,11 +82,15 @@
     }
 
     companion object {
-        // A request that waits longer than half of what is left would probably be answered too late to be of use.
-        const val WAIT_PART = 0.5
+        // A request that has waited longer would probably be answered too late, and its caller needs time elsewhere.
+        const val WAIT_PART = 0.4
+
+        // A request that waits until then still has half of the time for its first answer.
+        private const val ON_TIME_PART = 0.5
 
-        // Waiting longer than a few target latencies only keeps a caller from trying elsewhere.
-        const val WAIT_TARGETS = 2L
+        /** Monotonic milliseconds until which [call] must leave the queue to be on time. */
+        fun onTimeMillis(call: OnlineCall): Long =
+            call.receivedMillis + (call.route.targetLatencyMillis * ON_TIME_PART).toLong()
 
         // Leaves a second attempt as much time as the slowest usual answers take.
         const val TRY_PART = 0.6
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamRun.kt
@@ -19,7 +19,8 @@
     /** Runs to the end of the stream. */
     suspend fun serve(): OnlineOutcome {
         while (true) {
-            val demand = SeatDemand(call.service, call.rank, waitMillis())
+            val demand =
+                SeatDemand(call.service, rank(), waitMillis(), onTimeMillis = OnlineForwarder.onTimeMillis(call))
             when (val result = session.attempt(demand, headMillis(), lastEvent)) {
                 is AttemptResult.NotRun -> return giveUp(result.reason, isTimeout = false)
                 is AttemptResult.MayHaveRun ->
@@ -97,20 +98,33 @@
     private fun mayGoOn(): Boolean =
         call.route.isResumable && session.hasAttemptsLeft && session.leftMillis > OnlineForwarder.SHORTEST_TRY_MILLIS
 
-    private fun waitMillis(): Long {
-        val part = (session.leftMillis * OnlineForwarder.WAIT_PART).toLong()
-        return part.coerceAtMost(call.route.targetLatencyMillis * OnlineForwarder.WAIT_TARGETS)
-    }
+    private fun waitMillis(): Long = (session.leftMillis * OnlineForwarder.WAIT_PART).toLong()
+
+    // A stream that has begun goes first: its caller sees the pause, and what was delivered would be lost.
+    private fun rank(): Int = if (isStarted) Int.MIN_VALUE else call.rank
 
     private fun canResume(): Boolean = call.route.isResumable && session.mayHaveRun + 1 < call.route.maximumAttempts
 
-    private fun headMillis(): Long =
-        if (canResume()) minOf(session.leftMillis, maxOf(call.route.targetLatencyMillis * SILENT_TARGETS, SHORTEST_SILENCE_MILLIS)) else session.leftMillis
+    private fun headMillis(): Long = if (canResume()) {
+        minOf(
+            session.leftMillis,
+            maxOf(call.route.targetLatencyMillis * SILENT_TARGETS, SHORTEST_SILENCE_MILLIS),
+        )
+    } else {
+        session.leftMillis
+    }
 
     private fun pauseMillis(): Long {
         val left = session.leftMillis.coerceAtLeast(1)
         val mayResume = call.route.isResumable && session.hasAttemptsLeft
-        return if (mayResume) minOf(left, maxOf(call.route.longestPauseMillis * SILENT_PAUSES, SHORTEST_SILENCE_MILLIS)) else left
+        return if (mayResume) {
+            minOf(
+                left,
+                maxOf(call.route.longestPauseMillis * SILENT_PAUSES, SHORTEST_SILENCE_MILLIS),
+            )
+        } else {
+            left
+        }
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnections.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnections.kt
@@ -37,7 +37,8 @@
 
     /** Keeps [connection] for another request to its worker. */
     fun keep(connection: WorkerConnection, idleMillis: Long?) {
-        val kept = (idleMillis ?: UNSTATED_IDLE_MILLIS) - maxOf(CLOSE_MARGIN_MILLIS, (idleMillis ?: 0) / CLOSE_MARGIN_PART)
+        val kept =
+            (idleMillis ?: UNSTATED_IDLE_MILLIS) - maxOf(CLOSE_MARGIN_MILLIS, (idleMillis ?: 0) / CLOSE_MARGIN_PART)
         if (connection.isClosed || kept <= 0) {
             connection.close()
             return
@@ -79,7 +80,9 @@
 
     private suspend fun connect(worker: FleetWorker): WorkerConnection? {
         val socket = SocketAddresses.parse(worker.address)
-        val options = HttpConnectOptions().setHost(socket.host()).setPort(socket.port()).setConnectTimeout(CONNECT_MILLIS)
+        val options = HttpConnectOptions().setHost(
+            socket.host(),
+        ).setPort(socket.port()).setConnectTimeout(CONNECT_MILLIS)
         val pending = client.connect(options)
         val connection = try {
             withTimeoutOrNull(CONNECT_MILLIS) { pending.coAwait() }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
@@ -17,6 +17,7 @@
  * @property headroom slots that it leaves free
  * @property excluded workers that it must not use
  * @property waitMillis how long it waits for room
+ * @property onTimeMillis monotonic milliseconds until which it can still be on time
  */
 data class SeatDemand(
     val service: String,
@@ -25,6 +26,7 @@
     val excluded: Set<String> = emptySet(),
     val headroom: Int = 0,
     val isBatch: Boolean = false,
+    val onTimeMillis: Long = Long.MAX_VALUE,
 )
 
 /** The outcome of looking for a worker. */
@@ -39,7 +41,12 @@
     data object NoRoom : SeatResult
 }
 
-/** Gives requests to workers that have room, and keeps those that wait in order. */
+/**
+ * Gives requests to workers that have room, and keeps those that wait in order: by rank, then those that can still be on
+ * time, then by arrival.
+ *
+ * In an overload, order of arrival alone would make every request late, because each waits as long as the queue is.
+ */
 class WorkerDispatcher(
     private val scope: CoroutineScope,
     private val board: WorkerBoard,
@@ -76,11 +83,11 @@
     }
 
     private suspend fun await(waiter: Waiter): SeatResult {
-        val place = waiters.indexOfFirst { it.demand.rank > waiter.demand.rank }
-        waiters.add(if (place < 0) waiters.size else place, waiter)
+        waiters.add(waiter)
         tick()
         try {
-            return withTimeoutOrNull(waiter.demand.waitMillis) { waiter.seat.await() } ?: taken(waiter) ?: SeatResult.NoRoom
+            return withTimeoutOrNull(waiter.demand.waitMillis) { waiter.seat.await() } ?: taken(waiter)
+                ?: SeatResult.NoRoom
         } catch (exception: CancellationException) {
             taken(waiter)?.let { if (it is SeatResult.Taken) release(it.seat, waiter.demand.isBatch) }
             throw exception
@@ -93,13 +100,18 @@
     @OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
     private fun taken(waiter: Waiter): SeatResult? = if (waiter.seat.isCompleted) waiter.seat.getCompleted() else null
 
-    private fun Waiter.isBefore(other: SeatDemand): Boolean = demand.service == other.service && demand.rank <= other.rank
+    private fun Waiter.isBefore(other: SeatDemand): Boolean = demand.service == other.service &&
+        (demand.rank < other.rank || (demand.rank == other.rank && demand.onTimeMillis > clock.millis()))
 
     private fun take(demand: SeatDemand): WorkerSeat? =
-        board.choose(demand.service, demand.headroom, demand.excluded, clock.millis())?.also { it.onSent(demand.isBatch) }
+        board.choose(demand.service, demand.headroom, demand.excluded, clock.millis())?.also {
+            it.onSent(demand.isBatch)
+        }
 
     private fun serveWaiters() {
-        for (waiter in waiters.toList()) {
+        val now = clock.millis()
+        val order = compareBy<Waiter>({ it.demand.rank }, { it.demand.onTimeMillis <= now }, { it.sequence })
+        for (waiter in waiters.sortedWith(order)) {
             val demand = waiter.demand
             val result = when {
                 !board.hasWorker(demand.service, demand.excluded) -> SeatResult.NoWorker
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -83,7 +83,11 @@
                     is ResponsePart.Lost -> return@withTimeoutOrNull BodyResult.Broken(part.reason)
                     ResponsePart.Silence -> return@withTimeoutOrNull BodyResult.Broken("silent within the body")
                 }
-                if (body.length() > maximumBytes) return@withTimeoutOrNull BodyResult.Broken("body of over $maximumBytes bytes")
+                if (body.length() >
+                    maximumBytes
+                ) {
+                    return@withTimeoutOrNull BodyResult.Broken("body of over $maximumBytes bytes")
+                }
             }
             @Suppress("UNREACHABLE_CODE")
             null
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -41,8 +41,10 @@
             is CallerCall.Malformed -> Refusal.BAD_REQUEST
             is CallerCall.Request -> request(incoming, current, organisation, sink, record)
             is CallerCall.ReadResults -> authorised(current, organisation) ?: submissions.read(call, organisation, sink)
-            is CallerCall.ReadItem -> authorised(current, organisation) ?: submissions.readItem(call, organisation, sink)
-            is CallerCall.EndSubmission -> authorised(current, organisation) ?: submissions.end(call, organisation, sink)
+            is CallerCall.ReadItem -> authorised(current, organisation)
+                ?: submissions.readItem(call, organisation, sink)
+            is CallerCall.EndSubmission -> authorised(current, organisation)
+                ?: submissions.end(call, organisation, sink)
         }
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -54,7 +54,9 @@
             .setIdleTimeout(IDLE_SECONDS)
             .setAcceptBacklog(ACCEPT_BACKLOG)
         server = vertx.createHttpServer(options)
-            .connectionHandler { it.exceptionHandler { cause -> logger.debug { "ingress: connection: ${cause.message}" } } }
+            .connectionHandler {
+                it.exceptionHandler { cause -> logger.debug { "ingress: connection: ${cause.message}" } }
+            }
             .exceptionHandler { cause -> logger.debug { "ingress: ${cause.message}" } }
             .requestHandler { request -> handle(request) }
             .listen()
@@ -115,7 +117,11 @@
             refuse(sink, Refusal.BODY_TOO_LARGE, closes = true)
             return
         }
-        val refusal = handlers.handle(IncomingCall(call, request.method(), request.uri(), request.headers(), bytes), sink, record)
+        val refusal = handlers.handle(
+            IncomingCall(call, request.method(), request.uri(), request.headers(), bytes),
+            sink,
+            record,
+        )
         if (refusal == null) return
         record.end(refusal.reason)
         refuse(sink, refusal)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/PlainServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/PlainServer.kt
@@ -6,12 +6,18 @@
 import org.poplarshift.serving.http.SocketAddresses
 
 /** A listener whose answers need no I/O: a status by path, and a text. */
-class PlainServer(private val vertx: Vertx, private val text: () -> String = { "" }, private val status: (String) -> Int) {
+class PlainServer(
+    private val vertx: Vertx,
+    private val text: () -> String = { "" },
+    private val status: (String) -> Int,
+) {
     /** Starts to accept connections at [address]. */
     suspend fun listen(address: String) {
         val socket = SocketAddresses.parse(address)
         vertx.createHttpServer(HttpServerOptions().setHost(socket.host()).setPort(socket.port()))
-            .requestHandler { request -> request.response().setStatusCode(status(request.path().orEmpty())).end(text()) }
+            .requestHandler { request ->
+                request.response().setStatusCode(status(request.path().orEmpty())).end(text())
+            }
             .listen()
             .coAwait()
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
@@ -120,7 +120,8 @@
             is ReadResult.Trimmed -> {
                 logger.atWarn {
                     message = "log: records were dropped before they were read, starting over"
-                    payload = mapOf("topic" to topic, "partition" to partition, "position" to next, "first" to result.first)
+                    payload =
+                        mapOf("topic" to topic, "partition" to partition, "position" to next, "first" to result.first)
                 }
                 next = NOT_STARTED
             }
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecorder.kt
@@ -46,7 +46,12 @@
             servedLines = 0
             failedLines = 0
         }
-        val isWithin = if (isServed) servedLines++ < SERVED_LINES_PER_SECOND else failedLines++ < FAILED_LINES_PER_SECOND
+        val isWithin = if (isServed) {
+            servedLines++ < SERVED_LINES_PER_SECOND
+        } else {
+            failedLines++ <
+                FAILED_LINES_PER_SECOND
+        }
         if (!isWithin) dropped++
         return isWithin
     }
@@ -89,6 +94,8 @@
         // A node of the planned fleet serves 20 requests a second; ten times that would cost over 3% of a core.
         const val SERVED_LINES_PER_SECOND = 40
         const val FAILED_LINES_PER_SECOND = 200
-        val LEVELS = longArrayOf(10, 50, 100, 300, 500, 1_000, 2_000, 5_000).map { Duration.ofMillis(it) }.toTypedArray()
+        val LEVELS = longArrayOf(10, 50, 100, 300, 500, 1_000, 2_000, 5_000).map {
+            Duration.ofMillis(it)
+        }.toTypedArray()
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
@@ -17,14 +17,18 @@
 /** Sends messages to other nodes. */
 class PeerClient(vertx: Vertx, localHost: String) {
     private val client = vertx.createHttpClient(
-        HttpClientOptions().setLocalAddress(localHost).setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(IDLE_SECONDS),
+        HttpClientOptions().setLocalAddress(
+            localHost,
+        ).setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(IDLE_SECONDS),
         PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(CONNECTIONS_PER_PEER),
     )
 
     /** The answer of [peer] to [body], or null when there is none within [timeoutMillis]. */
     suspend fun post(peer: FleetMember, path: String, body: String, timeoutMillis: Long): String? {
         val socket = SocketAddresses.parse(peer.peerAddress)
-        val options = RequestOptions().setMethod(HttpMethod.POST).setHost(socket.host()).setPort(socket.port()).setURI(path)
+        val options = RequestOptions().setMethod(
+            HttpMethod.POST,
+        ).setHost(socket.host()).setPort(socket.port()).setURI(path)
         var request: HttpClientRequest? = null
         var isComplete = false
         try {
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -21,7 +21,13 @@
             .requestHandler { request ->
                 request.body().onSuccess { body ->
                     val answer = handlers[request.path()]?.invoke(body.toString())
-                    if (answer == null) request.response().setStatusCode(BAD_REQUEST).end() else request.response().end(answer)
+                    if (answer ==
+                        null
+                    ) {
+                        request.response().setStatusCode(BAD_REQUEST).end()
+                    } else {
+                        request.response().end(answer)
+                    }
                 }
             }
             .listen()
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -75,7 +75,10 @@
             val partition = store.partitions[number]
             val old = partition.ledger.all
                 .filter { it.isEnded || it.isComplete }
-                .filter { now - it.proposal.firstSentMillis > maxOf(retentionMillis, it.proposal.abandonMillis) + MARGIN_MILLIS }
+                .filter {
+                    now - it.proposal.firstSentMillis >
+                        maxOf(retentionMillis, it.proposal.abandonMillis) + MARGIN_MILLIS
+                }
                 .map { it.proposal.submission }
             if (old.isNotEmpty()) {
                 val result = partition.remove(old)
@@ -145,7 +148,9 @@
         val yielding = ownRuns.filter { !it.run.isUrgent }
         val change = BatchShare.change(
             slots = seats.sumOf { it.worker.slots },
-            online = seats.sumOf { it.online + it.peersOnline } + load.ownWaiting(service) + load.peers.waiting(service),
+            online = seats.sumOf {
+                it.online + it.peersOnline
+            } + load.ownWaiting(service) + load.peers.waiting(service),
             batch = ownRuns.size + seats.sumOf { it.peersBatch },
             ownBatch = yielding.size,
             reserve = seats.size * RESERVED_SLOTS,
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -71,7 +71,8 @@
         while (!isOver) {
             if (leftMillis() <= 0) return list(isComplete = false, "time is up")
             val session = session()
-            val demand = SeatDemand(proposal.service, BATCH_RANK, SEAT_WAIT_MILLIS, headroom = headroom(), isBatch = true)
+            val demand =
+                SeatDemand(proposal.service, BATCH_RANK, SEAT_WAIT_MILLIS, headroom = headroom(), isBatch = true)
             when (val result = session.attempt(demand, HEAD_MILLIS, lastEvent)) {
                 is AttemptResult.NotRun -> delay(RETRY_MILLIS)
                 is AttemptResult.MayHaveRun -> logger.debug { "batch: item ${item.proposed.id}: ${session.trace}" }
@@ -165,7 +166,9 @@
             when (val result = partition.write(record, content)) {
                 is WriteResult.Applied -> break
                 is WriteResult.Refused -> delay(RETRY_MILLIS)
-                is WriteResult.Unknown -> logger.warn { "batch: result of ${item.proposed.id} not read back: ${result.reason}" }
+                is WriteResult.Unknown -> logger.warn {
+                    "batch: result of ${item.proposed.id} not read back: ${result.reason}"
+                }
             }
         }
         logger.atInfo {
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -64,7 +64,9 @@
         val whole = try {
             assembler.add(record.key, record.value) ?: return
         } catch (exception: IllegalArgumentException) {
-            logger.error(exception) { "submission: record ${record.key} at $number/${record.offset} can't be read; left out" }
+            logger.error(exception) {
+                "submission: record ${record.key} at $number/${record.offset} can't be read; left out"
+            }
             return
         }
         apply(whole)
@@ -83,7 +85,8 @@
 
     /** Whether what is known was current within the last [maximumAgeMillis]. */
     fun isCurrent(maximumAgeMillis: Long): Boolean = follower.isStarted &&
-        !follower.isDisturbed && clock.millis() - follower.answeredMillis <= maximumAgeMillis
+        !follower.isDisturbed &&
+        clock.millis() - follower.answeredMillis <= maximumAgeMillis
 
     /** Asks the log whether everything was read, and reads what is missing. */
     suspend fun confirm(): Boolean {
@@ -117,7 +120,13 @@
             }
             follower.hurry()
             val applied = withTimeoutOrNull(READ_BACK_MILLIS) { effect.await() }
-            return if (applied != null) WriteResult.Applied(applied) else WriteResult.Unknown(unknown ?: "not read back")
+            return if (applied !=
+                null
+            ) {
+                WriteResult.Applied(applied)
+            } else {
+                WriteResult.Unknown(unknown ?: "not read back")
+            }
         } finally {
             waiting.remove(id)
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -75,7 +75,11 @@
     }
 
     /** Returns the body of an item that is not listed. */
-    suspend fun readItem(call: CallerCall.ReadItem, organisation: IngressOrganisation?, sink: HttpCallerSink): Refusal? {
+    suspend fun readItem(
+        call: CallerCall.ReadItem,
+        organisation: IngressOrganisation?,
+        sink: HttpCallerSink,
+    ): Refusal? {
         val owner = organisation?.name.orEmpty()
         val state = find(call.submission, owner)
             ?: return missing(store.partitionOf(owner), call.submission, owner)
@@ -85,7 +89,11 @@
     }
 
     /** Ends a submission once the end is in the log. */
-    suspend fun end(call: CallerCall.EndSubmission, organisation: IngressOrganisation?, sink: HttpCallerSink): Refusal? {
+    suspend fun end(
+        call: CallerCall.EndSubmission,
+        organisation: IngressOrganisation?,
+        sink: HttpCallerSink,
+    ): Refusal? {
         val owner = organisation?.name.orEmpty()
         val partition = store.partitionOf(owner)
         val state = find(call.submission, owner) ?: return missing(partition, call.submission, owner)
--- /dev/null
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/WorkerRegistryTest.kt
@@ -0,0 +1,79 @@
+package org.poplarshift.serving.fleet
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.poplarshift.core.dispatch.FleetWorker
+import org.poplarshift.core.dispatch.WorkerBoard
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.log.LogRecord
+import org.poplarshift.serving.log.TopicFollower
+
+/** Guards against workers that are given up because their entries lapsed in an outage of the log. */
+class WorkerRegistryTest :
+    FunSpec({
+        class Fixture {
+            var now = 100_000L
+            val log = FakeLog()
+            val clock = MonotonicClock { now }
+            val registry = WorkerRegistry(WorkerBoard("here"), clock, ::decode) {}
+            val follower = TopicFollower(log, clock, "t", 0, registry, waitMillis = 10).also { registry.follower = it }
+
+            fun decode(key: String, value: ByteArray): WorkerResult = when (value.decodeToString()) {
+                "ready" -> WorkerResult.Valid(
+                    FleetWorker(key, "s", "10.0.0.1:80", "here", 1, isDraining = false, startedMillis = 1),
+                )
+                else -> WorkerResult.Invalid("test")
+            }
+
+            fun record(key: String, value: String) = registry.onRecord(LogRecord(0, key, value.encodeToByteArray()))
+
+            fun known(): List<String> {
+                registry.onCaughtUp()
+                return registry.known.map { it.id }
+            }
+
+            suspend fun disturb() = coroutineScope {
+                val running = launch { follower.run() }
+                log.isDown = true
+                while (!follower.isDisturbed) delay(5)
+                log.isDown = false
+                while (follower.isDisturbed) delay(5)
+                running.cancel()
+                coroutineContext.cancelChildren()
+            }
+        }
+
+        test("an entry that is removed while the log is calm is gone at once") {
+            val fixture = Fixture()
+            fixture.record("a", "ready")
+            fixture.record("a", "")
+            fixture.known() shouldBe emptyList()
+        }
+
+        test("an entry that lapsed in an outage is kept until two seconds after it, and longer if it comes back") {
+            val fixture = Fixture()
+            fixture.record("lives", "ready")
+            fixture.record("gone", "ready")
+            fixture.disturb()
+            fixture.record("lives", "ready")
+            fixture.record("gone", "ready")
+            fixture.record("lives", "")
+            fixture.record("gone", "")
+            fixture.known() shouldBe listOf("lives", "gone")
+            fixture.record("lives", "ready")
+            fixture.now += WorkerRegistry.GRACE_MILLIS
+            fixture.known() shouldBe listOf("lives")
+        }
+
+        test("an entry that can't be read names no worker") {
+            val fixture = Fixture()
+            fixture.record("a", "ready")
+            fixture.record("a", "nonsense")
+            fixture.known() shouldBe emptyList()
+        }
+    })
--- /dev/null
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/EventSplitterTest.kt
@@ -0,0 +1,37 @@
+package org.poplarshift.serving.forward
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.vertx.core.buffer.Buffer
+import kotlin.random.Random
+
+/** Guards against parts of events that reach a caller before a run is resumed elsewhere. */
+class EventSplitterTest :
+    FunSpec({
+        val stream = "id: 1\ndata: one\n\nid: 2\ndata: two\ndata: more\n\nid: 3\ndata: three\n\n"
+
+        (1L..20L).forEach { seed ->
+            test("events are the same however the bytes are cut, seed $seed") {
+                val random = Random(seed)
+                val splitter = EventSplitter()
+                val events = ArrayList<StreamEvent>()
+                var position = 0
+                while (position < stream.length) {
+                    val end = minOf(stream.length, position + 1 + random.nextInt(12))
+                    events += splitter.add(Buffer.buffer(stream.substring(position, end)))
+                    position = end
+                }
+                events.map { it.id } shouldBe listOf(1L, 2L, 3L)
+                events.map { it.data } shouldBe listOf("one", "two\nmore", "three")
+                events.joinToString("") { it.bytes.toString() } shouldBe stream
+                splitter.hasPartial shouldBe false
+            }
+        }
+
+        test("an unfinished event is held back") {
+            val splitter = EventSplitter()
+            splitter.add(Buffer.buffer("id: 1\ndata: one\n\nid: 2\nda")).size shouldBe 1
+            splitter.hasPartial shouldBe true
+            splitter.takePartial().toString() shouldBe "id: 2\nda"
+        }
+    })
