--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/PeerLoads.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/PeerLoads.kt
@@ -6,6 +6,7 @@
  * @property online requests at each worker, by its id
  * @property batch batch requests at each worker, by its id
  * @property waiting online requests that wait for a worker, by service
+ * @property reachesLog whether the node can read the log
  */
 data class NodeLoad(
     val node: String,
@@ -13,6 +14,7 @@
     val online: Map<String, Int>,
     val batch: Map<String, Int>,
     val waiting: Map<String, Int>,
+    val reachesLog: Boolean,
 )
 
 /** The newest loads that other nodes have told, as long as they are fresh. */
@@ -35,6 +37,10 @@
     /** Online requests of other nodes that wait for a worker of [service]. */
     fun waiting(service: String): Int = byNode.values.sumOf { it.load.waiting[service] ?: 0 }
 
+    /** Whether any other node can read the log, as far as known. */
+    val anyReachesLog: Boolean
+        get() = byNode.values.any { it.load.reachesLog }
+
     private fun sums(part: (NodeLoad) -> Map<String, Int>): Map<String, Int> {
         val sums = HashMap<String, Int>()
         for (told in byNode.values) part(told.load).forEach { (worker, count) -> sums.merge(worker, count, Int::plus) }
--- a/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
@@ -53,7 +53,9 @@
             .setHost(LOOPBACK)
             .setPort(address.substringAfter(':').toInt())
             .setURI("/-/ready")
-        val response = vertx.createHttpClient().request(options).compose { it.send(Buffer.buffer("rehearsal")) }.coAwait()
+        val response = vertx.createHttpClient().request(options).compose {
+            it.send(Buffer.buffer("rehearsal"))
+        }.coAwait()
         response.body().coAwait()
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -60,10 +60,15 @@
     private val connections = WorkerConnections(vertx, settings.localHost, clock)
     private val watch = WorkerWatch(scope, board, connections)
     private val forwarding = Forwarding(dispatcher, connections, watch, ports.workerProtocol, clock)
-    private val exchange = LoadExchange(scope, clock, self, members, peerClient, board, dispatcher)
-    private val registry = WorkerRegistry(board, clock, ports::decodeWorker) { sweepConnections() }
+    private val exchange: LoadExchange =
+        LoadExchange(scope, clock, self, members, peerClient, board, dispatcher) { !registry.follower.isDisturbed }
+    private val registry: WorkerRegistry = WorkerRegistry(board, clock, ports::decodeWorker) { sweepConnections() }
     private val store = SubmissionStore(ports.log, clock, settings.submissionTopic, settings.submissionPartitions)
-    private val fleetLoad = FleetLoad(board, exchange.loads) { service -> dispatcher.waitingOnline[service] ?: 0 }
+    private val fleetLoad =
+        FleetLoad(board, exchange.loads, { !registry.follower.isDisturbed }) { service ->
+            dispatcher.waitingOnline[service]
+                ?: 0
+        }
     private val batch = BatchRunner(scope, store, ports.group, forwarding, fleetLoad, settings.retentionMillis)
     private val submissions = SubmissionService(store, ports.callerProtocol, clock)
     private val handlers = CallHandlers(clock, configuration, allowances, forwarding, submissions)
@@ -143,7 +148,7 @@
         const val FIRST = 0
 
         // Bounds how long a read on a connection that went silent goes unnoticed.
-        const val LONG_READ_MILLIS = 2_500L
+        const val LONG_READ_MILLIS = 1_500L
 
         // Workers renew their entries all the time; reading several at once saves calls, and a draining worker must
         // get nothing new two seconds later.
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
@@ -29,6 +29,7 @@
     private val client: PeerClient,
     private val board: WorkerBoard,
     private val dispatcher: WorkerDispatcher,
+    private val reachesLog: () -> Boolean,
 ) {
     @Serializable
     private data class LoadMessage(
@@ -37,6 +38,7 @@
         val online: Map<String, Int>,
         val batch: Map<String, Int>,
         val waiting: Map<String, Int>,
+        val reachesLog: Boolean,
     )
 
     private val sending = HashSet<String>()
@@ -93,12 +95,15 @@
             online = seats.filter { it.online > 0 }.associate { it.worker.id to it.online },
             batch = seats.filter { it.batch > 0 }.associate { it.worker.id to it.batch },
             waiting = dispatcher.waitingOnline,
+            reachesLog = reachesLog(),
         )
     }
 
     private fun receive(body: String): Boolean = try {
         val message = Json.decodeFromString(LoadMessage.serializer(), body)
-        val load = NodeLoad(message.node, message.zone, message.online, message.batch, message.waiting)
+        val load = with(message) {
+            NodeLoad(node, zone, online, batch, waiting, reachesLog)
+        }
         loads.onLoad(load, clock.millis())
         true
     } catch (exception: SerializationException) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
@@ -109,7 +109,9 @@
     }
 
     private suspend fun readOn(): Boolean {
-        when (val result = log.read(topic, partition, next, waitMillis)) {
+        // A call that waits is noticed late when the log returns from an outage, because it may hang all its time.
+        val wait = if (isDisturbed) 0 else waitMillis
+        when (val result = log.read(topic, partition, next, wait)) {
             is ReadResult.Records -> {
                 result.records.forEach { receiver.onRecord(it) }
                 next = result.next
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -16,8 +16,18 @@
 import org.poplarshift.serving.log.JoinResult
 import org.poplarshift.serving.log.WorkGroup
 
-/** What the batch runner knows of the load of the fleet. */
-class FleetLoad(val board: WorkerBoard, val peers: PeerLoads, val ownWaiting: (String) -> Int)
+/**
+ * What the batch runner knows of the fleet.
+ *
+ * @property reachesLog whether this node can read the log
+ * @property ownWaiting online requests of this node that wait for a worker of a service
+ */
+class FleetLoad(
+    val board: WorkerBoard,
+    val peers: PeerLoads,
+    val reachesLog: () -> Boolean,
+    val ownWaiting: (String) -> Int,
+)
 
 /**
  * Runs the items of the partitions that belong to this node.
@@ -132,7 +142,7 @@
         val now = clock.millis()
         stopEnded()
         paused.values.removeIf { it.first.isOver }
-        if (now - joinedMillis > MEMBERSHIP_MILLIS) return
+        if (now - joinedMillis > MEMBERSHIP_MILLIS && !isLogGone()) return
         val waiting = startsAtMillis.filterValues { it <= now }.keys
             .flatMap { openRuns(store.partitions[it]) }
             .groupBy { it.first.service }
@@ -141,6 +151,9 @@
         }
     }
 
+    // While no node reaches the log, nobody can take the partitions over.
+    private fun isLogGone(): Boolean = !load.reachesLog() && !load.peers.anyReachesLog
+
     /** Starts or stops runs of [service] so that online requests of all nodes have the slots that they need. */
     private fun balance(service: String, waiting: List<Pair<ItemRun, Int>>) {
         val seats = load.board.available(service)
@@ -200,11 +213,11 @@
         val logger = KotlinLogging.logger {}
 
         // A third of the time after which a silent member loses its partitions.
-        const val JOIN_MILLIS = 1_000L
-        const val TAKEOVER_MILLIS = 1_200L
+        const val JOIN_MILLIS = 650L
+        const val TAKEOVER_MILLIS = 800L
 
         // The group's time to live: afterwards the partitions may belong to others.
-        const val MEMBERSHIP_MILLIS = 3_000L
+        const val MEMBERSHIP_MILLIS = 2_000L
         const val SCHEDULE_MILLIS = 50L
 
         // Slots of each worker that are left free for the online requests that come before the next decision.
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -166,7 +166,7 @@
         val logger = KotlinLogging.logger {}
 
         // Bounds how long a read on a connection that went silent goes unnoticed.
-        const val READ_WAIT_MILLIS = 2_500L
+        const val READ_WAIT_MILLIS = 1_500L
 
         // Reads several records at once; well within the time in which other nodes must know of a change.
         const val READ_PAUSE_MILLIS = 250L
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -192,7 +192,7 @@
         const val LONGEST_WAIT_MILLIS = 1_000L
 
         // Reads of the log return at the latest after this time, unless their connection has gone silent.
-        const val READ_AGE_MILLIS = 3_500L
+        const val READ_AGE_MILLIS = 2_500L
 
         // Leaves room for escaping below the limit of 1 MB for a page.
         const val PAGE_BYTES = 800_000
