--- a/serving/src/main/kotlin/org/poplarshift/serving/allowance/AllowanceGate.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/allowance/AllowanceGate.kt
@@ -15,8 +15,12 @@
     /** It is. */
     data object Within : AllowanceResult
 
-    /** It is not, as far as this node can know. */
-    data class Exceeded(val retryMillis: Long) : AllowanceResult
+    /**
+     * It is not, as far as this node can know.
+     *
+     * @property inputs what decided, for the log
+     */
+    data class Exceeded(val retryMillis: Long, val inputs: String) : AllowanceResult
 }
 
 /** Asks other nodes for tokens. */
@@ -50,7 +54,8 @@
             withTimeoutOrNull(ASK_MILLIS) { answer.await() }
             if (bucket.spend(clock.millis())) return AllowanceResult.Within
         }
-        return AllowanceResult.Exceeded(retryMillis(organisation))
+        val inputs = "tokens=%.2f,rate=%.1f,nodes=%d".format(bucket.tokens(clock.millis()), organisation.ratePerSecond, fleetSize())
+        return AllowanceResult.Exceeded(retryMillis(organisation), inputs)
     }
 
     /** Takes tokens out for another node that asks for [wanted]. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -95,8 +95,8 @@
             val wanted = demand.copy(excluded = excluded + demand.excluded, waitMillis = waitMillis)
             val seat = when (val result = forwarding.dispatcher.acquire(wanted)) {
                 is SeatResult.Taken -> result.seat
-                SeatResult.NoWorker -> return AttemptResult.NotRun(if (refusals > 0) "workers_full" else "no_worker")
-                SeatResult.NoRoom -> return AttemptResult.NotRun("no_room")
+                SeatResult.NoWorker -> return noSeat(if (refusals > 0) "workers_full" else "no_worker")
+                SeatResult.NoRoom -> return noSeat("no_room")
             }
             val result = sendTo(seat, demand.isBatch, headMillis, resumeAfter)
             if (result !is AttemptResult.NotRun) return result
@@ -106,6 +106,11 @@
         }
     }
 
+    private fun noSeat(reason: String): AttemptResult {
+        trace += "$reason(${forwarding.dispatcher.describe(plan.service)})"
+        return AttemptResult.NotRun(reason)
+    }
+
     private suspend fun sendTo(
         seat: WorkerSeat,
         isBatch: Boolean,
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
@@ -68,6 +68,13 @@
     val waitingOnline: Map<String, Int>
         get() = waiters.filter { !it.demand.isBatch }.groupingBy { it.demand.service }.eachCount()
 
+    /** What decides about requests to [service] now, for the log. */
+    fun describe(service: String): String {
+        val seats = board.available(service)
+        val load = seats.sumOf { it.load(clock.millis()) }.toInt()
+        return "workers=${seats.size},slots=${seats.sumOf { it.worker.slots }},load=$load,waiting=${waiters.size}"
+    }
+
     /** Takes a seat, waiting when none has room. */
     suspend fun acquire(demand: SeatDemand): SeatResult {
         if (!board.hasWorker(demand.service, demand.excluded)) return SeatResult.NoWorker
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -67,7 +67,10 @@
         if (organisation != null) {
             when (val result = allowances.spend(organisation)) {
                 AllowanceResult.Within -> Unit
-                is AllowanceResult.Exceeded -> return Refusal.overRate(result.retryMillis)
+                is AllowanceResult.Exceeded -> {
+                    record.attempts = listOf(result.inputs)
+                    return Refusal.overRate(result.retryMillis)
+                }
             }
         }
         return forward(onlineCall(id, route, organisation, incoming, record), sink, record)
