--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchShare.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchShare.kt
@@ -12,8 +12,8 @@
     /**
      * Changes the number of this node's batch requests: positive to start some, negative to stop some.
      *
-     * Runs start only while the reserve is free and stop only when no slot is, because a run that stops and starts again
-     * at each small change of the load produces little.
+     * Runs start only while twice the reserve is free and stop only when less than the reserve is, because a run that
+     * stops and starts again at each small change of the load produces little.
      *
      * @param slots of all workers in use
      * @param online requests at the workers and waiting for one, of all nodes
@@ -22,9 +22,12 @@
      * @param reserve slots that are left to the next online requests
      */
     fun change(slots: Int, online: Int, batch: Int, ownBatch: Int, reserve: Int): Int {
-        val excess = batch - maxOf(0, slots - online)
-        if (excess <= 0) return maxOf(0, slots - online - reserve - batch)
+        val excess = batch - maxOf(0, slots - online - reserve)
+        if (excess <= 0) return maxOf(0, slots - online - START_RESERVES * reserve - batch)
+        if (batch == 0) return 0
         // Several nodes stop at once, each its part, so that together they do not stop more than needed.
         return -minOf(ownBatch, ceil(excess.toDouble() * ownBatch / batch).toInt())
     }
+
+    private const val START_RESERVES = 2
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -63,7 +63,8 @@
     private val exchange: LoadExchange =
         LoadExchange(scope, clock, self, members, peerClient, board, dispatcher) { !registry.follower.isDisturbed }
     private val registry: WorkerRegistry = WorkerRegistry(board, clock, ports::decodeWorker) { sweepConnections() }
-    private val store = SubmissionStore(ports.log, clock, settings.submissionTopic, settings.submissionPartitions)
+    private val store =
+        SubmissionStore(scope, ports.log, clock, settings.submissionTopic, settings.submissionPartitions)
     private val fleetLoad =
         FleetLoad(board, exchange.loads, { !registry.follower.isDisturbed }) { service ->
             dispatcher.waitingOnline[service]
--- a/serving/src/main/kotlin/org/poplarshift/serving/allowance/AllowanceGate.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/allowance/AllowanceGate.kt
@@ -54,7 +54,11 @@
             withTimeoutOrNull(ASK_MILLIS) { answer.await() }
             if (bucket.spend(clock.millis())) return AllowanceResult.Within
         }
-        val inputs = "tokens=%.2f,rate=%.1f,nodes=%d".format(bucket.tokens(clock.millis()), organisation.ratePerSecond, fleetSize())
+        val inputs = "tokens=%.2f,rate=%.1f,nodes=%d".format(
+            bucket.tokens(clock.millis()),
+            organisation.ratePerSecond,
+            fleetSize(),
+        )
         return AllowanceResult.Exceeded(retryMillis(organisation), inputs)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -30,6 +30,8 @@
     private val output = StringBuilder()
     private var hasOutput = false
     private var failures = 0
+    private var keptMillis = forwarding.clock.millis()
+    private var keptLength = 0
 
     /** Whether nobody needs the result any more. The ledger is asked each time, because it may have been rebuilt. */
     val isOver: Boolean
@@ -150,9 +152,21 @@
                 is ResponsePart.Lost, ResponsePart.Silence -> return false
             }
             if (isOver) return true
+            keepNowAndThen()
         }
     }
 
+    // Without it, a process that is killed loses all that its runs have produced.
+    private fun keepNowAndThen() {
+        val now = forwarding.clock.millis()
+        if (now - keptMillis < KEEP_MILLIS || output.length - keptLength < SMALLEST_KEPT) return
+        val last = lastEvent ?: return
+        keptMillis = now
+        keptLength = output.length
+        val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
+        partition.post(record, output.toString().encodeToByteArray())
+    }
+
     private fun append(data: String) {
         if (hasOutput) output.append('\n')
         output.append(data)
@@ -217,8 +231,8 @@
         // Slots of a worker that batch leaves to the next online requests.
         const val SPARED_SLOTS = 1
 
-        // An item of usual size needs about this time at busy workers.
-        const val URGENT_MILLIS = 6_500L
+        // An item of usual size needs about two thirds of this time at busy workers.
+        const val URGENT_MILLIS = 8_500L
         const val SEAT_WAIT_MILLIS = 1_000L
         const val RETRY_MILLIS = 150L
 
@@ -228,6 +242,9 @@
         const val FAILURE_BODY_MILLIS = 500L
         const val FAILURE_BODY_BYTES = 65_536
 
+        // A third of the duration of an item of usual size.
+        const val KEEP_MILLIS = 2_000L
+
         // Less output than this is produced again faster than it is stored.
         const val SMALLEST_KEPT = 1_000
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -2,6 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.submission.AssembledRecord
 import org.poplarshift.core.submission.KeyedValue
@@ -36,6 +38,7 @@
     private val clock: MonotonicClock,
     private val topic: String,
     val number: Int,
+    private val scope: CoroutineScope,
     private val newId: () -> String,
 ) : RecordReceiver {
     private val waiting = HashMap<String, CompletableDeferred<LedgerEffect>>()
@@ -132,6 +135,20 @@
         }
     }
 
+    /** Writes [record] without waiting for the outcome; it may get lost. */
+    fun post(record: SubmissionRecord, content: ByteArray) {
+        val values = RecordFormat.encode(newId(), record, content, log.maximumValueBytes)
+        scope.launch {
+            for (call in calls(values)) {
+                val result = log.append(topic, number, call)
+                if (result !is AppendResult.Appended) {
+                    logger.info { "submission: a record of ${record.submission} is not kept: $result" }
+                    return@launch
+                }
+            }
+        }
+    }
+
     /** Removes the records of the submissions [ids] from the log. */
     suspend fun remove(ids: List<String>): AppendResult {
         val keys = ledger.forget(ids)
@@ -169,7 +186,7 @@
         const val READ_WAIT_MILLIS = 1_500L
 
         // Reads several records at once; well within the time in which other nodes must know of a change.
-        const val READ_PAUSE_MILLIS = 250L
+        const val READ_PAUSE_MILLIS = 400L
         const val CONFIRM_MILLIS = 800L
 
         // A lost answer is settled by reading the record back; callers wait for an answer about this long.
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.submission
 
+import kotlinx.coroutines.CoroutineScope
 import org.poplarshift.core.submission.SubmissionState
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.PartitionedLog
@@ -7,11 +8,17 @@
 import java.util.HexFormat
 
 /** All submissions, in partitions by organisation. */
-class SubmissionStore(log: PartitionedLog, clock: MonotonicClock, val topic: String, partitions: Int) {
+class SubmissionStore(
+    scope: CoroutineScope,
+    log: PartitionedLog,
+    clock: MonotonicClock,
+    topic: String,
+    partitions: Int,
+) {
     private val random = SecureRandom()
 
     /** The partitions that are in use. */
-    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, ::newId) }
+    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, ::newId) }
 
     /** Where the submissions of [organisation] are. */
     fun partitionOf(organisation: String): SubmissionPartition =
