--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
@@ -101,18 +101,20 @@
 
     private fun removeLapsed() {
         val now = clock.millis()
-        val isCalm = !follower.isDisturbed && isLongAgo(now)
         if (follower.isDisturbed) return
-        for ((id, since) in lapsedMillis.toList()) {
-            val isOver = isCalm || now - maxOf(since, follower.recoveredMillis) >= GRACE_MILLIS
-            if (!isOver) continue
+        val isCalm = isLongAgo(now)
+        val over = lapsedMillis.filterValues { isCalm || now - maxOf(it, follower.recoveredMillis) >= GRACE_MILLIS }
+        for ((id, since) in over) {
             lapsedMillis.remove(id)
-            workers.remove(id) ?: continue
-            isChanged = true
-            logger.atInfo {
-                message = "registry: worker is gone"
-                payload = mapOf("worker" to id, "lapsed_millis_ago" to (now - since), "calm" to isCalm)
-            }
+            if (workers.remove(id) != null) logGone(id, now - since, isCalm)
+        }
+    }
+
+    private fun logGone(id: String, lapsedMillisAgo: Long, isCalm: Boolean) {
+        isChanged = true
+        logger.atInfo {
+            message = "registry: worker is gone"
+            payload = mapOf("worker" to id, "lapsed_millis_ago" to lapsedMillisAgo, "calm" to isCalm)
         }
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -147,41 +147,39 @@
         connection: WorkerConnection,
         result: ExchangeHead,
         release: () -> Unit,
-    ): AttemptResult {
-        val now = clock.millis()
-        return when (result) {
-            is ExchangeHead.Lost -> {
-                seat.onLost()
-                ran(seat, result.reason, isSilence = false)
-            }
+    ): AttemptResult = when (result) {
+        is ExchangeHead.Lost -> {
+            seat.onLost()
+            ran(seat, result.reason, isSilence = false)
+        }
 
-            ExchangeHead.Silence -> {
-                forwarding.watch.suspect(seat)
-                ran(seat, "silent", isSilence = true)
-            }
+        ExchangeHead.Silence -> {
+            forwarding.watch.suspect(seat)
+            ran(seat, "silent", isSilence = true)
+        }
 
-            is ExchangeHead.Answer -> {
-                val head = result.head
-                head.requestsAtWorker?.let { seat.onReport(it, now) }
-                when {
-                    head.hasNotRun -> notRun(seat, exchange, connection, head)
-                    head.status in SUCCESS && !head.isStamped -> ran(seat, "success without receipt", isSilence = false)
-                    else -> {
-                        seat.onAlive()
-                        mayHaveRun++
-                        excluded += seat.worker.id
-                        trace += "${seat.worker.id}:${head.status}"
-                        AttemptResult.Answered(
-                            Attempt(seat, exchange, connection, forwarding.connections, release),
-                            head,
-                            result.headers,
-                        )
-                    }
+        is ExchangeHead.Answer -> {
+            val head = result.head
+            head.requestsAtWorker?.let { seat.onReport(it, clock.millis()) }
+            when {
+                head.hasNotRun -> notRun(seat, exchange, connection, head)
+                head.status in SUCCESS && !head.isStamped -> ran(seat, "success without receipt", isSilence = false)
+                else -> {
+                    answered(seat, head)
+                    val attempt = Attempt(seat, exchange, connection, forwarding.connections, release)
+                    AttemptResult.Answered(attempt, head, result.headers)
                 }
             }
         }
     }
 
+    private fun answered(seat: WorkerSeat, head: AnswerHead) {
+        seat.onAlive()
+        mayHaveRun++
+        excluded += seat.worker.id
+        trace += "${seat.worker.id}:${head.status}"
+    }
+
     private suspend fun notRun(
         seat: WorkerSeat,
         exchange: WorkerExchange,
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -40,19 +40,7 @@
             attempt.close()
         }
         return when (body) {
-            is BodyResult.Broken -> {
-                session.trace += body.reason
-                if (mayTryAgain(call, session)) {
-                    null
-                } else {
-                    OnlineOutcome.Failed(
-                        body.reason,
-                        isTimeout =
-                        session.leftMillis <= 0,
-                    )
-                }
-            }
-
+            is BodyResult.Broken -> broken(call, session, body.reason)
             is BodyResult.Whole -> when {
                 status >= FIRST_SERVER_ERROR && mayTryAgain(call, session) -> null
                 status in PROMISES && !call.route.mayRepeat -> OnlineOutcome.Failed("worker_$status", isTimeout = false)
@@ -64,6 +52,12 @@
         }
     }
 
+    private fun broken(call: OnlineCall, session: AttemptSession, reason: String): OnlineOutcome? {
+        session.trace += reason
+        if (mayTryAgain(call, session)) return null
+        return OnlineOutcome.Failed(reason, isTimeout = session.leftMillis <= 0)
+    }
+
     private fun answerHeaders(headers: MultiMap): MultiMap = forwarding.protocol.answerHeaders(headers)
 
     private fun mayTryAgain(call: OnlineCall, session: AttemptSession): Boolean =
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -17,6 +17,7 @@
 import org.poplarshift.serving.forward.Forwarding
 import org.poplarshift.serving.forward.ResponsePart
 import org.poplarshift.serving.forward.SeatDemand
+import org.poplarshift.serving.forward.StreamEvent
 
 /** Runs one item until it has a result, going on after the last event when a run breaks off. */
 class ItemRun(
@@ -137,10 +138,7 @@
         val splitter = EventSplitter()
         while (true) {
             when (val part = attempt.exchange.next(PAUSE_MILLIS)) {
-                is ResponsePart.Bytes -> splitter.add(part.bytes).forEach { event ->
-                    event.data?.let { append(it) }
-                    event.id?.let { lastEvent = it }
-                }
+                is ResponsePart.Bytes -> splitter.add(part.bytes).forEach { append(it) }
 
                 ResponsePart.End -> {
                     if (splitter.hasPartial) return false
@@ -167,7 +165,9 @@
         partition.post(record, output.toString().encodeToByteArray())
     }
 
-    private fun append(data: String) {
+    private fun append(event: StreamEvent) {
+        event.id?.let { lastEvent = it }
+        val data = event.data ?: return
         if (hasOutput) output.append('\n')
         output.append(data)
         hasOutput = true
@@ -231,8 +231,8 @@
         // Slots of a worker that batch leaves to the next online requests.
         const val SPARED_SLOTS = 1
 
-        // An item of usual size needs about two thirds of this time at busy workers.
-        const val URGENT_MILLIS = 8_500L
+        // An item of usual size needs about this time at busy workers.
+        const val URGENT_MILLIS = 6_500L
         const val SEAT_WAIT_MILLIS = 1_000L
         const val RETRY_MILLIS = 150L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -66,8 +66,11 @@
             partition.awaitChange(left)
         }
         val state = find(call.submission, owner) ?: return Refusal.NOT_CAUGHT_UP
-        val isEmpty = call.after >= state.results.size
-        if (isEmpty && !state.isComplete && !partition.isCurrent(READ_AGE_MILLIS) && !partition.confirm()) {
+        val mayLackResults = call.after >= state.results.size && !state.isComplete
+        if (mayLackResults &&
+            !partition.isCurrent(READ_AGE_MILLIS) &&
+            !partition.confirm()
+        ) {
             return Refusal.NOT_CAUGHT_UP
         }
         answer(state, call.after, sink)
