--- a/verification/src/main/kotlin/org/poplarshift/verification/routing/DispatchCost.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/routing/DispatchCost.kt
@@ -5,12 +5,12 @@
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.routing.RoutingPolicyChoice
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.dispatch.DispatchSettings
 import org.poplarshift.node.dispatch.DispatchTicket
 import org.poplarshift.node.dispatch.TrackedWorker
 import org.poplarshift.node.dispatch.WorkerGrant
 import org.poplarshift.node.dispatch.WorkerPool
+import org.poplarshift.serving.MonotonicClock
 import java.lang.management.ManagementFactory
 import kotlin.random.Random
 
--- a/verification/src/main/kotlin/org/poplarshift/verification/routing/VirtualNode.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/routing/VirtualNode.kt
@@ -4,13 +4,13 @@
 import org.poplarshift.core.catalogue.Upstream
 import org.poplarshift.core.catalogue.Worker
 import org.poplarshift.core.verdict.Verdict
-import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.node.dispatch.DispatchDecision
 import org.poplarshift.node.dispatch.DispatchSettings
 import org.poplarshift.node.dispatch.DispatchTicket
 import org.poplarshift.node.dispatch.TrackedWorker
 import org.poplarshift.node.dispatch.WorkerGrant
 import org.poplarshift.node.dispatch.WorkerPool
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.verification.fleet.VirtualTime
 import kotlin.random.Random
 
