--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -33,7 +33,7 @@
     @Option(
         names = ["--settings"],
         paramLabel = "FILE",
-        defaultValue = "\${env:POPLARSHIFT_BOOT}",
+        defaultValue = "\${env:" + PlatformSettings.FILE_VARIABLE + "}",
         description = ["The settings, as JSON; by default the file that the platform names."],
     )
     var settingsFile: Path? = null
