--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -72,27 +72,22 @@
         return part
     }
 
-    /** The whole body; a part other than bytes tells why there is none. */
-    suspend fun readAll(timeoutMillis: Long, maximumBytes: Int): BodyResult {
+    /** The whole body, or why there is none. */
+    suspend fun readAll(timeoutMillis: Long, maximumBytes: Int): BodyResult =
+        withTimeoutOrNull(timeoutMillis) { collect(timeoutMillis, maximumBytes) }
+            ?: BodyResult.Broken("body took over $timeoutMillis ms")
+
+    private suspend fun collect(timeoutMillis: Long, maximumBytes: Int): BodyResult {
         val body = Buffer.buffer()
-        val isRead = withTimeoutOrNull(timeoutMillis) {
-            while (true) {
-                when (val part = next(timeoutMillis)) {
-                    is ResponsePart.Bytes -> body.appendBuffer(part.bytes)
-                    ResponsePart.End -> return@withTimeoutOrNull BodyResult.Whole(body)
-                    is ResponsePart.Lost -> return@withTimeoutOrNull BodyResult.Broken(part.reason)
-                    ResponsePart.Silence -> return@withTimeoutOrNull BodyResult.Broken("silent within the body")
-                }
-                if (body.length() >
-                    maximumBytes
-                ) {
-                    return@withTimeoutOrNull BodyResult.Broken("body of over $maximumBytes bytes")
-                }
+        while (body.length() <= maximumBytes) {
+            when (val part = next(timeoutMillis)) {
+                is ResponsePart.Bytes -> body.appendBuffer(part.bytes)
+                ResponsePart.End -> return BodyResult.Whole(body)
+                is ResponsePart.Lost -> return BodyResult.Broken(part.reason)
+                ResponsePart.Silence -> return BodyResult.Broken("silent within the body")
             }
-            @Suppress("UNREACHABLE_CODE")
-            null
         }
-        return isRead ?: BodyResult.Broken("body took over $timeoutMillis ms")
+        return BodyResult.Broken("body of over $maximumBytes bytes")
     }
 
     private suspend fun respond(request: OutgoingRequest): HttpClientResponse {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -143,7 +143,6 @@
         is OnlineOutcome.Failed -> Refusal(if (outcome.isTimeout) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
     }
 
-    /** Sends a whole answer without a body of a worker. */
     companion object {
         private const val BAD_GATEWAY = 502
         private const val GATEWAY_TIMEOUT = 504
--- /dev/null
+++ b/serving/src/test/kotlin/org/poplarshift/serving/allowance/AllowanceGateTest.kt
@@ -0,0 +1,64 @@
+package org.poplarshift.serving.allowance
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import org.poplarshift.core.ingress.IngressOrganisation
+import org.poplarshift.serving.MonotonicClock
+
+/**
+ * Guards against refusals of an organisation within its rate when its callers press on one node, as a balancer that hashes
+ * callers makes them, and against nodes that admit more than all shares together.
+ */
+class AllowanceGateTest :
+    FunSpec({
+        val organisation = IngressOrganisation("org", setOf("key"), priority = null, ratePerSecond = 20.0, burst = 20.0)
+
+        class Fleet(scope: CoroutineScope, nodes: Int) {
+            var now = 0L
+            val gates: List<AllowanceGate> = List(nodes) { own ->
+                AllowanceGate(scope, MonotonicClock { now }, { name, wanted -> ask(own, name, wanted) }) { nodes }
+            }
+
+            private fun ask(own: Int, name: String, wanted: Double): Double =
+                gates.filterIndexed { index, _ -> index != own }.sumOf { it.give(name, wanted) }
+
+            suspend fun admitted(node: Int, requests: Int): Int {
+                var admitted = 0
+                repeat(requests) {
+                    if (gates[node].spend(organisation) == AllowanceResult.Within) admitted++
+                    delay(1)
+                }
+                return admitted
+            }
+        }
+
+        test("a node whose callers press gets the tokens of the others, and all together no more than the burst") {
+            coroutineScope {
+                val fleet = Fleet(this, nodes = 4)
+                fleet.gates.forEach { it.spend(organisation) }
+                fleet.now = 10_000
+                val admitted = fleet.admitted(node = 0, requests = 40)
+                (admitted in 12..20) shouldBe true
+            }
+        }
+
+        test("a request that no node has a token for is refused at once with the time to come back") {
+            coroutineScope {
+                val fleet = Fleet(this, nodes = 2)
+                fleet.admitted(node = 0, requests = 30)
+                fleet.gates[0].spend(organisation).shouldBeInstanceOf<AllowanceResult.Exceeded>().retryMillis shouldBe
+                    150
+            }
+        }
+
+        test("an organisation without a rate has no limit") {
+            coroutineScope {
+                val free = organisation.copy(ratePerSecond = 0.0)
+                Fleet(this, nodes = 2).gates[0].spend(free) shouldBe AllowanceResult.Within
+            }
+        }
+    })
