--- a/verification/src/test/kotlin/org/poplarshift/verification/scenario/FederationPlan.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/scenario/FederationPlan.kt
@@ -77,12 +77,15 @@
     private fun worker(id: String, zone: String, capacity: Int) =
         Worker(id = id, address = "127.0.0.1:${freePort(LOOPBACK)}", zone = zone, capacity = capacity)
 
-    private fun freePort(address: InetAddress): Int = ServerSocket(0, 1, address).use { it.localPort }
+    // The system may offer a port again before it is in use, and two stand-ins on one port would share its requests.
+    private fun freePort(address: InetAddress): Int =
+        generateSequence { ServerSocket(0, 1, address).use { it.localPort } }.first { givenOut.add(it) }
 
     companion object {
         /** Ownership slots of each zone. */
         const val SLOTS_IN_ZONE = 2
         private const val WRITERS_IN_ZONE = 2
+        private val givenOut = HashSet<Int>()
         private val LOOPBACK: InetAddress = InetAddress.getByName("127.0.0.1")
     }
 }
