Let the worker of the two-owner test answer only after both owners have begun

When the first owner's results are listed before the second owner looks, the second has nothing to run, which is allowed; the test left open which happens. Now the worker holds its answers until all four runs have come, so that the expectation is as strict as before and certain.

--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -60,6 +60,8 @@
             test(case.name) {
                 withFleet { fleet ->
                     val worker = fleet.worker("w", item, item, item, item)
+                    // With two owners no result is listed before both have begun to run all items.
+                    worker.answersAfter = case.runs
                     fleet.configure()
                     val nodes = listOf(fleet.start("a"), fleet.start("b", ownsBatch = case.owners > 1))
                     nodes.forEach { fleet.awaitReady(it) }
