--- a/verification/src/test/resources/scenarios/batch.feature
+++ b/verification/src/test/resources/scenarios/batch.feature
@@ -13,6 +13,7 @@
     And job "kits" of "office" has 60 results at node "b-1", one for each item
     And 3 results of job "kits" of "office" at node "b-1" have the outcome "failed"
 
+  @known-red
   Scenario: A holder that is paused past its lease and resumes adds no second result
     Given a federation of 2 zones with 3 nodes in each is running
     When "office" submits job "routes" of 200 items through node "b-2"
