Keep requests that crash workers from further ones, and log where requests wait

Cause: a request whose worker had crashed went to the next one, at any node and as often as its caller sent it; a batch item was sent again without a pause.

Change: each node tells the strikes that it has seen in one record of the members' topic; three distinct workers put a request, known by organisation, path and body, into quarantine for two minutes. Online it is refused with a long Retry-After, an item waits 4, 8, 16 seconds between runs, because it may not be given up. Messages between nodes were ruled out: they reach no node that starts later.

The log line of a call tells how long it waited at the node and when its answer began.

The build's rehearsal took the port after its third one without asking whether it was free; a build beside another failed with "Address already in use".

--- a/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
@@ -1,14 +1,16 @@
 package org.poplarshift.core.quarantine
 
 /**
- * The strikes that one node knows of, its own and those of its peers. A request with strikes from two distinct workers
- * is quarantined until the first of them expires.
+ * The strikes that one node knows of, its own and those of its peers. A request with strikes from [strikeLimit] distinct
+ * workers is quarantined until the first of them expires.
  *
  * A strike that was cleared stays cleared, in whatever order the news arrives: merging is commutative and idempotent.
  *
  * @property retentionMillis how long a strike counts; a changed catalogue may change it for later strikes
+ * @param strikeLimit distinct workers that must have died; where suspects run beside other requests, these are struck as
+ *   well, and a higher limit keeps them out of quarantine
  */
-class QuarantineTable(var retentionMillis: Long) {
+class QuarantineTable(var retentionMillis: Long, private val strikeLimit: Int = STRIKES_TO_QUARANTINE) {
     private val expiries = HashMap<Strike, Long>()
     private val clearedExpiries = HashMap<Strike, Long>()
     private val workersByFingerprint = HashMap<String, MutableSet<String>>()
@@ -20,7 +22,7 @@
         }
         return when {
             workers.isNullOrEmpty() -> SuspectStatus.Clear
-            workers.size < STRIKES_TO_QUARANTINE -> SuspectStatus.Suspect(workers.toSet())
+            workers.size < strikeLimit -> SuspectStatus.Suspect(workers.toSet())
             else -> SuspectStatus.Quarantined
         }
     }
--- a/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.node
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
@@ -16,6 +17,7 @@
 import org.poplarshift.platform.PlatformSettings
 import org.poplarshift.serving.ServingNode
 import picocli.CommandLine.Command
+import java.net.BindException
 import java.net.ServerSocket
 import java.util.concurrent.Callable
 
@@ -80,12 +82,27 @@
         )
     }
 
+    // The node takes two neighbouring ports from the third on. Another process may take a port before the node binds it,
+    // and the build then fails; the system hands free ports out in a different order to each process, so that this is rare.
     private fun freePorts(): List<Int> {
-        val sockets = List(PORTS) { ServerSocket(0) }
-        return sockets.map { it.localPort }.also { sockets.forEach { it.close() } }
+        while (true) {
+            val sockets = List(PORTS) { ServerSocket(0) }
+            val ports = sockets.map { it.localPort }
+            val isNextFree = isFree(ports[2] + 1)
+            sockets.forEach { it.close() }
+            if (isNextFree) return ports
+        }
+    }
+
+    private fun isFree(port: Int): Boolean = try {
+        ServerSocket(port).use { true }
+    } catch (exception: BindException) {
+        logger.debug { "rehearse: port $port is taken: ${exception.message}" }
+        false
     }
 
     private companion object {
+        val logger = KotlinLogging.logger {}
         const val LOOPBACK = "127.0.0.1"
         const val PORTS = 4
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -23,11 +23,14 @@
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerServer
 import org.poplarshift.serving.ingress.PlainServer
+import org.poplarshift.serving.log.LogRecord
+import org.poplarshift.serving.log.RecordReceiver
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
 import org.poplarshift.serving.observe.NodeGauges
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerServer
+import org.poplarshift.serving.quarantine.CrashRegister
 import org.poplarshift.serving.submission.BatchRunner
 import org.poplarshift.serving.submission.FleetLoad
 import org.poplarshift.serving.submission.SubmissionService
@@ -59,7 +62,8 @@
     private val dispatcher = WorkerDispatcher(scope, board, clock)
     private val connections = WorkerConnections(vertx, settings.localHost, clock)
     private val watch = WorkerWatch(scope, board, connections)
-    private val forwarding = Forwarding(dispatcher, connections, watch, ports.workerProtocol, clock)
+    private val crashes = CrashRegister(scope, clock, ports.log, settings.memberTopic, settings.name)
+    private val forwarding = Forwarding(dispatcher, connections, watch, ports.workerProtocol, clock, crashes)
     private val exchange: LoadExchange =
         LoadExchange(scope, clock, self, members, peerClient, board, dispatcher) { !registry.follower.isDisturbed }
     private val registry: WorkerRegistry = WorkerRegistry(board, clock, ports::decodeWorker) { sweepConnections() }
@@ -82,7 +86,15 @@
         TopicFollower(ports.log, clock, settings.configurationTopic, FIRST, configuration, LONG_READ_MILLIS),
         TopicFollower(ports.log, clock, settings.workerTopic, FIRST, registry, WORKER_READ_MILLIS, WORKER_PAUSE_MILLIS)
             .also { registry.follower = it },
-        TopicFollower(ports.log, clock, settings.memberTopic, FIRST, members, LONG_READ_MILLIS, MEMBER_PAUSE_MILLIS),
+        TopicFollower(
+            ports.log,
+            clock,
+            settings.memberTopic,
+            FIRST,
+            memberRecords(),
+            LONG_READ_MILLIS,
+            MEMBER_PAUSE_MILLIS,
+        ),
     )
 
     /** Starts to serve. */
@@ -127,6 +139,16 @@
         return if (isReady) OK else UNAVAILABLE
     }
 
+    // One topic for members and crashes saves the calls of another follower.
+    private fun memberRecords() = object : RecordReceiver {
+        override fun onRestart() = members.onRestart()
+
+        override fun onRecord(record: LogRecord) =
+            if (crashes.owns(record.key)) crashes.onRecord(record) else members.onRecord(record)
+
+        override fun onCaughtUp() = members.onCaughtUp()
+    }
+
     private fun updateAllowances() = allowances.update(configuration.current)
 
     private fun sweepConnections() = connections.sweep(board.workers.map { it.id }.toSet())
@@ -137,7 +159,9 @@
             delay(TIDY_MILLIS)
             sweepConnections()
             watch.check()
-            if (++round % CLEAN_ROUNDS == 0) batch.clean()
+            if (++round % CLEAN_ROUNDS != 0) continue
+            batch.clean()
+            crashes.expire()
         }
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -3,8 +3,13 @@
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
+import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.core.dispatch.WorkerSeat
+import org.poplarshift.core.quarantine.SuspectStatus
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.quarantine.CrashRegister
+import org.poplarshift.serving.quarantine.RequestFingerprint
+import org.poplarshift.serving.quarantine.RunAtWorker
 import java.net.HttpURLConnection.HTTP_UNAVAILABLE
 
 /**
@@ -12,6 +17,7 @@
  *
  * @property maximumAttempts workers that may run it
  * @property endMillis monotonic milliseconds at which nobody waits any more
+ * @property isRefusedInQuarantine whether a request that has crashed several workers is not sent any more
  */
 class AttemptPlan(
     val id: String,
@@ -23,7 +29,11 @@
     val body: Buffer,
     val endMillis: Long,
     val maximumAttempts: Int,
-)
+    val isRefusedInQuarantine: Boolean = true,
+) {
+    /** Recognises the request when it comes again under another id. */
+    val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { RequestFingerprint.of(organisation, uri, body) }
+}
 
 /** The outcome of one attempt. */
 sealed interface AttemptResult {
@@ -33,6 +43,9 @@
     /** No worker has run the request in this attempt. */
     data class NotRun(val reason: String) : AttemptResult
 
+    /** Workers have crashed with the request, and it was not sent to another. */
+    data object Quarantined : AttemptResult
+
     /** A worker may have run the request. */
     data class MayHaveRun(val reason: String, val isSilence: Boolean) : AttemptResult
 }
@@ -69,6 +82,10 @@
     var isSending = false
         private set
 
+    /** Milliseconds that the request has waited at this node for a worker with room. */
+    var waitedMillis = 0L
+        private set
+
     /** What happened so far, for the log. */
     val trace = ArrayList<String>()
 
@@ -88,12 +105,16 @@
      * @param resumeAfter the last event of an earlier run, or null
      */
     suspend fun attempt(demand: SeatDemand, headMillis: Long, resumeAfter: Long?): AttemptResult {
+        if (plan.isRefusedInQuarantine && isQuarantined) {
+            trace += "quarantined(${plan.fingerprint})"
+            return AttemptResult.Quarantined
+        }
         val until = clock.millis() + demand.waitMillis
         var refusals = 0
         while (true) {
             val waitMillis = minOf(until, plan.endMillis) - clock.millis()
             val wanted = demand.copy(excluded = excluded + demand.excluded, waitMillis = waitMillis)
-            val seat = when (val result = forwarding.dispatcher.acquire(wanted)) {
+            val seat = when (val result = acquire(wanted)) {
                 is SeatResult.Taken -> result.seat
                 SeatResult.NoWorker -> return noSeat(if (refusals > 0) "workers_full" else "no_worker")
                 SeatResult.NoRoom -> return noSeat("no_room")
@@ -106,6 +127,27 @@
         }
     }
 
+    /** Whether several workers have crashed with the request. */
+    val isQuarantined: Boolean
+        get() = !forwarding.crashes.isEmpty &&
+            forwarding.crashes.statusOf(plan.fingerprint) == SuspectStatus.Quarantined
+
+    /** Takes that the connection to [worker] was lost within the answer. */
+    fun onLostWithinAnswer(worker: FleetWorker) = noteLost(worker)
+
+    /** Takes that an answer was complete. */
+    fun onCompleted() {
+        if (!forwarding.crashes.isEmpty) forwarding.crashes.onCompleted(plan.fingerprint)
+    }
+
+    private suspend fun acquire(demand: SeatDemand): SeatResult {
+        val since = clock.millis()
+        return forwarding.dispatcher.acquire(demand).also { waitedMillis += clock.millis() - since }
+    }
+
+    private fun noteLost(worker: FleetWorker) =
+        forwarding.crashes.onLost(RunAtWorker(plan.fingerprint, "${worker.id}/${worker.startedMillis}"))
+
     private fun noSeat(reason: String): AttemptResult {
         trace += "$reason(${forwarding.dispatcher.describe(plan.service)})"
         return AttemptResult.NotRun(reason)
@@ -150,9 +192,15 @@
     ): AttemptResult = when (result) {
         is ExchangeHead.Lost -> {
             seat.onLost()
+            noteLost(seat.worker)
             ran(seat, result.reason, isSilence = false)
         }
 
+        ExchangeHead.Foreign -> {
+            seat.onLost()
+            ran(seat, "answer to another request", isSilence = false)
+        }
+
         ExchangeHead.Silence -> {
             forwarding.watch.suspect(seat)
             ran(seat, "silent", isSilence = true)
@@ -227,4 +275,5 @@
     val watch: WorkerWatch,
     val protocol: WorkerProtocol,
     val clock: MonotonicClock,
+    val crashes: CrashRegister,
 )
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -49,6 +49,11 @@
 
 /** How a caller's request ended. */
 sealed interface OnlineOutcome {
+    companion object {
+        /** The reason for requests that have crashed several workers. */
+        const val QUARANTINED = "quarantined"
+    }
+
     /** The worker's answer was passed on whole. */
     data class Delivered(val status: Int, val worker: String) : OnlineOutcome
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -18,6 +18,7 @@
             val demand = SeatDemand(call.service, call.rank, waitMillis(session), onTimeMillis = onTimeMillis(call))
             when (val result = session.attempt(demand, headMillis(call, session), resumeAfter = null)) {
                 is AttemptResult.NotRun -> return lastResort(session, result.reason)
+                AttemptResult.Quarantined -> return lastResort(session, OnlineOutcome.QUARANTINED)
                 is AttemptResult.MayHaveRun ->
                     if (!mayTryAgain(call, session)) return OnlineOutcome.Failed(result.reason, result.isSilence)
 
@@ -40,11 +41,16 @@
             attempt.close()
         }
         return when (body) {
-            is BodyResult.Broken -> broken(call, session, body.reason)
+            is BodyResult.Broken -> {
+                if (body.isConnectionLost) session.onLostWithinAnswer(attempt.seat.worker)
+                broken(call, session, body.reason)
+            }
+
             is BodyResult.Whole -> when {
                 status >= FIRST_SERVER_ERROR && mayTryAgain(call, session) -> null
                 status in PROMISES && !call.route.mayRepeat -> OnlineOutcome.Failed("worker_$status", isTimeout = false)
                 else -> {
+                    session.onCompleted()
                     sink.whole(status, answerHeaders(answered.headers), body.bytes)
                     OnlineOutcome.Delivered(status, attempt.seat.worker.id)
                 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamRun.kt
@@ -23,6 +23,7 @@
                 SeatDemand(call.service, rank(), waitMillis(), onTimeMillis = OnlineForwarder.onTimeMillis(call))
             when (val result = session.attempt(demand, headMillis(), lastEvent)) {
                 is AttemptResult.NotRun -> return giveUp(result.reason, isTimeout = false)
+                AttemptResult.Quarantined -> return giveUp(OnlineOutcome.QUARANTINED, isTimeout = false)
                 is AttemptResult.MayHaveRun ->
                     if (!mayGoOn()) return giveUp(result.reason, result.isSilence)
 
@@ -40,7 +41,7 @@
                 isStarted = true
                 sink.start(OK, forwarding.protocol.answerHeaders(answered.headers))
             }
-            val failure = copy(attempt.exchange) ?: return OnlineOutcome.Delivered(OK, worker)
+            val failure = copy(attempt) ?: return OnlineOutcome.Delivered(OK, worker)
             attempt.close()
             session.trace += failure
             return if (mayGoOn()) null else giveUp(failure, isTimeout = session.leftMillis <= 0)
@@ -50,20 +51,25 @@
     }
 
     /** Passes events on; null when the stream is complete, otherwise why it is not. */
-    private suspend fun copy(exchange: WorkerExchange): String? {
+    private suspend fun copy(attempt: Attempt): String? {
         val splitter = EventSplitter()
         while (true) {
-            when (val part = exchange.next(pauseMillis())) {
+            when (val part = attempt.exchange.next(pauseMillis())) {
                 is ResponsePart.Bytes -> {
                     val events = splitter.add(part.bytes)
                     if (events.isNotEmpty()) deliver(events)
                 }
 
-                is ResponsePart.Lost -> return part.reason
+                is ResponsePart.Lost -> {
+                    session.onLostWithinAnswer(attempt.seat.worker)
+                    return part.reason
+                }
+
                 ResponsePart.Silence -> return if (session.leftMillis <= 0) "time is up" else "silent within the stream"
                 ResponsePart.End -> {
                     if (splitter.hasPartial) sink.write(splitter.takePartial())
                     sink.end()
+                    session.onCompleted()
                     return null
                 }
             }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -25,9 +25,12 @@
     /** The worker answers. */
     class Answer(val head: AnswerHead, val headers: MultiMap) : ExchangeHead
 
-    /** The connection was lost, or the answer is not one to the request. */
+    /** The connection was lost, or what came is no answer. */
     data class Lost(val reason: String) : ExchangeHead
 
+    /** The answer is one to another request. */
+    data object Foreign : ExchangeHead
+
     /** Nothing came in the time allowed. */
     data object Silence : ExchangeHead
 }
@@ -59,7 +62,7 @@
         response = received
         val head = protocol.readAnswer(received.statusCode(), received.headers())
         // A worker may send a second answer, which then stands where that of the next request is expected.
-        if (head.requestId != null && head.requestId != request.id) return ExchangeHead.Lost(WRONG_ANSWER)
+        if (head.requestId != null && head.requestId != request.id) return ExchangeHead.Foreign
         answer = head
         return ExchangeHead.Answer(head, received.headers())
     }
@@ -83,7 +86,7 @@
             when (val part = next(timeoutMillis)) {
                 is ResponsePart.Bytes -> body.appendBuffer(part.bytes)
                 ResponsePart.End -> return BodyResult.Whole(body)
-                is ResponsePart.Lost -> return BodyResult.Broken(part.reason)
+                is ResponsePart.Lost -> return BodyResult.Broken(part.reason, isConnectionLost = true)
                 ResponsePart.Silence -> return BodyResult.Broken("silent within the body")
             }
         }
@@ -114,7 +117,6 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        const val WRONG_ANSWER = "answer to another request"
     }
 }
 
@@ -124,5 +126,5 @@
     class Whole(val bytes: Buffer) : BodyResult
 
     /** The body is not complete. */
-    data class Broken(val reason: String) : BodyResult
+    data class Broken(val reason: String, val isConnectionLost: Boolean = false) : BodyResult
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -115,8 +115,12 @@
         )
         val session = AttemptSession(plan, forwarding)
         record.attempts = session.trace
-        val outcome = withTimeoutOrNull((call.endMillis - clock.millis()).coerceAtLeast(1)) {
-            forwarder.serve(call, session, sink)
+        val outcome = try {
+            withTimeoutOrNull((call.endMillis - clock.millis()).coerceAtLeast(1)) {
+                forwarder.serve(call, session, sink)
+            }
+        } finally {
+            record.waitedMillis = session.waitedMillis
         }
         return conclude(outcome ?: timedOut(sink, session), sink, record)
     }
@@ -139,7 +143,9 @@
             null
         }
 
-        is OnlineOutcome.Refused -> Refusal.busy(outcome.reason)
+        is OnlineOutcome.Refused ->
+            if (outcome.reason == OnlineOutcome.QUARANTINED) Refusal.QUARANTINED else Refusal.busy(outcome.reason)
+
         is OnlineOutcome.Failed -> Refusal(if (outcome.isTimeout) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -80,9 +80,9 @@
         val receivedMillis = clock.millis()
         val limit = configuration.current?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
         val body = RequestBody(request, limit)
-        val sink = HttpCallerSink(request) { isLeaving }
         val call = protocol.decode(request.method(), request.uri(), request.headers())
         val record = CallRecord(call.head, request.method().name(), receivedMillis)
+        val sink = HttpCallerSink(request, onBegin = { record.answeredMillis = clock.millis() }) { isLeaving }
         active++
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
             try {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/HttpCallerSink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/HttpCallerSink.kt
@@ -9,9 +9,14 @@
 /**
  * Answers one caller.
  *
+ * @param onBegin called before the head of the answer is sent
  * @param isLeaving whether the caller should close the connection after the answer
  */
-class HttpCallerSink(private val request: HttpServerRequest, private val isLeaving: () -> Boolean) : CallerSink {
+class HttpCallerSink(
+    private val request: HttpServerRequest,
+    private val onBegin: () -> Unit,
+    private val isLeaving: () -> Boolean,
+) : CallerSink {
     private val response = request.response()
 
     /** Status of the answer that was begun, or null. */
@@ -50,6 +55,7 @@
 
     private fun begin(status: Int, headers: MultiMap) {
         this.status = status
+        onBegin()
         response.setStatusCode(status)
         response.headers().addAll(headers)
         if (isLeaving()) response.putHeader("Connection", "close")
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
@@ -18,6 +18,7 @@
         val NO_CONFIGURATION = Refusal(503, "no_configuration", SHORT_RETRY_MILLIS)
         val LOG_UNAVAILABLE = Refusal(503, "log_unavailable", LOG_RETRY_MILLIS)
         val NOT_CAUGHT_UP = Refusal(503, "not_caught_up", SHORT_RETRY_MILLIS)
+        val QUARANTINED = Refusal(503, "quarantined", QUARANTINE_RETRY_MILLIS)
         val OUTCOME_UNKNOWN = Refusal(504, "outcome_unknown")
 
         /** Workers have no room or can't be reached. */
@@ -32,6 +33,9 @@
         // A few request durations, after which some of the waiting requests have ended.
         private const val BUSY_RETRY_MILLIS = 200L
 
+        // A request that crashes workers is not sent to any for about two minutes.
+        private const val QUARANTINE_RETRY_MILLIS = 60_000L
+
         // Outages of the log last seconds, but other nodes may reach it.
         private const val LOG_RETRY_MILLIS = 300L
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecord.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecord.kt
@@ -13,6 +13,12 @@
     /** Workers that the request was sent to, each with what came of it. */
     var attempts: List<String> = emptyList()
 
+    /** Milliseconds that it waited at this node for a worker with room. */
+    var waitedMillis = 0L
+
+    /** Monotonic milliseconds at which the answer was begun, or null. */
+    var answeredMillis: Long? = null
+
     /** How the call ended. */
     var outcome = "unknown"
         private set
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecorder.kt
@@ -68,6 +68,8 @@
             "attempts" to record.attempts.joinToString(","),
             "outcome" to record.outcome,
             "status" to status,
+            "waited_millis" to record.waitedMillis,
+            "first_millis" to record.answeredMillis?.let { it - record.receivedMillis },
             "millis" to duration,
             "lines_dropped" to dropped,
         )
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -31,6 +31,7 @@
     private val output = StringBuilder()
     private var hasOutput = false
     private var failures = 0
+    private var runsInQuarantine = 0
     private var keptMillis = forwarding.clock.millis()
     private var keptLength = 0
 
@@ -74,16 +75,25 @@
         while (!isOver) {
             if (leftMillis() <= 0) return list(isComplete = false, "time is up")
             val session = session()
+            awaitQuarantine(session)
             val demand =
                 SeatDemand(proposal.service, BATCH_RANK, SEAT_WAIT_MILLIS, headroom = headroom(), isBatch = true)
             when (val result = session.attempt(demand, HEAD_MILLIS, lastEvent)) {
-                is AttemptResult.NotRun -> delay(RETRY_MILLIS)
+                is AttemptResult.NotRun, AttemptResult.Quarantined -> delay(RETRY_MILLIS)
                 is AttemptResult.MayHaveRun -> logger.debug { "batch: item ${item.proposed.id}: ${session.trace}" }
-                is AttemptResult.Answered -> if (follow(result)) return
+                is AttemptResult.Answered -> if (follow(result, session)) return
             }
         }
     }
 
+    // An item may not be given up for crashing workers, but each further run may take the runs beside it down.
+    private suspend fun awaitQuarantine(session: AttemptSession) {
+        if (!session.isQuarantined) return
+        val pauseMillis = QUARANTINE_PAUSE_MILLIS shl minOf(runsInQuarantine++, MAXIMUM_DOUBLINGS)
+        logger.info { "batch: item $key has crashed workers and waits $pauseMillis ms" }
+        delay(pauseMillis)
+    }
+
     /** Keeps the events so far in the log, so that another node can go on after them. */
     suspend fun keep() {
         val last = lastEvent ?: return
@@ -101,11 +111,11 @@
         }
     }
 
-    private suspend fun follow(answered: AttemptResult.Answered): Boolean {
+    private suspend fun follow(answered: AttemptResult.Answered, session: AttemptSession): Boolean {
         val attempt = answered.attempt
         try {
             return when (val status = answered.head.status) {
-                OK -> copy(attempt)
+                OK -> copy(attempt, session)
                 UNPROCESSABLE -> {
                     discard(attempt)
                     list(isComplete = false, "worker_$status")
@@ -134,7 +144,7 @@
         attempt.close()
     }
 
-    private suspend fun copy(attempt: Attempt): Boolean {
+    private suspend fun copy(attempt: Attempt, session: AttemptSession): Boolean {
         val splitter = EventSplitter()
         while (true) {
             when (val part = attempt.exchange.next(PAUSE_MILLIS)) {
@@ -143,11 +153,17 @@
                 ResponsePart.End -> {
                     if (splitter.hasPartial) return false
                     attempt.close()
+                    session.onCompleted()
                     list(isComplete = true, "complete")
                     return true
                 }
 
-                is ResponsePart.Lost, ResponsePart.Silence -> return false
+                is ResponsePart.Lost -> {
+                    session.onLostWithinAnswer(attempt.seat.worker)
+                    return false
+                }
+
+                ResponsePart.Silence -> return false
             }
             if (isOver) return true
             keepNowAndThen()
@@ -211,6 +227,7 @@
             body = Buffer.buffer(item.body),
             endMillis = forwarding.clock.millis() + leftMillis(),
             maximumAttempts = proposal.maximumAttempts,
+            isRefusedInQuarantine = false,
         )
         return AttemptSession(plan, forwarding)
     }
@@ -233,6 +250,10 @@
 
         // An item of usual size needs about this time at busy workers.
         const val URGENT_MILLIS = 6_500L
+
+        // A crashed worker is back after some seconds; an innocent item must still be done before it is given up.
+        const val QUARANTINE_PAUSE_MILLIS = 4_000L
+        const val MAXIMUM_DOUBLINGS = 4
         const val SEAT_WAIT_MILLIS = 1_000L
         const val RETRY_MILLIS = 150L
 
--- /dev/null
+++ b/serving/src/test/kotlin/org/poplarshift/serving/quarantine/CrashRegisterTest.kt
@@ -0,0 +1,76 @@
+package org.poplarshift.serving.quarantine
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import org.poplarshift.core.quarantine.SuspectStatus
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.log.ReadResult
+
+/** Guards against a request that crashes each worker, comes again at any node, and takes one worker after the other down. */
+class CrashRegisterTest :
+    FunSpec({
+        class Node(scope: CoroutineScope, private val log: FakeLog, name: String) {
+            var wallMillis = 1_000_000L
+            var monotonicMillis = 0L
+            val register =
+                CrashRegister(scope, MonotonicClock { monotonicMillis }, log, "members", name) { wallMillis }
+
+            fun lost(worker: String) = register.onLost(RunAtWorker("bad", worker))
+
+            suspend fun read() {
+                val records = log.read("members", 0, from = 0, waitMillis = 0) as ReadResult.Records
+                records.records.filter { register.owns(it.key) }.forEach { register.onRecord(it) }
+            }
+
+            val isQuarantined: Boolean
+                get() = register.statusOf("bad") == SuspectStatus.Quarantined
+        }
+
+        data class Case(
+            val name: String,
+            val first: List<String>,
+            val second: List<String> = emptyList(),
+            val completes: Boolean = false,
+            val laterMillis: Long = 0,
+            val expected: Boolean,
+        )
+        listOf(
+            Case(
+                "two crashes of one node may be those of requests beside it",
+                first = listOf("1", "2"),
+                expected = false,
+            ),
+            Case("three crashes of one node", first = listOf("1", "2", "3"), expected = true),
+            Case("crashes at different nodes add up", first = listOf("1", "2"), second = listOf("3"), expected = true),
+            Case("one worker counts once", first = listOf("1", "1"), second = listOf("1"), expected = false),
+            Case(
+                "a request that completes was not to blame",
+                first = listOf("1", "2"),
+                completes = true,
+                second = listOf("3"),
+                expected = false,
+            ),
+            Case("crashes are forgotten", first = listOf("1", "2", "3"), laterMillis = 120_001, expected = false),
+        ).forEach { case ->
+            test(case.name) {
+                coroutineScope {
+                    val log = FakeLog(maximumValueBytes = 10_000, maximumAppendBytes = 20_000)
+                    val nodes = listOf(Node(this, log, "a"), Node(this, log, "b"), Node(this, log, "reader"))
+                    case.first.forEach { nodes[0].lost(it) }
+                    if (case.completes) nodes[0].register.onCompleted("bad")
+                    case.second.forEach { nodes[1].lost(it) }
+                    // Longer than strikes are gathered before they are written.
+                    delay(250)
+                    nodes[2].wallMillis += case.laterMillis
+                    nodes[2].read()
+                    nodes[2].isQuarantined shouldBe case.expected
+                    coroutineContext.cancelChildren()
+                }
+            }
+        }
+    })
