Tell the other nodes each change of load at once

They waited at workers: nodes heard of each other's requests every 100 ms, and several of them chose the worker that had been free. Too few slots was ruled out, because other workers had room at those moments.

Change: a load message follows each change of a node's requests, at most one each 10 ms; what a node told while a message was under way is sent afterwards. Requests that wait are looked at again when a message comes.

--- /dev/null
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SharedWorkersLoadTest.kt
@@ -0,0 +1,42 @@
+package org.poplarshift.core.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThan
+
+/**
+ * Guards against several nodes that choose the same free worker, at the peaks of a day whose load goes up and down in
+ * steps: requests then wait at a full worker while others have room, and their first events are late.
+ *
+ * The load is that of the standard days: 8 workers of 8 slots, runs of 0.65 s, 38 requests/s that alternate between 0.38
+ * and 1.87 times that, in fleets of 9 and 11 nodes.
+ */
+class SharedWorkersLoadTest :
+    FunSpec({
+        fun stepsOfLoad(millis: Long): Double = if (millis % 5_800 < 3_400) 38 * 0.383 else 38 * 1.87
+
+        fun lateShare(nodes: Int, tellMillis: Long, tellsChanges: Boolean, seed: Int): Double {
+            val simulation = SharedWorkersSimulation(
+                nodes = nodes,
+                workers = 8,
+                slots = 8,
+                runMillis = 650,
+                tellMillis = tellMillis,
+                tellsChanges = tellsChanges,
+                seed = seed,
+            )
+            val waits = simulation.run(endMillis = 34_800, ::stepsOfLoad)
+            // A first event is due after 300 ms, of which the worker needs about 50.
+            return waits.count { it > 250 }.toDouble() / waits.size
+        }
+
+        data class Case(val nodes: Int, val seed: Int)
+        listOf(Case(9, 1), Case(9, 2), Case(11, 3), Case(11, 4), Case(11, 5)).forEach { case ->
+            test("with ${case.nodes} nodes that tell each change at most 5% start late (seed ${case.seed})") {
+                val told = lateShare(case.nodes, tellMillis = 10, tellsChanges = true, seed = case.seed)
+                val inRounds = lateShare(case.nodes, tellMillis = 100, tellsChanges = false, seed = case.seed)
+                println("late: $told when each change is told, $inRounds in rounds of 100 ms")
+                told shouldBeLessThan 0.05
+                told shouldBeLessThan inRounds
+            }
+        }
+    })
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -59,7 +59,7 @@
     private val tokens = PeerTokens(peerClient, members)
     private val allowances: AllowanceGate = AllowanceGate(scope, clock, tokens) { members.size }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { allowances.update(it) }
-    private val dispatcher = WorkerDispatcher(scope, board, clock)
+    private val dispatcher: WorkerDispatcher = WorkerDispatcher(scope, board, clock) { exchange.onChange() }
     private val connections = WorkerConnections(vertx, settings.localHost, clock)
     private val watch = WorkerWatch(scope, board, connections)
     private val crashes = CrashRegister(scope, clock, ports.log, settings.memberTopic, settings.name)
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
@@ -1,9 +1,11 @@
 package org.poplarshift.serving.fleet
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -19,7 +21,8 @@
  * Tells the other nodes which requests this node has at the workers, and takes what they tell.
  *
  * Workers report their load only with their answers, so that nodes without this exchange would send to the same worker
- * or wait while another has room.
+ * or wait while another has room. Each change is told at once: when nodes heard of it only every 100 ms, several of them
+ * sent to the worker that had been free, and requests waited there while others had room.
  */
 class LoadExchange(
     private val scope: CoroutineScope,
@@ -42,8 +45,10 @@
     )
 
     private val sending = HashSet<String>()
+    private val overtaken = HashSet<String>()
+    private var changed = CompletableDeferred<Unit>()
     private var lastBody = ""
-    private var quietRounds = 0
+    private var toldMillis = Long.MIN_VALUE
     private var firstPeer = 0
 
     /** What the others have told. */
@@ -54,20 +59,32 @@
         server.on(PATH) { body -> if (receive(body)) "" else null }
     }
 
+    /** Takes that the requests of this node have changed. */
+    fun onChange() {
+        changed.complete(Unit)
+    }
+
     /** Tells the others until it is cancelled. */
     suspend fun run() {
         while (true) {
-            delay(ROUND_MILLIS)
-            loads.apply(board, clock.millis())
+            withTimeoutOrNull(ROUND_MILLIS) { changed.await() }
+            changed = CompletableDeferred()
+            applyLoads()
             val body = Json.encodeToString(LoadMessage.serializer(), message())
             // What has not changed is repeated before the others forget it.
-            if (body == lastBody && ++quietRounds < REPEAT_ROUNDS) continue
-            quietRounds = 0
+            if (body == lastBody && clock.millis() - toldMillis < REPEAT_MILLIS) continue
             lastBody = body
-            receivers().forEach { send(it, body) }
+            toldMillis = clock.millis()
+            receivers().forEach { send(it) }
+            delay(SPACING_MILLIS)
         }
     }
 
+    private fun applyLoads() {
+        loads.apply(board, clock.millis())
+        dispatcher.onPeersChanged()
+    }
+
     private fun receivers(): List<FleetMember> {
         val peers = members.peers.sortedBy { it.name }
         if (peers.size <= RECEIVERS) return peers
@@ -75,12 +92,18 @@
         return List(RECEIVERS) { peers[(firstPeer + it) % peers.size] }
     }
 
-    private fun send(peer: FleetMember, body: String) {
-        // A peer that does not answer gets no second message meanwhile.
-        if (!sending.add(peer.name)) return
+    private fun send(peer: FleetMember) {
+        // A peer that does not answer gets no second message meanwhile, and the newest one afterwards.
+        if (!sending.add(peer.name)) {
+            overtaken.add(peer.name)
+            return
+        }
         scope.launch {
             try {
-                client.post(peer, PATH, body, SEND_MILLIS)
+                do {
+                    overtaken.remove(peer.name)
+                    client.post(peer, PATH, lastBody, SEND_MILLIS)
+                } while (peer.name in overtaken)
             } finally {
                 sending.remove(peer.name)
             }
@@ -105,6 +128,7 @@
             NodeLoad(node, zone, online, batch, waiting, reachesLog)
         }
         loads.onLoad(load, clock.millis())
+        applyLoads()
         true
     } catch (exception: SerializationException) {
         logger.warn { "fleet: a load message can't be read: ${exception.message}" }
@@ -115,9 +139,14 @@
         val logger = KotlinLogging.logger {}
         const val PATH = "/load"
 
-        // A small part of the time in which a first event is on time, and of the duration of a request.
+        // The longest time without a look at what others have told, some of which may be too old by then.
         const val ROUND_MILLIS = 100L
-        const val REPEAT_ROUNDS = 3
+
+        // Half of the time for which a load counts.
+        const val REPEAT_MILLIS = 300L
+
+        // A few times the delay between zones: a later request of the same moment goes into the same message.
+        const val SPACING_MILLIS = 10L
 
         // In larger fleets the others are told in turn, which bounds the messages of a node.
         const val RECEIVERS = 16
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerDispatcher.kt
@@ -51,6 +51,7 @@
     private val scope: CoroutineScope,
     private val board: WorkerBoard,
     private val clock: MonotonicClock,
+    private val onChange: () -> Unit = {},
 ) {
     private class Waiter(val demand: SeatDemand, val sequence: Long) {
         val seat = CompletableDeferred<SeatResult>()
@@ -83,14 +84,21 @@
         return await(Waiter(demand, sequence++))
     }
 
+    /** Takes that the loads that other nodes have told have changed. */
+    fun onPeersChanged() {
+        if (waiters.isNotEmpty()) serveWaiters()
+    }
+
     /** Ends a request at [seat]. */
     fun release(seat: WorkerSeat, isBatch: Boolean) {
         seat.onEnded(isBatch)
+        onChange()
         if (waiters.isNotEmpty()) serveWaiters()
     }
 
     private suspend fun await(waiter: Waiter): SeatResult {
         waiters.add(waiter)
+        onChange()
         tick()
         try {
             return withTimeoutOrNull(waiter.demand.waitMillis) { waiter.seat.await() } ?: taken(waiter)
@@ -113,6 +121,7 @@
     private fun take(demand: SeatDemand): WorkerSeat? =
         board.choose(demand.service, demand.headroom, demand.excluded, clock.millis())?.also {
             it.onSent(demand.isBatch)
+            onChange()
         }
 
     private fun serveWaiters() {
