Count dropped log lines, and write the last ones before the process ends

Cause: the log appender dropped lines while the reader of the output stalled without saying how many, and the lines of a node's stop could be lost, because the process halted with lines in the queue.

--- a/node/src/main/kotlin/org/poplarshift/node/Logging.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/Logging.kt
@@ -16,4 +16,9 @@
         configurator.context = context
         configurator.doConfigure(checkNotNull(Logging::class.java.getResource("/logback.xml")))
     }
+
+    /** Writes the lines that wait, for about a second at most, and ends logging. */
+    fun flush() {
+        (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+    }
 }
--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -1,6 +1,9 @@
 package org.poplarshift.node
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.core.file.FileSystemOptions
@@ -57,10 +60,13 @@
         val failures =
             CoroutineExceptionHandler { _, exception -> logger.error(exception) { "node: a task has failed" } }
         val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher() + failures)
-        val node = ServingNode(vertx, scope, settings.toServing(), PlatformPorts(vertx, settings))
+        val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+        Gauge.builder("log_lines_dropped") { CountingAsyncAppender.dropped }.register(metrics)
+        val node = ServingNode(vertx, scope, settings.toServing(), PlatformPorts(vertx, settings), metrics = metrics)
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 runBlocking { scope.async { node.stop() }.await() }
+                Logging.flush()
                 // The JVM would otherwise exit with 143 after SIGTERM.
                 Runtime.getRuntime().halt(CommandLine.ExitCode.OK)
             },
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -45,8 +45,8 @@
     private val settings: ServingSettings,
     private val ports: ServingPorts,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+    private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
 ) {
-    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val board = WorkerBoard(settings.zone)
     private val self = FleetMember(settings.name, settings.zone, settings.peerAddress)
     private val peerClient = PeerClient(vertx, settings.localHost)
