Read messages between nodes in one place, and remove what nothing calls

Reading a JSON message of another node, with its log line, stood in PeerTokens, LoadExchange and PeerLogRelay; PeerMessages now serves all three, and the log line names the part. LoadMessage repeated NodeLoad field by field; NodeLoad is the message now, with the same names on the wire. FleetMembers.leave was called by nothing.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/PeerLoads.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/PeerLoads.kt
@@ -1,5 +1,7 @@
 package org.poplarshift.core.dispatch
 
+import kotlinx.serialization.Serializable
+
 /**
  * What one node tells the others of its requests.
  *
@@ -8,6 +10,7 @@
  * @property waiting online requests that wait for a worker, by service
  * @property reachesLog whether the node can read the log
  */
+@Serializable
 data class NodeLoad(
     val node: String,
     val zone: String,
--- a/serving/src/main/kotlin/org/poplarshift/serving/allowance/PeerTokens.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/allowance/PeerTokens.kt
@@ -1,16 +1,14 @@
 package org.poplarshift.serving.allowance
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.peer.PeerClient
+import org.poplarshift.serving.peer.PeerMessages
 import org.poplarshift.serving.peer.PeerServer
 
 /** Moves tokens between nodes. */
@@ -24,7 +22,7 @@
     /** Answers other nodes with what [give] takes out. */
     fun serve(server: PeerServer, give: (String, Double) -> Double) {
         server.on(PATH) { body ->
-            decode(TokenRequest.serializer(), body)?.let { asked ->
+            PeerMessages.decode(TokenRequest.serializer(), body, PART)?.let { asked ->
                 Json.encodeToString(TokenAnswer.serializer(), TokenAnswer(give(asked.organisation, asked.wanted)))
             }
         }
@@ -42,18 +40,11 @@
     private suspend fun askPeer(peer: FleetMember, organisation: String, wanted: Double): Double {
         val body = Json.encodeToString(TokenRequest.serializer(), TokenRequest(organisation, wanted))
         val answer = client.post(peer, PATH, body, ASK_MILLIS) ?: return 0.0
-        return decode(TokenAnswer.serializer(), answer)?.given ?: 0.0
-    }
-
-    private fun <T> decode(serializer: KSerializer<T>, text: String): T? = try {
-        Json.decodeFromString(serializer, text)
-    } catch (exception: SerializationException) {
-        logger.warn { "allowance: a message between nodes can't be read: ${exception.message}" }
-        null
+        return PeerMessages.decode(TokenAnswer.serializer(), answer, PART)?.given ?: 0.0
     }
 
     private companion object {
-        val logger = KotlinLogging.logger {}
+        const val PART = "allowance"
         const val PATH = "/tokens"
 
         // Several times the delay between zones.
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -23,7 +23,7 @@
 /**
  * The nodes of the fleet, as they announce themselves in a keyed topic.
  *
- * A node counts until it takes its record back or has not renewed it for [SILENCE_MILLIS]. A node that is cut off from
+ * A node counts until its record is removed or was not renewed for [SILENCE_MILLIS]. A node that is cut off from
  * the log can't renew its record and still serves callers; it must count as long as that may last.
  */
 class FleetMembers(
@@ -73,12 +73,6 @@
         }
     }
 
-    /** Takes the record back. */
-    suspend fun leave() {
-        val result = log.append(topic, PARTITION, listOf(KeyedValue(own.name, ByteArray(0))))
-        if (result !is AppendResult.Appended) logger.info { "fleet: the record of this node stays: $result" }
-    }
-
     private fun alive(): List<FleetMember> {
         val now = clock.millis()
         return seen.values.filter { now - it.millis <= SILENCE_MILLIS }.map { it.member }
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/LoadExchange.kt
@@ -1,13 +1,10 @@
 package org.poplarshift.serving.fleet
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.dispatch.NodeLoad
 import org.poplarshift.core.dispatch.PeerLoads
@@ -15,6 +12,7 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.forward.WorkerDispatcher
 import org.poplarshift.serving.peer.PeerClient
+import org.poplarshift.serving.peer.PeerMessages
 import org.poplarshift.serving.peer.PeerServer
 
 /**
@@ -34,16 +32,6 @@
     private val dispatcher: WorkerDispatcher,
     private val reachesLog: () -> Boolean,
 ) {
-    @Serializable
-    private data class LoadMessage(
-        val node: String,
-        val zone: String,
-        val online: Map<String, Int>,
-        val batch: Map<String, Int>,
-        val waiting: Map<String, Int>,
-        val reachesLog: Boolean,
-    )
-
     private val sending = HashSet<String>()
     private val overtaken = HashSet<String>()
     private var changed = CompletableDeferred<Unit>()
@@ -70,7 +58,7 @@
             withTimeoutOrNull(ROUND_MILLIS) { changed.await() }
             changed = CompletableDeferred()
             applyLoads()
-            val body = Json.encodeToString(LoadMessage.serializer(), message())
+            val body = Json.encodeToString(NodeLoad.serializer(), load())
             // What has not changed is repeated before the others forget it.
             if (body == lastBody && clock.millis() - toldMillis < REPEAT_MILLIS) continue
             lastBody = body
@@ -110,9 +98,9 @@
         }
     }
 
-    private fun message(): LoadMessage {
+    private fun load(): NodeLoad {
         val seats = board.all.filter { it.online + it.batch > 0 }
-        return LoadMessage(
+        return NodeLoad(
             node = own.name,
             zone = own.zone,
             online = seats.filter { it.online > 0 }.associate { it.worker.id to it.online },
@@ -122,21 +110,15 @@
         )
     }
 
-    private fun receive(body: String): Boolean = try {
-        val message = Json.decodeFromString(LoadMessage.serializer(), body)
-        val load = with(message) {
-            NodeLoad(node, zone, online, batch, waiting, reachesLog)
-        }
+    private fun receive(body: String): Boolean {
+        val load = PeerMessages.decode(NodeLoad.serializer(), body, PART) ?: return false
         loads.onLoad(load, clock.millis())
         applyLoads()
-        true
-    } catch (exception: SerializationException) {
-        logger.warn { "fleet: a load message can't be read: ${exception.message}" }
-        false
+        return true
     }
 
     private companion object {
-        val logger = KotlinLogging.logger {}
+        const val PART = "fleet"
         const val PATH = "/load"
 
         // The longest time without a look at what others have told, some of which may be too old by then.
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -1,9 +1,7 @@
 package org.poplarshift.serving.peer
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.fleet.FleetMember
@@ -69,7 +67,9 @@
     /** Answers other nodes with calls of [log], which must be the log itself. */
     fun serve(server: PeerServer, log: PartitionedLog) {
         server.on(PATH) { body ->
-            decode(Question.serializer(), body)?.let { Json.encodeToString(Answer.serializer(), answer(it, log)) }
+            PeerMessages.decode(Question.serializer(), body, PART)?.let {
+                Json.encodeToString(Answer.serializer(), answer(it, log))
+            }
         }
     }
 
@@ -103,7 +103,7 @@
     private suspend fun ask(peer: FleetMember, question: Question, timeoutMillis: Long): Answer? {
         val body = Json.encodeToString(Question.serializer(), question)
         val answer = client.post(peer, PATH, body, timeoutMillis) ?: return null
-        return decode(Answer.serializer(), answer)
+        return PeerMessages.decode(Answer.serializer(), answer, PART)
     }
 
     private suspend fun answer(question: Question, log: PartitionedLog): Answer = when (question) {
@@ -139,15 +139,8 @@
 
     private fun RelayedRecord.record() = LogRecord(offset, key, bytes())
 
-    private fun <T> decode(serializer: kotlinx.serialization.KSerializer<T>, text: String): T? = try {
-        Json.decodeFromString(serializer, text)
-    } catch (exception: SerializationException) {
-        logger.warn { "peer: a message about the log can't be read: ${exception.message}" }
-        null
-    }
-
     private companion object {
-        val logger = KotlinLogging.logger {}
+        const val PART = "log"
         const val PATH = "/log"
 
         // Many times the usual answer of the log with the trips between nodes.
