--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchOrdering.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchOrdering.kt
@@ -10,7 +10,10 @@
 object BatchOrdering {
     /** Returns [items] in the order in which they run. [untilDueMillis] is the time left, negative when overdue. */
     fun <T> sort(items: List<T>, untilDueMillis: (T) -> Long): List<T> =
-        items.sortedWith(compareBy({ untilDueMillis(it) < TYPICAL_RUN_MILLIS }, { untilDueMillis(it) }))
+        items.sortedWith(compareBy({ isTooLate(untilDueMillis(it)) }, { untilDueMillis(it) }))
+
+    /** Whether an item that is due in [untilDueMillis] can no longer finish on time. */
+    fun isTooLate(untilDueMillis: Long): Boolean = untilDueMillis < TYPICAL_RUN_MILLIS
 
     // Under the standard load an item runs for 4.2 to 4.8 s on average; a resumed item needs less.
     private const val TYPICAL_RUN_MILLIS = 4_000L
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -1,11 +1,10 @@
 package org.poplarshift.core.dispatch
 
 /**
- * Tracks the load of all workers as seen by one node and selects the worker for each request.
+ * Tracks the load of a set of workers and selects the worker for each request.
  *
- * The node counts its own requests exactly. The requests of other nodes are estimated from the loads that these nodes
- * broadcast and from the load that a worker reports in its responses. The estimate from a report decays, because a
- * report says little about the load some seconds later.
+ * The requests that are counted here are known exactly. Others are estimated from the load that a worker reports in its
+ * responses. The estimate decays, because a report says little about the load some seconds later.
  *
  * @param ownZone availability zone that is preferred among workers of about the same load
  * @param random returns values from 0 until 1, used to break ties
@@ -33,13 +32,8 @@
         statesByService = statesById.values.groupBy { it.worker.service }
     }
 
-    /** Sets the online and batch requests of all other nodes at each worker, by worker id. */
-    fun updatePeerRequests(online: Map<String, Int>, batch: Map<String, Int>) {
-        for ((id, state) in statesById) {
-            state.peersOnline = online[id] ?: 0
-            state.peersBatch = batch[id] ?: 0
-        }
-    }
+    /** Returns the state of the registered worker [id], or null. */
+    fun state(id: String): WorkerState? = statesById[id]
 
     /** The states of all registered workers, including draining and suspect ones. */
     val workerStates: Collection<WorkerState>
@@ -64,6 +58,13 @@
     fun hasWorker(service: String, excluded: Set<String>): Boolean =
         available(service).any { it.worker.id !in excluded }
 
+    /** Whether at least half of the workers of the same service remain available without [state]. */
+    fun mayEject(state: WorkerState): Boolean {
+        val all = statesByService[state.worker.service].orEmpty().filter { !it.worker.isDraining }
+        val remaining = all.count { !it.isSuspect && it !== state }
+        return remaining > 0 && remaining * 2 >= all.size
+    }
+
     private fun score(state: WorkerState, nowMillis: Long): Double {
         val zonePenalty = if (state.worker.zone == ownZone) 0.0 else CROSS_ZONE_PENALTY
         return (state.load(nowMillis) + zonePenalty + random() * TIE_BREAK_RANGE) / maxOf(1, state.worker.slots)
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
@@ -0,0 +1,89 @@
+package org.poplarshift.core.dispatch
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A message of a node to the scheduler of a service in an availability zone. Times are relative, in milliseconds. */
+@Serializable
+sealed interface NodeMessage {
+    /** The first message on a connection: the slots that the node uses, whoever granted them. */
+    @Serializable
+    @SerialName("hello")
+    data class Hello(val node: String, val leases: List<HeldSlot>) : NodeMessage
+
+    /** Asks for a slot. See [SlotRequest]. */
+    @Serializable
+    @SerialName("acquire")
+    data class Acquire(
+        val number: Long,
+        val use: SlotUse,
+        val priority: Int,
+        val onTimeInMillis: Long,
+        val excludedWorkers: Set<String> = emptySet(),
+        val mayRedirect: Boolean = true,
+    ) : NodeMessage
+
+    /** Gives a slot up, or stops waiting for one. */
+    @Serializable
+    @SerialName("release")
+    data class Release(val number: Long, val outcome: SlotOutcome = SlotOutcome.USED) : NodeMessage
+
+    /** Keeps the slots of the node from expiring. */
+    @Serializable
+    @SerialName("alive")
+    data object Alive : NodeMessage
+}
+
+/** A slot that a node uses, as stated when it connects to a scheduler. */
+@Serializable
+data class HeldSlot(val number: Long, val use: SlotUse, val worker: String, val onTimeInMillis: Long)
+
+/** What a node observed at the worker whose slot it gives up. */
+@Serializable
+enum class SlotOutcome {
+    /** The worker responded. */
+    USED,
+
+    /** The worker refused the request because it was full. */
+    FULL,
+
+    /** The worker could not be reached or was silent. */
+    UNREACHABLE,
+
+    /** The slot was not used. */
+    UNUSED,
+}
+
+/** A message of a scheduler to a node. */
+@Serializable
+sealed interface SchedulerMessage {
+    /** The request has a slot at [worker]. */
+    @Serializable
+    @SerialName("granted")
+    data class Granted(val number: Long, val worker: String) : SchedulerMessage
+
+    /** The request waits for a slot. */
+    @Serializable
+    @SerialName("queued")
+    data class Queued(val number: Long) : SchedulerMessage
+
+    /** The request no longer waits here, because [zone] has more capacity. */
+    @Serializable
+    @SerialName("redirected")
+    data class Redirected(val number: Long, val zone: String) : SchedulerMessage
+
+    /** No worker could serve the request. */
+    @Serializable
+    @SerialName("noWorker")
+    data class NoWorker(val number: Long) : SchedulerMessage
+
+    /** The batch item that uses the slot must give it up. */
+    @Serializable
+    @SerialName("preempted")
+    data class Preempted(val number: Long) : SchedulerMessage
+
+    /** States that the scheduler is alive while requests of the node wait. */
+    @Serializable
+    @SerialName("alive")
+    data object Alive : SchedulerMessage
+}
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -1,28 +1,20 @@
 package org.poplarshift.core.dispatch
 
-/** The state of one worker as seen by one node. Times are monotonic milliseconds of the node. */
+/** The state of one worker as seen by one node or scheduler. Times are monotonic milliseconds. */
 class WorkerState(var worker: FleetWorker) {
     private var reportedPeerRequests = 0.0
     private var reportedMillis = Long.MIN_VALUE
     private var consecutiveLosses = 0
     private var peakOwnSinceReport = 0
 
-    /** Online requests of this node in flight at the worker. */
+    /** Counted online requests in flight at the worker. */
     var online = 0
         private set
 
-    /** Batch requests of this node in flight at the worker. */
+    /** Counted batch requests in flight at the worker. */
     var batch = 0
         private set
 
-    /** Online requests of other nodes at the worker, according to their last load messages. */
-    var peersOnline = 0
-        internal set
-
-    /** Batch requests of other nodes at the worker, according to their last load messages. */
-    var peersBatch = 0
-        internal set
-
     /** Whether the worker receives no new requests until a connection to it succeeds. */
     var isSuspect = false
         private set
@@ -58,11 +50,6 @@
         isSuspect = true
     }
 
-    /** Records a request without a response within its timeout. */
-    fun onResponseTimeout() {
-        isSuspect = true
-    }
-
     /** Records a request whose connection was lost. Only several in a row make the worker suspect. */
     fun onConnectionLost() {
         if (++consecutiveLosses >= CONNECTION_LOSS_LIMIT) isSuspect = true
@@ -81,11 +68,9 @@
     fun freeSlots(nowMillis: Long): Double = worker.slots - load(nowMillis)
 
     private fun peerRequests(nowMillis: Long): Double {
-        val announced = (peersOnline + peersBatch).toDouble()
-        if (reportedMillis == Long.MIN_VALUE) return announced
+        if (reportedMillis == Long.MIN_VALUE) return 0.0
         val age = (nowMillis - reportedMillis).coerceAtLeast(0)
-        val reported = reportedPeerRequests * (1.0 - age.toDouble() / REPORT_DECAY_MILLIS).coerceAtLeast(0.0)
-        return maxOf(announced, reported)
+        return reportedPeerRequests * (1.0 - age.toDouble() / REPORT_DECAY_MILLIS).coerceAtLeast(0.0)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
@@ -17,7 +17,7 @@
         for (item in proposal.items) {
             val body = content.copyOfRange(position, position + item.bodyBytes)
             position += item.bodyBytes
-            itemsById[item.id] = ItemState(item, body)
+            itemsById[item.id] = ItemState(item, body, ItemShares.shareOf(proposal.submission, item.id))
         }
     }
 
@@ -43,8 +43,12 @@
     }
 }
 
-/** An item of an accepted submission. */
-class ItemState(val proposed: ProposedItem, val body: ByteArray) {
+/**
+ * An item of an accepted submission.
+ *
+ * @property share the share of the work that the item belongs to, see [ItemShares]
+ */
+class ItemState(val proposed: ProposedItem, val body: ByteArray, val share: Int) {
     /** Whether the item has a result. */
     var hasResult = false
         internal set
--- a/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
@@ -67,6 +67,8 @@
             name = "rehearsal",
             zone = "rehearsal",
             host = LOOPBACK,
+            processorShare = 1.0,
+            processorSpeed = 1.0,
             callers = "$LOOPBACK:${ports[0]}",
             readiness = "$LOOPBACK:${ports[1]}",
             firstFreePort = ports[2],
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -12,11 +12,9 @@
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
-import org.poplarshift.serving.fleet.LoadExchange
 import org.poplarshift.serving.fleet.WorkerRegistry
 import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.forward.WorkerConnectionPool
-import org.poplarshift.serving.forward.WorkerDispatcher
 import org.poplarshift.serving.forward.WorkerProber
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerServer
@@ -29,12 +27,16 @@
 import org.poplarshift.serving.observe.NodeGauges
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerLogRelay
+import org.poplarshift.serving.peer.PeerReachability
 import org.poplarshift.serving.peer.PeerServer
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.ratelimit.PeerTokenSource
 import org.poplarshift.serving.ratelimit.RateLimiter
+import org.poplarshift.serving.scheduling.FleetDispatcher
+import org.poplarshift.serving.scheduling.SchedulerDirectory
+import org.poplarshift.serving.scheduling.SchedulerHost
+import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
 import org.poplarshift.serving.submission.BatchRunner
-import org.poplarshift.serving.submission.FleetLoad
 import org.poplarshift.serving.submission.SubmissionService
 import org.poplarshift.serving.submission.SubmissionStore
 
@@ -48,40 +50,47 @@
     private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
 ) {
     private val loadBalancer = LoadBalancer(settings.zone)
-    private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress)
+    private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
+    private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
     private val peerServer = PeerServer(vertx, scope)
-    private val relay: PeerLogRelay =
-        PeerLogRelay(peerClient) { members.peers.filter { it.name in exchange.loads.nodesReachingLog } }
+    private val relay: PeerLogRelay = PeerLogRelay(peerClient, reachability) { members.peers }
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
         log,
         clock,
         settings.memberTopic,
         ownMember,
-        onChange = { updateRateLimits() },
+        onChange = {
+            directory.onMembersChanged()
+            updateRateLimits()
+        },
     )
+    private val directory: SchedulerDirectory = SchedulerDirectory(ownMember, members)
     private val tokenSource = PeerTokenSource(peerClient, members)
     private val rateLimiter: RateLimiter = RateLimiter(scope, clock, tokenSource) { members.size }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val dispatcher: WorkerDispatcher = WorkerDispatcher(scope, loadBalancer, clock) { exchange.onChange() }
+    private val schedulerHost = SchedulerHost(scope, clock, ownMember, directory, peerClient, reachability)
+    private val dispatcher = FleetDispatcher(
+        scope,
+        clock,
+        ownMember,
+        loadBalancer,
+        directory,
+        reachability,
+        WebSocketSchedulerConnector(ownMember, peerClient, schedulerHost),
+    )
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock)
     private val prober = WorkerProber(scope, loadBalancer, connections)
     private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name)
     private val forwarding =
         ForwardingContext(dispatcher, connections, prober, ports.workerProtocol, clock, crashTracker)
-    private val exchange: LoadExchange =
-        LoadExchange(scope, clock, ownMember, members, peerClient, loadBalancer, dispatcher) { log.isReachable }
     private val registry: WorkerRegistry =
-        WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { evictUnusableConnections() }
+        WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
     private val store =
         SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions)
-    private val fleetLoad =
-        FleetLoad(loadBalancer, exchange.loads, { log.isReachable }) { service ->
-            dispatcher.waitingOnline[service]
-                ?: 0
-        }
-    private val batchRunner = BatchRunner(scope, store, ports.group, forwarding, fleetLoad, settings.retentionMillis)
+    private val batchRunner =
+        BatchRunner(scope, store, ports.group, forwarding, settings.retentionMillis) { log.isServed }
     private val submissions = SubmissionService(store, ports.callerProtocol, clock)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
     private val callerServer =
@@ -122,10 +131,11 @@
         scope.launch { registry.run() }
         scope.launch { runMaintenance() }
         tokenSource.serve(peerServer) { organisation, wanted -> rateLimiter.grant(organisation, wanted) }
-        exchange.serve(peerServer)
+        schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
-        scope.launch { exchange.run() }
+        scope.launch { schedulerHost.run() }
+        scope.launch { dispatcher.run() }
         readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, connections, dispatcher)
@@ -172,6 +182,11 @@
 
     private fun updateRateLimits() = rateLimiter.update(configuration.current)
 
+    private fun onWorkersChanged() {
+        schedulerHost.update(loadBalancer.workers)
+        evictUnusableConnections()
+    }
+
     private fun evictUnusableConnections() = connections.evictUnusable(loadBalancer.workers.map { it.id }.toSet())
 
     private suspend fun runMaintenance() {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
@@ -3,6 +3,7 @@
 /**
  * Settings that a node needs to start. Addresses have the form `IP:port`.
  *
+ * @property speed processor time per second that the VM has, in seconds of a core
  * @property callersAddress where callers connect
  * @property readinessAddress where the external load balancer checks readiness
  * @property peerAddress where other nodes connect
@@ -19,6 +20,7 @@
     val name: String,
     val zone: String,
     val localHost: String,
+    val speed: Double,
     val callersAddress: String,
     val readinessAddress: String,
     val peerAddress: String,
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -16,9 +16,10 @@
  * The record with which a node announces itself to the other nodes.
  *
  * @property peerAddress IP address and port for messages between nodes
+ * @property speed processor time per second that the node's VM has, in seconds of a core
  */
 @Serializable
-data class FleetMember(val name: String, val zone: String, val peerAddress: String)
+data class FleetMember(val name: String, val zone: String, val peerAddress: String, val speed: Double = 1.0)
 
 /**
  * The nodes of the fleet, as announced in a keyed topic.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import org.poplarshift.core.dispatch.FleetWorker
+import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.core.quarantine.SuspectStatus
 import org.poplarshift.serving.MonotonicClock
@@ -117,15 +118,15 @@
                 excludedWorkers = excludedWorkers + request.excludedWorkers,
                 waitMillis = waitMillis,
             )
-            val target = when (val result = acquire(dispatchRequest)) {
-                is DispatchResult.Assigned -> result.target
+            val slot = when (val result = acquire(dispatchRequest)) {
+                is DispatchResult.Assigned -> result.slot
                 DispatchResult.NoWorker -> return notAssigned(if (refusals > 0) "workers_full" else "no_worker")
                 DispatchResult.NoCapacity -> return notAssigned("no_room")
             }
-            val result = sendTo(target, request.isBatch, headTimeoutMillis, resumeAfter)
+            val result = sendTo(slot, headTimeoutMillis, resumeAfter)
             if (result !is AttemptResult.NotRun) return result
             refusals++
-            excludedWorkers += target.worker.id
+            excludedWorkers += slot.target.worker.id
             if (remainingMillis <= 0 || refusals >= MAXIMUM_REFUSALS) return result
         }
     }
@@ -156,73 +157,81 @@
         return AttemptResult.NotRun(reason)
     }
 
-    private suspend fun sendTo(
-        target: WorkerState,
-        isBatch: Boolean,
-        headTimeoutMillis: Long,
-        resumeAfter: Long?,
-    ): AttemptResult {
+    private suspend fun sendTo(slot: AssignedSlot, headTimeoutMillis: Long, resumeAfter: Long?): AttemptResult {
+        val target = slot.target
         var isAttemptOpen = false
+        var outcome = SlotOutcome.USED
         var connection: WorkerConnection? = null
-        val release = { forwarding.dispatcher.release(target, isBatch) }
         try {
             connection = forwarding.connections.acquire(target.worker)
             if (connection == null) {
+                outcome = SlotOutcome.UNREACHABLE
                 forwarding.prober.markUnreachable(target)
                 return notRunAt(target, "connect_failed")
             }
             val exchange = WorkerExchange(connection, forwarding.protocol)
             isInFlight = true
-            val result = exchange.send(
+            val exchangeResult = exchange.send(
                 outgoingRequest(target, resumeAfter),
                 minOf(headTimeoutMillis, remainingMillis).coerceAtLeast(1),
             )
-            val outcome = classify(target, exchange, connection, result, release)
+            outcome = exchangeResult.slotOutcome()
+            val result = classify(slot, exchange, connection, exchangeResult)
             isInFlight = false
-            isAttemptOpen = outcome is AttemptResult.Responded
-            return outcome
+            isAttemptOpen = result is AttemptResult.Responded
+            return result
         } finally {
             if (!isAttemptOpen) {
                 if (connection != null && !connection.isIdle) connection.close()
-                release()
+                forwarding.dispatcher.release(slot, outcome)
             }
         }
     }
 
+    private fun ExchangeResult.slotOutcome(): SlotOutcome = when (this) {
+        is ExchangeResult.ConnectionLost, ExchangeResult.TimedOut -> SlotOutcome.UNREACHABLE
+        ExchangeResult.WrongResponse -> SlotOutcome.USED
+        is ExchangeResult.Response -> when {
+            !head.hasNotRun -> SlotOutcome.USED
+            head.status == HTTP_UNAVAILABLE -> SlotOutcome.FULL
+            else -> SlotOutcome.UNREACHABLE
+        }
+    }
+
     private suspend fun classify(
-        target: WorkerState,
+        slot: AssignedSlot,
         exchange: WorkerExchange,
         connection: WorkerConnection,
         result: ExchangeResult,
-        release: () -> Unit,
     ): AttemptResult = when (result) {
         is ExchangeResult.ConnectionLost -> {
-            target.onConnectionLost()
-            recordConnectionLoss(target.worker)
-            mayHaveRunAt(target, result.reason, isTimeout = false)
+            slot.target.onConnectionLost()
+            recordConnectionLoss(slot.target.worker)
+            mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
         ExchangeResult.WrongResponse -> {
-            target.onConnectionLost()
-            mayHaveRunAt(target, "answer to another request", isTimeout = false)
+            slot.target.onConnectionLost()
+            mayHaveRunAt(slot.target, "answer to another request", isTimeout = false)
         }
 
         ExchangeResult.TimedOut -> {
-            forwarding.prober.markUnreachable(target)
-            mayHaveRunAt(target, "silent", isTimeout = true)
+            forwarding.prober.markUnreachable(slot.target)
+            mayHaveRunAt(slot.target, "silent", isTimeout = true)
         }
 
         is ExchangeResult.Response -> {
             val head = result.head
-            head.requestsAtWorker?.let { target.onLoadReport(it, clock.millis()) }
+            head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
             when {
-                head.hasNotRun -> onNotRun(target, exchange, connection, head)
+                head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
                 head.status in SUCCESS_STATUSES && !head.hasReceipt ->
-                    mayHaveRunAt(target, "success without receipt", isTimeout = false)
+                    mayHaveRunAt(slot.target, "success without receipt", isTimeout = false)
 
                 else -> {
-                    recordResponse(target, head)
-                    val attempt = Attempt(target, exchange, connection, forwarding.connections, release)
+                    recordResponse(slot.target, head)
+                    val release = { forwarding.dispatcher.release(slot) }
+                    val attempt = Attempt(slot.target, exchange, connection, forwarding.connections, release)
                     AttemptResult.Responded(attempt, head, result.headers)
                 }
             }
@@ -283,7 +292,7 @@
 
 /** Dependencies shared by all classes that send requests to workers. */
 class ForwardingContext(
-    val dispatcher: WorkerDispatcher,
+    val dispatcher: Dispatcher,
     val connections: WorkerConnectionPool,
     val prober: WorkerProber,
     val protocol: WorkerProtocol,
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -0,0 +1,62 @@
+package org.poplarshift.serving.forward
+
+import org.poplarshift.core.dispatch.SlotOutcome
+import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.core.dispatch.WorkerState
+
+/**
+ * A request to be assigned to a worker.
+ *
+ * @property priority position in the queue; smaller values are dispatched first
+ * @property waitMillis maximum time in milliseconds to wait for a free slot
+ * @property excludedWorkers ids of workers that must not be chosen
+ * @property onTimeUntilMillis latest monotonic time in milliseconds of a dispatch that meets the target latency, or the
+ *   time at which a batch item is due
+ * @property onPreempt called when a batch item must give up its slot
+ */
+data class DispatchRequest(
+    val service: String,
+    val priority: Int,
+    val waitMillis: Long,
+    val use: SlotUse = SlotUse.ONLINE,
+    val excludedWorkers: Set<String> = emptySet(),
+    val onTimeUntilMillis: Long = Long.MAX_VALUE / 2,
+    val onPreempt: () -> Unit = {},
+)
+
+/** The outcome of a [DispatchRequest]. */
+sealed interface DispatchResult {
+    /** A slot is reserved; the receiver must release it. */
+    class Assigned(val slot: AssignedSlot) : DispatchResult
+
+    /** The service has no worker that could serve the request, even after waiting. */
+    data object NoWorker : DispatchResult
+
+    /** No worker had a free slot within the wait time. */
+    data object NoCapacity : DispatchResult
+}
+
+/**
+ * A slot at the worker [target] that is reserved for a request of this node.
+ *
+ * @property zone the availability zone whose scheduler has granted the slot, or null if this node chose it alone
+ */
+class AssignedSlot(val number: Long, val service: String, val zone: String?, val target: WorkerState, use: SlotUse) {
+    /** Whether a batch item uses the slot. */
+    val isBatch = use != SlotUse.ONLINE
+}
+
+/** Assigns requests to workers with free slots and queues the other requests. */
+interface Dispatcher {
+    /** Number of requests of this node that wait for a slot. */
+    val waiting: Int
+
+    /** Reserves a slot at a worker; waits up to [DispatchRequest.waitMillis] when all workers are full. */
+    suspend fun acquire(request: DispatchRequest): DispatchResult
+
+    /** Releases [slot] and reports the [outcome] of its use. */
+    fun release(slot: AssignedSlot, outcome: SlotOutcome = SlotOutcome.USED)
+
+    /** Describes the workers and the load of [service] for the log. */
+    fun describe(service: String): String
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -23,7 +23,7 @@
                 call.service,
                 call.priority,
                 queueWaitMillis(session),
-                dispatchDeadlineMillis = dispatchDeadlineMillis(call),
+                onTimeUntilMillis = dispatchDeadlineMillis(call),
             )
             when (val result = session.attempt(request, headTimeoutMillis(call, session), resumeAfter = null)) {
                 is AttemptResult.NotRun -> return notRunOutcome(session, result.reason)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -25,7 +25,7 @@
                 call.service,
                 priority(),
                 queueWaitMillis(),
-                dispatchDeadlineMillis = OnlineForwarder.dispatchDeadlineMillis(call),
+                onTimeUntilMillis = OnlineForwarder.dispatchDeadlineMillis(call),
             )
             when (val result = session.attempt(request, headTimeoutMillis(), lastEventId)) {
                 is AttemptResult.NotRun -> return failureOutcome(result.reason, isTimeout = false)
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
@@ -40,7 +40,24 @@
     var isReachable = true
         private set
 
-    override suspend fun append(topic: String, partition: Int, records: List<KeyedValue>): AppendResult {
+    /** Whether the last call to the log succeeded, directly or through another node. */
+    var isServed = true
+        private set
+
+    override suspend fun append(topic: String, partition: Int, records: List<KeyedValue>): AppendResult =
+        appendDirectlyOrRelayed(topic, partition, records).also { isServed = it is AppendResult.Appended }
+
+    override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult =
+        readDirectlyOrRelayed(topic, partition, from, waitMillis).also { isServed = it !is ReadResult.Unavailable }
+
+    override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult =
+        newestDirectlyOrRelayed(topic, partition, afterKey).also { isServed = it is NewestResult.Page }
+
+    private suspend fun appendDirectlyOrRelayed(
+        topic: String,
+        partition: Int,
+        records: List<KeyedValue>,
+    ): AppendResult {
         if (isBypassed()) relay.append(topic, partition, records)?.let { return it }
         val result = direct.append(topic, partition, records)
         updateReachability(result is AppendResult.Appended)
@@ -49,7 +66,12 @@
         return relay.append(topic, partition, records) ?: result
     }
 
-    override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult {
+    private suspend fun readDirectlyOrRelayed(
+        topic: String,
+        partition: Int,
+        from: Long,
+        waitMillis: Long,
+    ): ReadResult {
         if (isBypassed()) readThroughRelay(topic, partition, from, waitMillis)?.let { return it }
         val result = direct.read(topic, partition, from, waitMillis)
         updateReachability(result !is ReadResult.Unavailable)
@@ -57,7 +79,7 @@
         return readThroughRelay(topic, partition, from, waitMillis) ?: result
     }
 
-    override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult {
+    private suspend fun newestDirectlyOrRelayed(topic: String, partition: Int, afterKey: String?): NewestResult {
         if (isBypassed()) relay.newest(topic, partition, afterKey)?.let { return it }
         val result = direct.newest(topic, partition, afterKey)
         updateReachability(result is NewestResult.Page)
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
@@ -5,8 +5,8 @@
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.fleet.WorkerRegistry
+import org.poplarshift.serving.forward.Dispatcher
 import org.poplarshift.serving.forward.WorkerConnectionPool
-import org.poplarshift.serving.forward.WorkerDispatcher
 import org.poplarshift.serving.submission.BatchRunner
 
 /** Gauges for the state and the activity of a node. */
@@ -19,13 +19,13 @@
         workers: WorkerRegistry,
         batchRunner: BatchRunner,
         connections: WorkerConnectionPool,
-        dispatcher: WorkerDispatcher,
+        dispatcher: Dispatcher,
     ) {
         gauge(registry, "configuration_version") { configuration.current?.version ?: 0L }
         gauge(registry, "fleet_nodes") { members.size }
         gauge(registry, "workers_known") { workers.known.size }
         gauge(registry, "batch_items_running") { batchRunner.runningItems }
-        gauge(registry, "batch_partitions") { batchRunner.partitions.size }
+        gauge(registry, "batch_shares") { batchRunner.shares.size }
         gauge(registry, "worker_connections_made") { connections.connectionsOpened }
         gauge(registry, "requests_waiting") { dispatcher.waiting }
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
@@ -8,6 +8,8 @@
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
+import io.vertx.core.http.WebSocketClientOptions
+import io.vertx.core.http.WebSocketConnectOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
@@ -16,6 +18,13 @@
 
 /** Sends messages to other nodes. */
 class PeerClient(vertx: Vertx, localHost: String) {
+    private val socketClient = vertx.createWebSocketClient(
+        WebSocketClientOptions()
+            .setLocalAddress(localHost)
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+            .setTcpNoDelay(true)
+            .setMaxConnections(MAXIMUM_SOCKETS_PER_PEER),
+    )
     private val client = vertx.createHttpClient(
         HttpClientOptions().setLocalAddress(
             localHost,
@@ -50,13 +59,34 @@
         }
     }
 
+    /** Opens a socket to [peer]. Returns null if that fails or takes longer than [timeoutMillis]. */
+    suspend fun openSocket(peer: FleetMember, path: String, timeoutMillis: Long): PeerSocket? {
+        val address = SocketAddresses.parse(peer.peerAddress)
+        val options = WebSocketConnectOptions().setHost(address.host()).setPort(address.port()).setURI(path)
+        val pending = socketClient.connect(options)
+        val socket = try {
+            withTimeoutOrNull(timeoutMillis) { pending.coAwait() }
+        } catch (exception: CancellationException) {
+            pending.onSuccess { it.close() }
+            throw exception
+        } catch (exception: Exception) {
+            logger.debug { "peer: socket to $path of node ${peer.name} failed: ${exception.message}" }
+            return null
+        }
+        if (socket == null) pending.onSuccess { it.close() }
+        return socket?.let { PeerSocket(it) }
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
 
         // A hundred times the latency between zones.
         const val CONNECT_TIMEOUT_MILLIS = 300
 
-        // Load reports, token requests and several waiting reads of the log.
+        // One for each service that has a scheduler.
+        const val MAXIMUM_SOCKETS_PER_PEER = 32
+
+        // Announcements, token requests and several waiting reads of the log.
         const val CONNECTIONS_PER_PEER = 16
         const val KEEP_ALIVE_SECONDS = 30
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -14,11 +14,17 @@
 import java.util.Base64
 
 /**
- * Calls the log through a randomly chosen node that can reach it.
+ * Calls the log through another node.
  *
- * @param peersReachingLog returns the other nodes that can currently reach the log
+ * The node that served the last call is asked first, and then a randomly chosen one.
  */
-class PeerLogRelay(private val client: PeerClient, private val peersReachingLog: () -> List<FleetMember>) : LogRelay {
+class PeerLogRelay(
+    private val client: PeerClient,
+    private val reachability: PeerReachability,
+    private val peers: () -> List<FleetMember>,
+) : LogRelay {
+    private var lastPeer: String? = null
+
     @Serializable
     private data class RelayedRecord(val offset: Long, val key: String, val value: String)
 
@@ -75,44 +81,56 @@
 
     override suspend fun append(topic: String, partition: Int, records: List<KeyedValue>): AppendResult? {
         val request = Request.Append(topic, partition, records.map { encode(0, it.key, it.value) })
-        val peer = peersReachingLog().randomOrNull() ?: return null
-        return when (val response = send(peer, request, APPEND_TIMEOUT_MILLIS)) {
+        return when (val response = call(request, APPEND_TIMEOUT_MILLIS) ?: return null) {
             is Response.Appended -> AppendResult.Appended(response.offset)
-            is Response.Refused -> AppendResult.Refused("through ${peer.name}: ${response.reason}")
-            is Response.Unknown -> AppendResult.Unknown("through ${peer.name}: ${response.reason}")
-            else -> AppendResult.Unknown("${peer.name} does not respond")
+            is Response.Refused -> AppendResult.Refused("relayed: ${response.reason}")
+            is Response.Unknown -> AppendResult.Unknown("relayed: ${response.reason}")
+            else -> AppendResult.Unknown("relayed: unexpected response")
         }
     }
 
     override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult? {
-        val peer = peersReachingLog().randomOrNull() ?: return null
         val request = Request.Read(topic, partition, from, waitMillis)
-        return when (val response = send(peer, request, waitMillis + READ_TIMEOUT_MILLIS)) {
-            is Response.Records -> ReadResult.Records(
-                response.records.map {
-                    it.toLogRecord()
-                },
-                response.next,
-                response.end,
-            )
+        return when (val response = call(request, waitMillis + READ_TIMEOUT_MILLIS)) {
+            is Response.Records ->
+                ReadResult.Records(response.records.map { it.toLogRecord() }, response.next, response.end)
             is Response.Trimmed -> ReadResult.Trimmed(response.first)
             else -> null
         }
     }
 
     override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult? {
-        val peer = peersReachingLog().randomOrNull() ?: return null
         val response =
-            send(peer, Request.Newest(topic, partition, afterKey), READ_TIMEOUT_MILLIS) as? Response.Page ?: return null
+            call(Request.Newest(topic, partition, afterKey), READ_TIMEOUT_MILLIS) as? Response.Page ?: return null
         return NewestResult.Page(response.records.map { it.toLogRecord() }, response.end, response.hasMore)
     }
 
-    private suspend fun send(peer: FleetMember, request: Request, timeoutMillis: Long): Response? {
+    /** Sends [request] to a node, and to another one if the first can't reach the log. Returns null if there is none. */
+    private suspend fun call(request: Request, timeoutMillis: Long): Response? {
         val body = Json.encodeToString(Request.serializer(), request)
-        val response = client.post(peer, PATH, body, timeoutMillis) ?: return null
-        return PeerMessages.decode(Response.serializer(), response, COMPONENT)
+        var refused: Response? = null
+        for (peer in candidates()) {
+            val response = client.post(peer, PATH, body, timeoutMillis)
+                ?.let { PeerMessages.decode(Response.serializer(), it, COMPONENT) }
+            if (response == null) reachability.onFailure(peer.name)
+            if (response != null && response !is Response.Refused) {
+                lastPeer = peer.name
+                return response
+            }
+            lastPeer = null
+            refused = response
+            // Without a response the records of an append may already be in the log.
+            if (response == null && request is Request.Append) return Response.Unknown("no response")
+        }
+        return refused
     }
 
+    private fun candidates(): List<FleetMember> = peers()
+        .filter { !reachability.isSuspect(it.name) }
+        .shuffled()
+        .sortedBy { it.name != lastPeer }
+        .take(MAXIMUM_PEERS_PER_CALL)
+
     private suspend fun execute(request: Request, log: PartitionedLog): Response = when (request) {
         is Request.Append -> {
             val records = request.records.map { KeyedValue(it.key, it.valueBytes()) }
@@ -153,5 +171,8 @@
         // Many times the usual response time of the log, including the latency between nodes.
         const val APPEND_TIMEOUT_MILLIS = 1_000L
         const val READ_TIMEOUT_MILLIS = 600L
+
+        // The log may turn a third of the nodes away at the same time.
+        const val MAXIMUM_PEERS_PER_CALL = 3
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.ServerWebSocket
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -17,16 +18,29 @@
  */
 class PeerServer(private val vertx: Vertx, private val scope: CoroutineScope) {
     private val handlers = HashMap<String, suspend (String) -> String?>()
+    private val socketHandlers = HashMap<String, (String, PeerSocket) -> Unit>()
 
     /** Registers [handler] for [path]. It returns the response body, or null if it can't decode the message. */
     fun on(path: String, handler: suspend (String) -> String?) {
         handlers[path] = handler
     }
 
+    /** Registers [handler] for sockets whose path begins with [prefix]. It receives the rest of the path. */
+    fun onSocket(prefix: String, handler: (String, PeerSocket) -> Unit) {
+        socketHandlers[prefix] = handler
+    }
+
     /** Starts to accept connections at [address], an IP address and port. */
     suspend fun listen(address: String) {
         val socket = SocketAddresses.parse(address)
-        vertx.createHttpServer(HttpServerOptions().setHost(socket.host()).setPort(socket.port()))
+        val options = HttpServerOptions()
+            .setHost(socket.host())
+            .setPort(socket.port())
+            .setTcpNoDelay(true)
+            .setPerMessageWebSocketCompressionSupported(false)
+            .setPerFrameWebSocketCompressionSupported(false)
+        vertx.createHttpServer(options)
+            .webSocketHandler { accept(it) }
             .requestHandler { request ->
                 request.body().onSuccess { body ->
                     scope.launch(start = CoroutineStart.UNDISPATCHED) { respond(request, body.toString()) }
@@ -36,6 +50,15 @@
             .coAwait()
     }
 
+    private fun accept(socket: ServerWebSocket) {
+        val entry = socketHandlers.entries.firstOrNull { socket.path().startsWith(it.key) }
+        if (entry == null) {
+            socket.close()
+        } else {
+            entry.value(socket.path().removePrefix(entry.key), PeerSocket(socket))
+        }
+    }
+
     private suspend fun respond(request: HttpServerRequest, body: String) {
         val responseBody = handlers[request.path()]?.invoke(body)
         val response = request.response()
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -0,0 +1,174 @@
+package org.poplarshift.serving.scheduling
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.poplarshift.core.dispatch.LoadBalancer
+import org.poplarshift.core.dispatch.NodeMessage
+import org.poplarshift.core.dispatch.SlotOutcome
+import org.poplarshift.core.dispatch.SlotScheduler
+import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.core.dispatch.ZoneCapacities
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fleet.FleetMember
+import org.poplarshift.serving.forward.AssignedSlot
+import org.poplarshift.serving.forward.DispatchRequest
+import org.poplarshift.serving.forward.DispatchResult
+import org.poplarshift.serving.forward.Dispatcher
+import org.poplarshift.serving.peer.PeerReachability
+
+/**
+ * Assigns the requests of this node to workers through the schedulers of the availability zones.
+ *
+ * A request first asks the scheduler of this node's zone, which may redirect it to another one. While no scheduler
+ * responds, the node chooses among all workers by itself and knows only the load that it causes.
+ *
+ * @param workers all workers, with the requests of this node
+ */
+class FleetDispatcher(
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val self: FleetMember,
+    private val workers: LoadBalancer,
+    private val directory: SchedulerDirectory,
+    private val reachability: PeerReachability,
+    private val connector: SchedulerConnector,
+) : Dispatcher {
+    private val links = HashMap<Pair<String, String>, SchedulerLink>()
+    private val ownSchedulers = HashMap<String, OwnScheduler>()
+    private var lastNumber = 0L
+
+    override val waiting: Int
+        get() = links.values.sumOf { it.waiting } + ownSchedulers.values.sumOf { it.link.waiting }
+
+    override fun describe(service: String): String {
+        val available = workers.available(service)
+        val own = available.sumOf { it.online + it.batch }
+        return "workers=${available.size},slots=${available.sumOf { it.worker.slots }},own=$own,waiting=$waiting"
+    }
+
+    override suspend fun acquire(request: DispatchRequest): DispatchResult {
+        val deadlineMillis = clock.millis() + request.waitMillis
+        val excluded = HashSet(request.excludedWorkers)
+        var zone = self.zone
+        var hops = 0
+        while (true) {
+            if (!workers.hasWorker(request.service, excluded)) return DispatchResult.NoWorker
+            val message = message(request, excluded, mayRedirect = hops < MAXIMUM_HOPS)
+            val waitMillis = deadlineMillis - clock.millis()
+            when (val result = link(zone, request.service).acquire(message, waitMillis)) {
+                is LinkResult.Granted -> {
+                    use(zone, request, message.number, result.worker)?.let { return DispatchResult.Assigned(it) }
+                    excluded += result.worker
+                }
+
+                is LinkResult.Redirected -> {
+                    hops++
+                    zone = result.zone
+                }
+
+                LinkResult.NoCapacity -> return DispatchResult.NoCapacity
+                LinkResult.NoWorker ->
+                    if (zone == self.zone) return acquireAlone(request, excluded, waitMillis) else zone = self.zone
+
+                LinkResult.Unavailable -> {
+                    if (zone == self.zone) return acquireAlone(request, excluded, waitMillis)
+                    zone = self.zone
+                    hops = MAXIMUM_HOPS
+                }
+            }
+        }
+    }
+
+    override fun release(slot: AssignedSlot, outcome: SlotOutcome) {
+        if (slot.zone == null) {
+            ownSchedulers.getValue(slot.service).link.release(slot.number, outcome)
+        } else {
+            slot.target.onEnded(slot.isBatch)
+            link(slot.zone, slot.service).release(slot.number, outcome)
+        }
+    }
+
+    /** Maintains the connections to the schedulers until cancelled. */
+    suspend fun run() {
+        while (true) {
+            delay(MAINTENANCE_INTERVAL_MILLIS)
+            links.values.forEach { it.maintain() }
+            for (own in ownSchedulers.values) {
+                own.link.maintain()
+                own.scheduler.update(clock.millis())
+                own.scheduler.sendAlive()
+            }
+        }
+    }
+
+    private suspend fun acquireAlone(
+        request: DispatchRequest,
+        excluded: Set<String>,
+        waitMillis: Long,
+    ): DispatchResult {
+        val own = ownSchedulers.getOrPut(request.service) { OwnScheduler(request.service) }
+        val message = message(request, excluded, mayRedirect = false)
+        return when (val result = own.link.acquire(message, waitMillis)) {
+            is LinkResult.Granted -> {
+                val state = checkNotNull(workers.state(result.worker))
+                own.link.onUsed(request.toSlot(message.number, result.worker))
+                DispatchResult.Assigned(AssignedSlot(message.number, request.service, zone = null, state, request.use))
+            }
+
+            LinkResult.NoWorker, LinkResult.Unavailable -> DispatchResult.NoWorker
+            LinkResult.NoCapacity, is LinkResult.Redirected -> DispatchResult.NoCapacity
+        }
+    }
+
+    /** Takes over the granted slot, or returns it if this node can't use the worker. */
+    private fun use(zone: String, request: DispatchRequest, number: Long, worker: String): AssignedSlot? {
+        val state = workers.state(worker)
+        val link = link(zone, request.service)
+        if (state == null || state.isSuspect || state.worker.isDraining) {
+            link.release(number, SlotOutcome.UNUSED)
+            return null
+        }
+        link.onUsed(request.toSlot(number, worker))
+        state.onSent(request.use != SlotUse.ONLINE)
+        return AssignedSlot(number, request.service, zone, state, request.use)
+    }
+
+    private fun DispatchRequest.toSlot(number: Long, worker: String) =
+        UsedSlot(number, use, worker, onTimeUntilMillis, onPreempt)
+
+    private fun message(request: DispatchRequest, excluded: Set<String>, mayRedirect: Boolean) = NodeMessage.Acquire(
+        number = ++lastNumber,
+        use = request.use,
+        priority = request.priority,
+        onTimeInMillis = request.onTimeUntilMillis - clock.millis(),
+        excludedWorkers = excluded + suspects(request.service),
+        mayRedirect = mayRedirect,
+    )
+
+    private fun suspects(service: String): List<String> = workers.workerStates
+        .filter { it.isSuspect && it.worker.service == service }
+        .map { it.worker.id }
+
+    private fun link(zone: String, service: String): SchedulerLink = links.getOrPut(zone to service) {
+        SchedulerLink(scope, clock, self.name, service, connector, reachability) { directory.order(zone, service) }
+    }
+
+    /** The scheduler that this node uses while no other responds. It schedules requests of this node only. */
+    private inner class OwnScheduler(service: String) {
+        val scheduler = SlotScheduler(service, workers, ZoneCapacities(), reports = null)
+        val link = SchedulerLink(
+            scope,
+            clock,
+            self.name,
+            service,
+            { _, _, hello, receiver -> LocalSchedulerChannel(scheduler, clock, hello, receiver) },
+            PeerReachability(clock),
+        ) { listOf(self) }
+    }
+
+    private companion object {
+        // One redirection usually suffices. More of them show that the announced capacity is out of date.
+        const val MAXIMUM_HOPS = 2
+        const val MAINTENANCE_INTERVAL_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -0,0 +1,235 @@
+package org.poplarshift.serving.scheduling
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.core.dispatch.HeldSlot
+import org.poplarshift.core.dispatch.NodeMessage
+import org.poplarshift.core.dispatch.SchedulerMessage
+import org.poplarshift.core.dispatch.SlotOutcome
+import org.poplarshift.core.dispatch.SlotScheduler
+import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fleet.FleetMember
+import org.poplarshift.serving.peer.PeerReachability
+
+/** The answer of a scheduler to a request for a slot. */
+sealed interface LinkResult {
+    /** The request has a slot at [worker]. */
+    data class Granted(val worker: String) : LinkResult
+
+    /** The scheduler of [zone] has more capacity. */
+    data class Redirected(val zone: String) : LinkResult
+
+    /** No worker could serve the request. */
+    data object NoWorker : LinkResult
+
+    /** No slot became free within the wait time. */
+    data object NoCapacity : LinkResult
+
+    /** The scheduler does not respond. */
+    data object Unavailable : LinkResult
+}
+
+/** A slot that this node uses. */
+class UsedSlot(
+    val number: Long,
+    val use: SlotUse,
+    val worker: String,
+    val onTimeUntilMillis: Long,
+    val onPreempt: () -> Unit,
+)
+
+/**
+ * This node's connection to the scheduler of one service in one availability zone.
+ *
+ * @param candidates returns the nodes that may run the scheduler, in the order in which they are asked
+ */
+class SchedulerLink(
+    private val scope: CoroutineScope,
+    private val clock: MonotonicClock,
+    private val self: String,
+    private val service: String,
+    private val connector: SchedulerConnector,
+    private val reachability: PeerReachability,
+    private val candidates: () -> List<FleetMember>,
+) {
+    private class PendingRequest {
+        val acknowledged = CompletableDeferred<Unit>()
+        val result = CompletableDeferred<LinkResult>()
+    }
+
+    private inner class Receiver : SchedulerReceiver {
+        override fun onMessage(message: SchedulerMessage) {
+            if (this === receiver) handle(message)
+        }
+
+        override fun onClosed() {
+            if (this === receiver) disconnect()
+        }
+    }
+
+    private val pending = LinkedHashMap<Long, PendingRequest>()
+    private val slots = LinkedHashMap<Long, UsedSlot>()
+    private var channel: SchedulerChannel? = null
+    private var receiver: Receiver? = null
+    private var scheduler: FleetMember? = null
+    private var connecting: Job? = null
+    private var heardMillis = 0L
+    private var sentMillis = 0L
+    private var failedMillis = Long.MIN_VALUE / 2
+
+    /** Number of requests that wait for an answer or for a slot. */
+    val waiting: Int
+        get() = pending.size
+
+    /** Requests a slot and waits up to [waitMillis] for it. */
+    suspend fun acquire(request: NodeMessage.Acquire, waitMillis: Long): LinkResult {
+        val connected = connect() ?: return LinkResult.Unavailable
+        val entry = PendingRequest()
+        pending[request.number] = entry
+        var isDecided = false
+        try {
+            send(connected, request)
+            val isAcknowledged = withTimeoutOrNull(RESPONSE_TIMEOUT_MILLIS) { entry.acknowledged.await() } != null
+            if (!isAcknowledged) onSilence()
+            val result = withTimeoutOrNull(waitMillis.coerceAtLeast(1)) { entry.result.await() }
+            isDecided = result != null
+            return result ?: LinkResult.NoCapacity
+        } finally {
+            pending.remove(request.number)
+            if (!isDecided) channel?.let { send(it, NodeMessage.Release(request.number, SlotOutcome.UNUSED)) }
+        }
+    }
+
+    /** Records a slot that this node uses, so that it is stated when the node connects to another scheduler. */
+    fun onUsed(slot: UsedSlot) {
+        slots[slot.number] = slot
+    }
+
+    /** Gives up the slot [number]. */
+    fun release(number: Long, outcome: SlotOutcome) {
+        slots.remove(number)
+        channel?.let { send(it, NodeMessage.Release(number, outcome)) }
+    }
+
+    /** Keeps the slots in use, detects a silent scheduler, and moves to a preferred one. Called in short intervals. */
+    fun maintain() {
+        val connected = channel
+        if (connected == null) {
+            if (slots.isNotEmpty()) startConnecting()
+            return
+        }
+        val now = clock.millis()
+        if (pending.isNotEmpty() && now - heardMillis > SILENCE_MILLIS) return onSilence()
+        if (slots.isNotEmpty() && now - sentMillis > SlotScheduler.ALIVE_INTERVAL_MILLIS) {
+            send(connected, NodeMessage.Alive)
+        }
+        if (scheduler?.name != preferred()?.name) startConnecting()
+    }
+
+    private fun send(target: SchedulerChannel, message: NodeMessage) {
+        sentMillis = clock.millis()
+        target.send(message)
+    }
+
+    private fun preferred(): FleetMember? = candidates().firstOrNull { !reachability.isSuspect(it.name) }
+
+    private suspend fun connect(): SchedulerChannel? {
+        channel?.let { return it }
+        val job = startConnecting()
+        // While nodes can't be reached, requests do not wait for each further attempt.
+        if (clock.millis() >= failedMillis + FAILURE_MILLIS) withTimeoutOrNull(CONNECT_WAIT_MILLIS) { job.join() }
+        return channel
+    }
+
+    private fun startConnecting(): Job {
+        connecting?.takeIf { it.isActive }?.let { return it }
+        return scope.launch { connectToPreferred() }.also { connecting = it }
+    }
+
+    private suspend fun connectToPreferred() {
+        val member = preferred() ?: return
+        val hello = NodeMessage.Hello(self, slots.values.map { it.toHeldSlot() })
+        val newReceiver = Receiver()
+        val previousReceiver = receiver
+        val newChannel = connector.connect(member, service, hello, newReceiver)
+        if (newChannel == null) {
+            reachability.onFailure(member.name)
+            failedMillis = clock.millis()
+            return
+        }
+        if (receiver !== previousReceiver) {
+            newChannel.close()
+            return
+        }
+        // The requests that wait at the previous scheduler are decided without one. This is rare.
+        val previous = channel
+        disconnect()
+        previous?.close()
+        channel = newChannel
+        receiver = newReceiver
+        scheduler = member
+        heardMillis = clock.millis()
+    }
+
+    private fun UsedSlot.toHeldSlot() = HeldSlot(number, use, worker, onTimeUntilMillis - clock.millis())
+
+    private fun handle(message: SchedulerMessage) {
+        heardMillis = clock.millis()
+        when (message) {
+            is SchedulerMessage.Granted -> onGranted(message)
+            is SchedulerMessage.Queued -> pending[message.number]?.acknowledged?.complete(Unit)
+            is SchedulerMessage.Redirected -> decide(message.number, LinkResult.Redirected(message.zone))
+            is SchedulerMessage.NoWorker -> decide(message.number, LinkResult.NoWorker)
+            is SchedulerMessage.Preempted -> slots[message.number]?.onPreempt?.invoke()
+            SchedulerMessage.Alive -> Unit
+        }
+    }
+
+    private fun onGranted(message: SchedulerMessage.Granted) {
+        if (message.number in pending) return decide(message.number, LinkResult.Granted(message.worker))
+        // The request has stopped waiting in the meantime.
+        channel?.let { send(it, NodeMessage.Release(message.number, SlotOutcome.UNUSED)) }
+    }
+
+    private fun decide(number: Long, result: LinkResult) {
+        val entry = pending[number] ?: return
+        entry.result.complete(result)
+        entry.acknowledged.complete(Unit)
+    }
+
+    // The connection may be dead although the node is alive, so the same node is tried again with a new one.
+    private fun onSilence() {
+        val silent = channel
+        disconnect()
+        silent?.close()
+        startConnecting()
+    }
+
+    private fun disconnect() {
+        channel = null
+        receiver = null
+        scheduler = null
+        val lost = pending.values.toList()
+        pending.clear()
+        for (entry in lost) {
+            entry.result.complete(LinkResult.Unavailable)
+            entry.acknowledged.complete(Unit)
+        }
+    }
+
+    private companion object {
+        // Many times the delay between zones and the time that a busy scheduler needs for a message.
+        const val RESPONSE_TIMEOUT_MILLIS = 150L
+        const val CONNECT_WAIT_MILLIS = 150L
+
+        // Several connection attempts, one to each candidate.
+        const val FAILURE_MILLIS = 1_000L
+
+        // A scheduler sends a message in a shorter interval while requests of the node wait.
+        const val SILENCE_MILLIS = 800L
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.delay
+import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.submission.ItemState
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.core.submission.SubmissionState
@@ -58,9 +59,7 @@
     val service: String
         get() = proposal.service
 
-    /** Unique key of the item across all submissions. */
-    val key: String
-        get() = "${proposal.submission}/${item.proposed.id}"
+    private val key = key(state, item)
 
     /** Id of the last event in the output, or null if no event has been received. */
     var lastEvent: Long? = null
@@ -74,20 +73,33 @@
         }
     }
 
-    /** Runs the item until it has a result. Cancellation also cancels the request at the worker. */
-    suspend fun run() {
+    /** Whether the run has not received a response from a worker yet. */
+    var isWaiting = false
+        private set
+
+    /**
+     * Runs the item until it has a result. Cancellation also cancels the request at the worker.
+     *
+     * @param onPreempt called when the run must give up its slot
+     */
+    suspend fun run(onPreempt: () -> Unit) {
+        isWaiting = true
         while (!isFinished) {
             if (remainingMillis() <= 0) return recordResult(isComplete = false, "time is up")
             val session = newSession()
             delayIfQuarantined(session)
+            isWaiting = true
             val request = DispatchRequest(
                 proposal.service,
                 BATCH_PRIORITY,
                 WORKER_WAIT_MILLIS,
-                headroom = headroom(),
-                isBatch = true,
+                use = if (isUrgent) SlotUse.URGENT_BATCH else SlotUse.BATCH,
+                onTimeUntilMillis = forwarding.clock.millis() + untilDueMillis,
+                onPreempt = onPreempt,
             )
-            when (val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, lastEvent)) {
+            val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, lastEvent)
+            isWaiting = false
+            when (result) {
                 is AttemptResult.NotRun, AttemptResult.Quarantined -> delay(RETRY_MILLIS)
                 is AttemptResult.MayHaveRun -> logger.debug {
                     "batch: item ${item.proposed.id} may have run: ${session.trace}"
@@ -246,40 +258,38 @@
 
     private fun remainingMillis(): Long = proposal.firstSentMillis + proposal.abandonMillis - wallClockMillis()
 
-    private fun headroom(): Int = if (isUrgent) 0 else RESERVED_SLOTS
+    companion object {
+        /** Unique key of [item] of the submission [state] across all submissions. */
+        fun key(state: SubmissionState, item: ItemState): String = "${state.proposal.submission}/${item.proposed.id}"
 
-    private companion object {
-        val logger = KotlinLogging.logger {}
-        const val OK = 200
-        const val UNPROCESSABLE = 422
-        const val INTERNAL_ERROR = 500
+        private val logger = KotlinLogging.logger {}
+        private const val OK = 200
+        private const val UNPROCESSABLE = 422
+        private const val INTERNAL_ERROR = 500
 
         // Online requests have small priority values, so that batch items are dispatched after all of them.
-        const val BATCH_PRIORITY = 1_000
-
-        // Slots per worker that batch items leave free for upcoming online requests.
-        const val RESERVED_SLOTS = 1
+        private const val BATCH_PRIORITY = 1_000
 
         // About the run time of an item of typical size on a busy worker.
-        const val URGENT_MILLIS = 6_500L
+        private const val URGENT_MILLIS = 6_500L
 
         // A crashed worker restarts within seconds. The backoff must still allow an item that did not cause the crashes
         // to complete before its submission is abandoned.
-        const val QUARANTINE_DELAY_MILLIS = 4_000L
-        const val MAXIMUM_DOUBLINGS = 4
-        const val WORKER_WAIT_MILLIS = 1_000L
-        const val RETRY_MILLIS = 150L
+        private const val QUARANTINE_DELAY_MILLIS = 4_000L
+        private const val MAXIMUM_DOUBLINGS = 4
+        private const val WORKER_WAIT_MILLIS = 1_000L
+        private const val RETRY_MILLIS = 150L
 
         // Requests queue at a fully loaded worker. A worker that does not respond for longer has probably failed.
-        const val HEAD_TIMEOUT_MILLIS = 4_000L
-        const val IDLE_TIMEOUT_MILLIS = 2_500L
-        const val ERROR_BODY_TIMEOUT_MILLIS = 500L
-        const val MAXIMUM_ERROR_BODY_BYTES = 65_536
+        private const val HEAD_TIMEOUT_MILLIS = 4_000L
+        private const val IDLE_TIMEOUT_MILLIS = 2_500L
+        private const val ERROR_BODY_TIMEOUT_MILLIS = 500L
+        private const val MAXIMUM_ERROR_BODY_BYTES = 65_536
 
         // A third of the run time of an item of typical size.
-        const val SAVE_INTERVAL_MILLIS = 2_000L
+        private const val SAVE_INTERVAL_MILLIS = 2_000L
 
         // In characters. Regenerating less output than this is faster than storing it.
-        const val MINIMUM_UNSAVED_LENGTH = 1_000
+        private const val MINIMUM_UNSAVED_LENGTH = 1_000
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -50,16 +50,22 @@
     var ledger = SubmissionLedger()
         private set
 
+    /** Increases whenever records have been read. */
+    var revision = 0L
+        private set
+
     /** Reads the partition and passes its records to this object. */
     val follower = TopicFollower(log, clock, topic, number, this, READ_WAIT_MILLIS, READ_PAUSE_MILLIS)
 
     override fun onRestart() {
+        revision++
         ledger = SubmissionLedger()
         assembler = RecordAssembler()
         submissionsByKey = HashMap()
     }
 
     override fun onRecord(record: LogRecord) {
+        revision++
         if (record.value.isEmpty()) {
             submissionsByKey.remove(record.key)?.let { ledger.remove(listOf(it)) }
             return
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -20,6 +20,10 @@
     /** All partitions, in order of their numbers. */
     val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, ::newId) }
 
+    /** Changes whenever records of any partition have been read. */
+    val revision: Long
+        get() = partitions.sumOf { it.revision }
+
     /** Returns the partition that holds the submissions of [organisation]. */
     fun partitionOf(organisation: String): SubmissionPartition =
         partitions[Math.floorMod(organisation.hashCode(), partitions.size)]
--- /dev/null
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -0,0 +1,260 @@
+package org.poplarshift.serving.scheduling
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.poplarshift.core.dispatch.FleetWorker
+import org.poplarshift.core.dispatch.LoadBalancer
+import org.poplarshift.core.dispatch.NodeMessage
+import org.poplarshift.core.dispatch.SchedulerMessage
+import org.poplarshift.core.dispatch.SlotOutcome
+import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fleet.FleetMember
+import org.poplarshift.serving.fleet.FleetMembers
+import org.poplarshift.serving.forward.DispatchRequest
+import org.poplarshift.serving.forward.DispatchResult
+import org.poplarshift.serving.log.LogRecord
+import org.poplarshift.serving.peer.PeerReachability
+
+/**
+ * Guards against requests that wait for a scheduler which is gone, silent or cut off, and against slots that a node
+ * holds at the scheduler although it does not use them.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+class FleetDispatcherTest :
+    FunSpec({
+        /** Records the messages of one connection and answers each request as the test has set. */
+        class Connection(private val receiver: SchedulerReceiver, val member: String) : SchedulerChannel {
+            val sent = ArrayList<NodeMessage>()
+            var answer: (NodeMessage.Acquire) -> SchedulerMessage? = { SchedulerMessage.Granted(it.number, "w0") }
+
+            override fun send(message: NodeMessage) {
+                sent += message
+                if (message is NodeMessage.Acquire) answer(message)?.let { receiver.onMessage(it) }
+            }
+
+            override fun close() = Unit
+
+            fun receive(message: SchedulerMessage) = receiver.onMessage(message)
+
+            fun lose() = receiver.onClosed()
+        }
+
+        class Fixture(val scope: TestScope, vararg others: String) {
+            val clock = MonotonicClock { scope.testScheduler.currentTime }
+            val connections = ArrayList<Connection>()
+            val unreachable = HashSet<String>()
+            var connectMillis = 0L
+            var answer: (NodeMessage.Acquire) -> SchedulerMessage? = { SchedulerMessage.Granted(it.number, "w0") }
+            val workers = LoadBalancer("here") { 0.0 }.apply {
+                update(
+                    List(2) {
+                        FleetWorker("w$it", "s", "10.0.0.1:80", "here", 1, isDraining = false, startedMillis = 1)
+                    },
+                )
+            }
+            private val self = FleetMember("self", "here", "10.0.0.1:1", speed = 0.1)
+            private val members = FleetMembers(FakeLog(), clock, "members", self)
+            private val directory = SchedulerDirectory(self, members)
+            private val connector = SchedulerConnector { member, _, hello, receiver ->
+                delay(connectMillis)
+                if (member.name in unreachable) {
+                    null
+                } else {
+                    Connection(receiver, member.name).also {
+                        it.answer = { request -> answer(request) }
+                        it.send(hello)
+                        connections += it
+                    }
+                }
+            }
+            val dispatcher =
+                FleetDispatcher(
+                    scope.backgroundScope,
+                    clock,
+                    self,
+                    workers,
+                    directory,
+                    PeerReachability(clock),
+                    connector,
+                )
+
+            init {
+                others.forEach {
+                    val value = """{"name":"$it","zone":"${it.substringBefore('-')}","peerAddress":"10.0.0.1:1"}"""
+                    members.onRecord(LogRecord(0, it, value.encodeToByteArray()))
+                }
+                scope.backgroundScope.launch { dispatcher.run() }
+            }
+
+            suspend fun acquire(use: SlotUse = SlotUse.ONLINE, onPreempt: () -> Unit = {}): DispatchResult =
+                dispatcher.acquire(
+                    DispatchRequest("s", priority = 0, waitMillis = 1_000, use = use, onPreempt = onPreempt),
+                )
+        }
+
+        fun DispatchResult.worker() = shouldBeInstanceOf<DispatchResult.Assigned>().slot.target.worker.id
+
+        test("the slot that the scheduler grants is used and released there") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                fixture.answer = { SchedulerMessage.Granted(it.number, "w1") }
+                val slot = fixture.acquire().shouldBeInstanceOf<DispatchResult.Assigned>().slot
+                slot.target.worker.id shouldBe "w1"
+                slot.target.online shouldBe 1
+                fixture.dispatcher.release(slot, SlotOutcome.FULL)
+                slot.target.online shouldBe 0
+                fixture.connections.single().sent.last() shouldBe NodeMessage.Release(slot.number, SlotOutcome.FULL)
+            }
+        }
+
+        data class Failure(val name: String, val arrange: (Fixture) -> Unit, val maximumMillis: Long)
+        listOf(
+            Failure("can't be reached", { it.unreachable += setOf("here-1", "self") }, maximumMillis = 0),
+            Failure("accepts the connection and stays silent", { it.answer = { null } }, maximumMillis = 150),
+            Failure(
+                "closes the connection",
+                { fixture ->
+                    fixture.answer = {
+                        fixture.connections.last().lose()
+                        null
+                    }
+                },
+                maximumMillis = 0,
+            ),
+        ).forEach { case ->
+            test("a node chooses a worker by itself when the scheduler ${case.name}") {
+                runTest {
+                    val fixture = Fixture(this, "here-1")
+                    case.arrange(fixture)
+                    val startMillis = testScheduler.currentTime
+                    val workers = List(2) { fixture.acquire().worker() }
+                    workers.toSet() shouldBe setOf("w0", "w1")
+                    (testScheduler.currentTime - startMillis <= 2 * case.maximumMillis) shouldBe true
+                }
+            }
+        }
+
+        test("a node that is cut off waits for one connection attempt, not for one at each candidate") {
+            runTest {
+                val fixture = Fixture(this, "here-1", "here-2", "here-3")
+                fixture.unreachable += setOf("here-1", "here-2", "here-3", "self")
+                fixture.connectMillis = 300
+                val startMillis = testScheduler.currentTime
+                repeat(5) {
+                    val slot = fixture.acquire().shouldBeInstanceOf<DispatchResult.Assigned>().slot
+                    fixture.dispatcher.release(slot)
+                    delay(100)
+                }
+                // The first request waits 150 ms, the second until the attempt has failed after 300 ms, the others not.
+                (testScheduler.currentTime - startMillis) shouldBe 5 * 100 + 150 + 50
+            }
+        }
+
+        test("the next node runs the scheduler when the first can't be reached") {
+            runTest {
+                val fixture = Fixture(this, "here-1", "here-2")
+                fixture.acquire()
+                val first = fixture.connections.single().member
+                fixture.unreachable += first
+                fixture.connections.single().lose()
+                // The first request after the loss finds that the node is gone.
+                fixture.acquire()
+                fixture.acquire()
+                fixture.connections.last().member shouldBe if (first == "here-1") "here-2" else "here-1"
+                fixture.connections.last().sent.first().shouldBeInstanceOf<NodeMessage.Hello>().leases.size shouldBe 1
+            }
+        }
+
+        test("a request waits at the scheduler of the zone that it is redirected to") {
+            runTest {
+                val fixture = Fixture(this, "here-1", "there-1")
+                fixture.answer = {
+                    when (fixture.connections.size) {
+                        1 -> SchedulerMessage.Redirected(it.number, "there")
+                        else -> SchedulerMessage.Granted(it.number, "w1")
+                    }
+                }
+                fixture.acquire().worker() shouldBe "w1"
+                fixture.connections.map { it.member } shouldBe listOf("here-1", "there-1")
+            }
+        }
+
+        test("a request returns to its own zone when the other one can't be reached") {
+            runTest {
+                val fixture = Fixture(this, "here-1", "there-1")
+                fixture.unreachable += "there-1"
+                fixture.answer = {
+                    if (it.mayRedirect) {
+                        SchedulerMessage.Redirected(it.number, "there")
+                    } else {
+                        SchedulerMessage.Granted(it.number, "w0")
+                    }
+                }
+                fixture.acquire().worker() shouldBe "w0"
+            }
+        }
+
+        test("a request that is cancelled or waits too long gives its place up") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                fixture.answer = { SchedulerMessage.Queued(it.number) }
+                fixture.scope.backgroundScope.launch {
+                    while (true) {
+                        delay(300)
+                        fixture.connections.last().receive(SchedulerMessage.Alive)
+                    }
+                }
+                fixture.acquire() shouldBe DispatchResult.NoCapacity
+                val cancelled = launch(start = CoroutineStart.UNDISPATCHED) { fixture.acquire() }
+                runCurrent()
+                cancelled.cancelAndJoin()
+                val releases = fixture.connections.single().sent.filterIsInstance<NodeMessage.Release>()
+                releases.map { it.number } shouldBe listOf(1L, 2L)
+                fixture.dispatcher.waiting shouldBe 0
+            }
+        }
+
+        test("a slot that is granted after the request has been cancelled is released") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                fixture.answer = { SchedulerMessage.Queued(it.number) }
+                val cancelled = launch(start = CoroutineStart.UNDISPATCHED) { fixture.acquire() }
+                runCurrent()
+                cancelled.cancelAndJoin()
+                fixture.connections.single().receive(SchedulerMessage.Granted(1, "w0"))
+                fixture.connections.single().sent.count { it is NodeMessage.Release } shouldBe 2
+            }
+        }
+
+        test("a batch item is told to give up its slot") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                var isPreempted = false
+                fixture.acquire(SlotUse.BATCH) { isPreempted = true }
+                fixture.connections.single().receive(SchedulerMessage.Preempted(1))
+                isPreempted shouldBe true
+            }
+        }
+
+        test("a granted worker that this node can't use is returned, and another one is requested") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                fixture.workers.state("w0")?.onUnreachable()
+                fixture.answer = { SchedulerMessage.Granted(it.number, if ("w0" in it.excludedWorkers) "w1" else "w0") }
+                val result = async { fixture.acquire() }.await()
+                result.worker() shouldBe "w1"
+            }
+        }
+    })
