Log the prompt parts of calls and of requests that lose their worker

The line of a lost connection named a fingerprint and a worker, so that the logs could not show what the requests at a crashed worker had in common. It now names the request, its shared prompt parts and whether the worker had begun to write; the line of a call names its parts too. No decision has changed.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -90,6 +90,11 @@
     /** Outcomes of the attempts so far, for the log. */
     val trace = ArrayList<String>()
 
+    /** Ids of the parts of the prompt that other requests may have in common with this one. */
+    val sharedPromptParts: List<String> by lazy(LazyThreadSafetyMode.NONE) {
+        forwarding.protocol.sharedPromptParts(plan.headers)
+    }
+
     /** Whether the maximum number of attempts has not been reached. */
     val hasAttemptsLeft: Boolean
         get() = possibleRuns < plan.maximumAttempts
@@ -137,7 +142,7 @@
             forwarding.crashTracker.statusOf(plan.fingerprint) == SuspectStatus.Quarantined
 
     /** Records that the connection to [worker] was lost before the response was complete. */
-    fun onConnectionLostDuringResponse(worker: FleetWorker) = recordConnectionLoss(worker)
+    fun onConnectionLostDuringResponse(worker: FleetWorker, hasBegun: Boolean) = recordConnectionLoss(worker, hasBegun)
 
     /** Records that a complete response was received. */
     fun onCompleted() {
@@ -149,8 +154,15 @@
         return forwarding.dispatcher.acquire(request).also { waitedMillis += clock.millis() - startMillis }
     }
 
-    private fun recordConnectionLoss(worker: FleetWorker) =
-        forwarding.crashTracker.onConnectionLost(WorkerRun(plan.fingerprint, "${worker.id}/${worker.startedMillis}"))
+    private fun recordConnectionLoss(worker: FleetWorker, hasBegun: Boolean) = forwarding.crashTracker.onConnectionLost(
+        WorkerRun(
+            fingerprint = plan.fingerprint,
+            worker = "${worker.id}/${worker.startedMillis}",
+            requestId = plan.id,
+            promptParts = sharedPromptParts,
+            hasBegun = hasBegun,
+        ),
+    )
 
     private fun notAssigned(reason: String): AttemptResult {
         trace += "$reason(${forwarding.dispatcher.describe(plan.service)})"
@@ -206,7 +218,7 @@
     ): AttemptResult = when (result) {
         is ExchangeResult.ConnectionLost -> {
             slot.target.onConnectionLost()
-            recordConnectionLoss(slot.target.worker)
+            recordConnectionLoss(slot.target.worker, hasBegun = false)
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -51,7 +51,12 @@
         }
         return when (body) {
             is BodyResult.Incomplete -> {
-                if (body.isConnectionLost) session.onConnectionLostDuringResponse(attempt.target.worker)
+                if (body.isConnectionLost) {
+                    session.onConnectionLostDuringResponse(
+                        attempt.target.worker,
+                        hasBegun = false,
+                    )
+                }
                 onIncompleteBody(call, session, body.reason)
             }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -59,15 +59,17 @@
     /** Relays events to the caller; returns null when the stream is complete, otherwise the reason why it is not. */
     private suspend fun relayEvents(attempt: Attempt): String? {
         val splitter = EventSplitter()
+        var hasBegun = false
         while (true) {
             when (val part = attempt.exchange.next(eventTimeoutMillis())) {
                 is ResponsePart.Bytes -> {
                     val events = splitter.add(part.bytes)
+                    hasBegun = hasBegun || events.isNotEmpty()
                     if (events.isNotEmpty()) deliver(events)
                 }
 
                 is ResponsePart.ConnectionLost -> {
-                    session.onConnectionLostDuringResponse(attempt.target.worker)
+                    session.onConnectionLostDuringResponse(attempt.target.worker, hasBegun)
                     return part.reason
                 }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -7,6 +7,14 @@
     /** Returns the headers of a request to a worker. [headers] are those of the caller or of a stored batch item. */
     fun requestHeaders(headers: MultiMap, attempt: AttemptMetadata): MultiMap
 
+    /**
+     * Returns the ids of those parts of the prompt that other requests may have in common with this one, in their order.
+     *
+     * The last part belongs to the request itself and is left out. [headers] are those of the caller or of a stored
+     * batch item.
+     */
+    fun sharedPromptParts(headers: MultiMap): List<String>
+
     /** Parses the status and the headers of a response. */
     fun readResponseHead(status: Int, headers: MultiMap): ResponseHead
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -116,6 +116,7 @@
         )
         val session = AttemptSession(plan, forwarding)
         record.attempts = session.trace
+        record.promptParts = session.sharedPromptParts
         val outcome = try {
             withTimeoutOrNull((call.deadlineMillis - clock.millis()).coerceAtLeast(1)) {
                 forwarder.serve(call, session, sink)
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecord.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecord.kt
@@ -10,6 +10,9 @@
     /** Version of the configuration that applied to the call, or null when there was none. */
     var configurationVersion: Long? = null
 
+    /** Ids of the parts of the prompt that other requests may have in common with this one. */
+    var promptParts: List<String> = emptyList()
+
     /** Workers that the request was sent to, each with the outcome of the attempt. */
     var attempts: List<String> = emptyList()
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecorder.kt
@@ -80,6 +80,7 @@
         "route" to record.route,
         "organisation" to record.organisation,
         "configuration" to record.configurationVersion,
+        "prompt_parts" to record.promptParts.joinToString(","),
         "attempts" to record.attempts.joinToString(","),
         "outcome" to record.outcome,
         "status" to status,
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
@@ -17,8 +17,20 @@
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.log.PartitionedLog
 
-/** One run of a request at a worker. The [fingerprint] identifies the request when it is sent again. */
-data class WorkerRun(val fingerprint: String, val worker: String)
+/**
+ * One run of a request at a worker.
+ *
+ * @property fingerprint identifies the request when it is sent again
+ * @property promptParts ids of the parts of the prompt that other requests may have in common with this one
+ * @property hasBegun whether the worker had begun to write its response
+ */
+data class WorkerRun(
+    val fingerprint: String,
+    val worker: String,
+    val requestId: String = "",
+    val promptParts: List<String> = emptyList(),
+    val hasBegun: Boolean = false,
+)
 
 /**
  * Tracks which requests were running on workers that crashed, on this node and on all others, so that a request that
@@ -59,7 +71,14 @@
         val status = statusOf(run.fingerprint)
         logger.atInfo {
             message = "quarantine: connection lost during a run"
-            payload = mapOf("fingerprint" to run.fingerprint, "worker" to run.worker, "status" to "$status")
+            payload = mapOf(
+                "request" to run.requestId,
+                "fingerprint" to run.fingerprint,
+                "worker" to run.worker,
+                "prompt_parts" to run.promptParts.joinToString(","),
+                "begun" to run.hasBegun,
+                "status" to "$status",
+            )
         }
         scheduleWrite()
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -170,6 +170,7 @@
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
         val splitter = EventSplitter()
+        val eventBefore = lastEvent
         while (true) {
             when (val part = attempt.exchange.next(IDLE_TIMEOUT_MILLIS)) {
                 is ResponsePart.Bytes -> splitter.add(part.bytes).forEach { append(it) }
@@ -183,7 +184,7 @@
                 }
 
                 is ResponsePart.ConnectionLost -> {
-                    session.onConnectionLostDuringResponse(attempt.target.worker)
+                    session.onConnectionLostDuringResponse(attempt.target.worker, hasBegun = lastEvent != eventBefore)
                     return false
                 }
 
