Refuse requests with a prompt part that crashes workers

Callers saw: for 22 s most of the workers of a service were down; streams broke off, and 23 to 30% of the requests were refused or failed. Requests with one prompt part in common crashed 36 to 39 workers, and 20 to 24 of these requests were sent later than 3 s after the fifth crash.

Ruled out: strikes that come together too late; no node refused such a request for the right reason 22 s after the first strike either.

Change: evidence for each shared part of a prompt. Strikes of workers that crash before they begin to write, acquittal by a single answer, blame after three workers, two requests and two requests that were sent after a strike was known. Crashes that a blamed part explains no longer count against other requests. A request is checked again after it has waited for a slot. The writing of a node's record is now shared by both kinds of evidence (NodeRecordWriter).

--- a/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quarantine/QuarantineTable.kt
@@ -16,10 +16,14 @@
     private val clearedExpiries = HashMap<Strike, Long>()
     private val workersByFingerprint = HashMap<String, MutableSet<String>>()
 
-    /** Returns the quarantine status of [fingerprint]. */
-    fun statusOf(fingerprint: String, nowMillis: Long): SuspectStatus {
+    /**
+     * Returns the quarantine status of [fingerprint].
+     *
+     * @param ignoredWorkers workers whose crashes have a known cause other than [fingerprint]
+     */
+    fun statusOf(fingerprint: String, nowMillis: Long, ignoredWorkers: Set<String> = emptySet()): SuspectStatus {
         val workers = workersByFingerprint[fingerprint]?.filter {
-            expiries.getValue(Strike(fingerprint, it)) > nowMillis
+            it !in ignoredWorkers && expiries.getValue(Strike(fingerprint, it)) > nowMillis
         }
         return when {
             workers.isNullOrEmpty() -> SuspectStatus.Clear
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -138,7 +138,7 @@
         scope.launch { dispatcher.run() }
         readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
-        NodeGauges.register(metrics, configuration, members, registry, batchRunner, connections, dispatcher)
+        NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
         callerServer.listen(settings.callersAddress)
         scope.launch { startBatch() }
         logger.atInfo {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -74,6 +74,8 @@
 class AttemptSession(private val plan: AttemptPlan, private val forwarding: ForwardingContext) {
     private val clock: MonotonicClock = forwarding.clock
     private val excludedWorkers = HashSet<String>()
+    private var sentMillis = 0L
+    private var isAnswered = false
 
     /** Number of attempts after which a worker may have run the request. */
     var possibleRuns = 0
@@ -111,10 +113,7 @@
      * @param resumeAfter id of the last event of an earlier run after which the stream resumes, or null
      */
     suspend fun attempt(request: DispatchRequest, headTimeoutMillis: Long, resumeAfter: Long?): AttemptResult {
-        if (plan.enforcesQuarantine && isQuarantined) {
-            trace += "quarantined(${plan.fingerprint})"
-            return AttemptResult.Quarantined
-        }
+        if (isRefused()) return AttemptResult.Quarantined
         val waitDeadlineMillis = clock.millis() + request.waitMillis
         var refusals = 0
         while (true) {
@@ -128,6 +127,12 @@
                 DispatchResult.NoWorker -> return notAssigned(if (refusals > 0) "workers_full" else "no_worker")
                 DispatchResult.NoCapacity -> return notAssigned("no_room")
             }
+            if (isRefused()) {
+                forwarding.dispatcher.release(slot, SlotOutcome.UNUSED)
+                return AttemptResult.Quarantined
+            }
+            sentMillis = clock.millis()
+            isAnswered = false
             val result = sendTo(slot, headTimeoutMillis, resumeAfter)
             if (result !is AttemptResult.NotRun) return result
             refusals++
@@ -142,25 +147,43 @@
             forwarding.crashTracker.statusOf(plan.fingerprint) == SuspectStatus.Quarantined
 
     /** Records that the connection to [worker] was lost before the response was complete. */
-    fun onConnectionLostDuringResponse(worker: FleetWorker, hasBegun: Boolean) = recordConnectionLoss(worker, hasBegun)
+    fun onConnectionLostDuringResponse(worker: FleetWorker) = recordConnectionLoss(worker)
+
+    /** Records that the worker of the current attempt has begun to write its response. */
+    fun onAnswered() {
+        if (isAnswered) return
+        isAnswered = true
+        forwarding.crashTracker.onAnswered(sharedPromptParts)
+    }
 
     /** Records that a complete response was received. */
     fun onCompleted() {
         if (!forwarding.crashTracker.isEmpty) forwarding.crashTracker.onCompleted(plan.fingerprint)
     }
 
+    // Checked again after the request has waited for a slot, because other nodes may have learned of crashes meanwhile.
+    private fun isRefused(): Boolean {
+        if (!plan.enforcesQuarantine) return false
+        val blamedParts = forwarding.crashTracker.blamedParts(sharedPromptParts)
+        if (blamedParts.isEmpty() && !isQuarantined) return false
+        trace += "quarantined(${blamedParts.joinToString("+") { "part $it" }.ifEmpty { plan.fingerprint }})"
+        return true
+    }
+
     private suspend fun acquire(request: DispatchRequest): DispatchResult {
         val startMillis = clock.millis()
         return forwarding.dispatcher.acquire(request).also { waitedMillis += clock.millis() - startMillis }
     }
 
-    private fun recordConnectionLoss(worker: FleetWorker, hasBegun: Boolean) = forwarding.crashTracker.onConnectionLost(
+    private fun recordConnectionLoss(worker: FleetWorker) = forwarding.crashTracker.onConnectionLost(
         WorkerRun(
             fingerprint = plan.fingerprint,
             worker = "${worker.id}/${worker.startedMillis}",
             requestId = plan.id,
-            promptParts = sharedPromptParts,
-            hasBegun = hasBegun,
+            // Batch items never crash workers by themselves.
+            promptParts = if (plan.enforcesQuarantine) sharedPromptParts else emptyList(),
+            sentMillis = sentMillis,
+            hasBegun = isAnswered,
         ),
     )
 
@@ -218,7 +241,7 @@
     ): AttemptResult = when (result) {
         is ExchangeResult.ConnectionLost -> {
             slot.target.onConnectionLost()
-            recordConnectionLoss(slot.target.worker, hasBegun = false)
+            recordConnectionLoss(slot.target.worker)
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -51,12 +51,7 @@
         }
         return when (body) {
             is BodyResult.Incomplete -> {
-                if (body.isConnectionLost) {
-                    session.onConnectionLostDuringResponse(
-                        attempt.target.worker,
-                        hasBegun = false,
-                    )
-                }
+                if (body.isConnectionLost) session.onConnectionLostDuringResponse(attempt.target.worker)
                 onIncompleteBody(call, session, body.reason)
             }
 
@@ -66,7 +61,7 @@
                     OnlineOutcome.Failed("worker_$status", isTimeout = false)
 
                 else -> {
-                    session.onCompleted()
+                    recordAnswer(session, status)
                     sink.respond(status, responseHeaders(response.headers), body.bytes)
                     OnlineOutcome.Delivered(status, attempt.target.worker.id)
                 }
@@ -74,6 +69,11 @@
         }
     }
 
+    private fun recordAnswer(session: AttemptSession, status: Int) {
+        if (status in SUCCESS_STATUSES) session.onAnswered()
+        session.onCompleted()
+    }
+
     private fun onIncompleteBody(call: OnlineCall, session: AttemptSession, reason: String): OnlineOutcome? {
         session.trace += reason
         if (canRetry(call, session)) return null
@@ -117,6 +117,7 @@
         // Workers need more than this for a usual response, so that a shorter attempt would be pointless.
         const val MINIMUM_ATTEMPT_MILLIS = 100L
         private const val MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024
+        private val SUCCESS_STATUSES = 200..299
         private const val FIRST_SERVER_ERROR = 500
 
         // To callers these statuses mean that the request was not run. A worker's response does not guarantee that.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -59,17 +59,15 @@
     /** Relays events to the caller; returns null when the stream is complete, otherwise the reason why it is not. */
     private suspend fun relayEvents(attempt: Attempt): String? {
         val splitter = EventSplitter()
-        var hasBegun = false
         while (true) {
             when (val part = attempt.exchange.next(eventTimeoutMillis())) {
                 is ResponsePart.Bytes -> {
                     val events = splitter.add(part.bytes)
-                    hasBegun = hasBegun || events.isNotEmpty()
                     if (events.isNotEmpty()) deliver(events)
                 }
 
                 is ResponsePart.ConnectionLost -> {
-                    session.onConnectionLostDuringResponse(attempt.target.worker, hasBegun)
+                    session.onConnectionLostDuringResponse(attempt.target.worker)
                     return part.reason
                 }
 
@@ -87,6 +85,7 @@
     }
 
     private suspend fun deliver(events: List<StreamEvent>) {
+        session.onAnswered()
         val bytes = if (events.size == 1) events.first().bytes else joined(events)
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
         sink.write(bytes)
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
@@ -5,8 +5,7 @@
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.fleet.WorkerRegistry
-import org.poplarshift.serving.forward.Dispatcher
-import org.poplarshift.serving.forward.WorkerConnectionPool
+import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.submission.BatchRunner
 
 /** Gauges for the state and the activity of a node. */
@@ -18,16 +17,16 @@
         members: FleetMembers,
         workers: WorkerRegistry,
         batchRunner: BatchRunner,
-        connections: WorkerConnectionPool,
-        dispatcher: Dispatcher,
+        forwarding: ForwardingContext,
     ) {
         gauge(registry, "configuration_version") { configuration.current?.version ?: 0L }
         gauge(registry, "fleet_nodes") { members.size }
         gauge(registry, "workers_known") { workers.known.size }
         gauge(registry, "batch_items_running") { batchRunner.runningItems }
         gauge(registry, "batch_shares") { batchRunner.shares.size }
-        gauge(registry, "worker_connections_made") { connections.connectionsOpened }
-        gauge(registry, "requests_waiting") { dispatcher.waiting }
+        gauge(registry, "worker_connections_made") { forwarding.connections.connectionsOpened }
+        gauge(registry, "requests_waiting") { forwarding.dispatcher.waiting }
+        gauge(registry, "prompt_parts_quarantined") { forwarding.crashTracker.blamedPartCount }
     }
 
     private fun gauge(registry: MeterRegistry, name: String, value: () -> Number) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
@@ -2,8 +2,6 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -11,9 +9,7 @@
 import org.poplarshift.core.quarantine.QuarantineTable
 import org.poplarshift.core.quarantine.QuarantineUpdate
 import org.poplarshift.core.quarantine.SuspectStatus
-import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.MonotonicClock
-import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.log.PartitionedLog
 
@@ -22,6 +18,7 @@
  *
  * @property fingerprint identifies the request when it is sent again
  * @property promptParts ids of the parts of the prompt that other requests may have in common with this one
+ * @property sentMillis monotonic time in milliseconds at which the request was sent to the worker
  * @property hasBegun whether the worker had begun to write its response
  */
 data class WorkerRun(
@@ -29,6 +26,7 @@
     val worker: String,
     val requestId: String = "",
     val promptParts: List<String> = emptyList(),
+    val sentMillis: Long = 0,
     val hasBegun: Boolean = false,
 )
 
@@ -41,11 +39,11 @@
  * crashed it also receive a strike, which is cleared when they complete on another worker.
  */
 class CrashTracker(
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     private val clock: MonotonicClock,
-    private val log: PartitionedLog,
-    private val topic: String,
-    private val nodeName: String,
+    log: PartitionedLog,
+    topic: String,
+    nodeName: String,
     private val wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
     @Serializable
@@ -53,19 +51,31 @@
 
     private val table = QuarantineTable(RETENTION_MILLIS, STRIKE_LIMIT)
     private val localTable = QuarantineTable(RETENTION_MILLIS, STRIKE_LIMIT)
-    private var isWriting = false
-    private var hasUnwrittenChanges = false
+    private val promptParts = PromptPartTracker(scope, clock, log, topic, nodeName, wallClockMillis)
+    private val writer = NodeRecordWriter(scope, log, topic, KEY_PREFIX + nodeName, WRITE_DELAY_MILLIS) { encode() }
+
+    /** Number of prompt parts that are blamed for crashes. */
+    val blamedPartCount: Int
+        get() = promptParts.blamedCount
 
     /** Whether no request has a strike. Fingerprints need not be computed in this case. */
     var isEmpty = true
         private set
 
     /** Returns whether the request with [fingerprint] is clear, suspect or quarantined. */
-    fun statusOf(fingerprint: String): SuspectStatus = table.statusOf(fingerprint, clock.millis())
+    fun statusOf(fingerprint: String): SuspectStatus =
+        table.statusOf(fingerprint, clock.millis(), promptParts.explainedWorkers())
+
+    /** Returns the parts among [parts] that crash workers, so that a request with [parts] is refused. */
+    fun blamedParts(parts: List<String>): Set<String> = promptParts.blamedParts(parts)
+
+    /** Records that a worker has begun to answer a request with the prompt parts [parts]. */
+    fun onAnswered(parts: List<String>) = promptParts.onAnswered(parts)
 
     /** Records a strike, because the connection to the worker was lost during [run]. */
     fun onConnectionLost(run: WorkerRun) {
         isEmpty = false
+        if (!run.hasBegun) promptParts.onConnectionLost(run)
         val update = localTable.onWorkerCrash(run.fingerprint, run.worker, clock.millis())
         if (!table.merge(update, clock.millis())) return
         val status = statusOf(run.fingerprint)
@@ -80,7 +90,7 @@
                 "status" to "$status",
             )
         }
-        scheduleWrite()
+        writer.schedule()
     }
 
     /** Clears the strikes of the suspect request with [fingerprint], because it has completed. */
@@ -89,14 +99,15 @@
         val update = table.onCompleted(fingerprint, now)
         if (update.isEmpty) return
         localTable.merge(update, now)
-        scheduleWrite()
+        writer.schedule()
     }
 
     /** Whether [key] is the key of a strike record. */
-    fun isStrikeKey(key: String): Boolean = key.startsWith(KEY_PREFIX)
+    fun isStrikeKey(key: String): Boolean = key.startsWith(KEY_PREFIX) || promptParts.isPartKey(key)
 
     /** Merges the strike record of any node. */
     fun onRecord(record: LogRecord) {
+        if (promptParts.isPartKey(record.key)) return promptParts.onRecord(record)
         if (record.value.isEmpty()) return
         val strikeRecord = try {
             Json.decodeFromString(StrikeRecord.serializer(), record.value.decodeToString())
@@ -112,6 +123,7 @@
     /** Removes expired strikes. */
     fun expire() {
         listOf(table, localTable).forEach { it.expire(clock.millis()) }
+        promptParts.expire()
         isEmpty = table.snapshot(clock.millis(), limit = 1).strikes.isEmpty()
     }
 
@@ -120,37 +132,14 @@
         cleared = cleared.map { it.copy(remainingMillis = it.remainingMillis - ageMillis) },
     )
 
-    private fun scheduleWrite() {
-        hasUnwrittenChanges = true
-        if (isWriting) return
-        isWriting = true
-        scope.launch {
-            try {
-                while (hasUnwrittenChanges) {
-                    delay(WRITE_DELAY_MILLIS)
-                    hasUnwrittenChanges = false
-                    write()
-                }
-            } finally {
-                isWriting = false
-            }
-        }
-    }
-
-    private suspend fun write() {
-        val record = StrikeRecord(localTable.snapshot(clock.millis(), MAXIMUM_RECORD_STRIKES), wallClockMillis())
-        val value = Json.encodeToString(StrikeRecord.serializer(), record).encodeToByteArray()
-        val result = log.append(topic, PARTITION, listOf(KeyedValue(KEY_PREFIX + nodeName, value)))
-        if (result is AppendResult.Appended) return
-        logger.info { "quarantine: writing the strikes of this node failed, trying again: $result" }
-        hasUnwrittenChanges = true
-        delay(RETRY_MILLIS)
-    }
+    private fun encode(): String = Json.encodeToString(
+        StrikeRecord.serializer(),
+        StrikeRecord(localTable.snapshot(clock.millis(), MAXIMUM_RECORD_STRIKES), wallClockMillis()),
+    )
 
     private companion object {
         val logger = KotlinLogging.logger {}
         const val KEY_PREFIX = "suspects:"
-        const val PARTITION = 0
 
         // Longer than a caller keeps retrying the same request. A worker restarts within seconds after a crash.
         const val RETENTION_MILLIS = 120_000L
@@ -161,7 +150,6 @@
         // A crash causes strikes for all requests of a worker at about the same time. The delay combines them into one
         // record.
         const val WRITE_DELAY_MILLIS = 100L
-        const val RETRY_MILLIS = 500L
 
         // Keeps the size of a record well below the maximum of the log.
         const val MAXIMUM_RECORD_STRIKES = 200
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
@@ -0,0 +1,60 @@
+package org.poplarshift.serving.quarantine
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.poplarshift.core.submission.KeyedValue
+import org.poplarshift.serving.log.AppendResult
+import org.poplarshift.serving.log.PartitionedLog
+
+/**
+ * Keeps the record [key] of this node in a keyed topic up to date.
+ *
+ * A crash changes the record several times at once, so changes are collected for [delayMillis] before they are written.
+ *
+ * @param encode returns the current content of the record
+ */
+class NodeRecordWriter(
+    private val scope: CoroutineScope,
+    private val log: PartitionedLog,
+    private val topic: String,
+    private val key: String,
+    private val delayMillis: Long,
+    private val encode: () -> String,
+) {
+    private var isWriting = false
+    private var hasUnwrittenChanges = false
+
+    /** Writes the record soon, and again until it is in the log. */
+    fun schedule() {
+        hasUnwrittenChanges = true
+        if (isWriting) return
+        isWriting = true
+        scope.launch {
+            try {
+                while (hasUnwrittenChanges) {
+                    delay(delayMillis)
+                    hasUnwrittenChanges = false
+                    write()
+                }
+            } finally {
+                isWriting = false
+            }
+        }
+    }
+
+    private suspend fun write() {
+        val result = log.append(topic, PARTITION, listOf(KeyedValue(key, encode().encodeToByteArray())))
+        if (result is AppendResult.Appended) return
+        logger.info { "quarantine: writing the record $key failed, trying again: $result" }
+        hasUnwrittenChanges = true
+        delay(RETRY_MILLIS)
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val PARTITION = 0
+        const val RETRY_MILLIS = 500L
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -170,10 +170,12 @@
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
         val splitter = EventSplitter()
-        val eventBefore = lastEvent
         while (true) {
             when (val part = attempt.exchange.next(IDLE_TIMEOUT_MILLIS)) {
-                is ResponsePart.Bytes -> splitter.add(part.bytes).forEach { append(it) }
+                is ResponsePart.Bytes -> splitter.add(part.bytes).forEach {
+                    session.onAnswered()
+                    append(it)
+                }
 
                 ResponsePart.End -> {
                     if (splitter.hasPartial) return false
@@ -184,7 +186,7 @@
                 }
 
                 is ResponsePart.ConnectionLost -> {
-                    session.onConnectionLostDuringResponse(attempt.target.worker, hasBegun = lastEvent != eventBefore)
+                    session.onConnectionLostDuringResponse(attempt.target.worker)
                     return false
                 }
 
