Treat a stream that ends inside an event as broken off

A worker's stream may have neither a length nor chunks and end with its connection. Callers saw: a stream whose worker crashed inside an event ended as if it were complete, with the torn event at its end; one whose worker crashed before the first event ended as an empty success, and an item in such a run got an empty result.

Cause: the end of the connection is the end of such a response, and both readers of event streams took any end for the end of the stream; the one for callers even wrote the torn rest. Change: one reader for callers and items (EventStreamReader) that decides whether a stream is complete. Ends inside an event count for streams in chunks too.

Tests: four of the new cases of OnlineForwarderTest fail on the parent commit (the stream was delivered by the first worker), and so does the item case of ServingNodeTest (no result with the output within 10 s). EventSplitterTest now completes the torn event instead of taking it out, as nothing else does that.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -38,12 +38,6 @@
         return events
     }
 
-    /** Removes and returns the bytes after the last complete event. */
-    fun takePartial(): Buffer = pending.also {
-        pending = Buffer.buffer()
-        scanned = 0
-    }
-
     private companion object {
         const val NEWLINE = '\n'.code.toByte()
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -58,24 +58,20 @@
 
     /** Relays events to the caller; returns null when the stream is complete, otherwise the reason why it is not. */
     private suspend fun relayEvents(attempt: Attempt): String? {
-        val splitter = EventSplitter()
+        val reader = EventStreamReader(attempt.exchange)
         while (true) {
-            when (val part = attempt.exchange.next(eventTimeoutMillis())) {
-                is ResponsePart.Bytes -> {
-                    val events = splitter.add(part.bytes)
-                    if (events.isNotEmpty()) deliver(events)
-                }
+            when (val part = reader.next(eventTimeoutMillis())) {
+                is EventStreamPart.Events -> deliver(part.events)
 
-                is ResponsePart.ConnectionLost -> {
-                    session.onConnectionLostDuringResponse(attempt.target.worker)
+                is EventStreamPart.BrokenOff -> {
+                    if (part.isConnectionLost) session.onConnectionLostDuringResponse(attempt.target.worker)
                     return part.reason
                 }
 
-                ResponsePart.TimedOut ->
+                EventStreamPart.TimedOut ->
                     return if (session.remainingMillis <= 0) "time is up" else "silent within the stream"
 
-                ResponsePart.End -> {
-                    if (splitter.hasPartial) sink.write(splitter.takePartial())
+                EventStreamPart.Complete -> {
                     sink.end()
                     session.onCompleted()
                     return null
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -38,7 +38,15 @@
 
     /** Whether the connection can be used for another request. */
     val isReusable: Boolean
-        get() = isComplete && responseHead?.closesConnection == false && hasExplicitFraming()
+        get() = isComplete && responseHead?.closesConnection == false && !endsWithConnection
+
+    /** Whether the response has neither a length nor chunks, so that the end of the connection ends it. */
+    val endsWithConnection: Boolean
+        get() {
+            val headers = response?.headers() ?: return true
+            val isChunked = headers["Transfer-Encoding"]?.contains("chunked", ignoreCase = true) == true
+            return headers["Content-Length"] == null && !isChunked
+        }
 
     /** The worker's keep-alive time in milliseconds, or null when it does not state one. */
     val keepAliveMillis: Long?
@@ -104,12 +112,6 @@
         received.exceptionHandler { parts.trySend(ResponsePart.ConnectionLost(it.message ?: it.javaClass.simpleName)) }
     }
 
-    private fun hasExplicitFraming(): Boolean {
-        val received = response ?: return false
-        return received.getHeader("Content-Length") != null ||
-            received.getHeader("Transfer-Encoding")?.contains("chunked", ignoreCase = true) == true
-    }
-
     private companion object {
         val logger = KotlinLogging.logger {}
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -15,9 +15,9 @@
 import org.poplarshift.serving.forward.AttemptSession
 import org.poplarshift.serving.forward.BodyResult
 import org.poplarshift.serving.forward.DispatchRequest
-import org.poplarshift.serving.forward.EventSplitter
+import org.poplarshift.serving.forward.EventStreamPart
+import org.poplarshift.serving.forward.EventStreamReader
 import org.poplarshift.serving.forward.ForwardingContext
-import org.poplarshift.serving.forward.ResponsePart
 import org.poplarshift.serving.forward.StreamEvent
 
 /** Runs one item until it has a result. An interrupted run is resumed after the last event that was received. */
@@ -169,28 +169,27 @@
     }
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
-        val splitter = EventSplitter()
+        val reader = EventStreamReader(attempt.exchange)
         while (true) {
-            when (val part = attempt.exchange.next(IDLE_TIMEOUT_MILLIS)) {
-                is ResponsePart.Bytes -> splitter.add(part.bytes).forEach {
+            when (val part = reader.next(IDLE_TIMEOUT_MILLIS)) {
+                is EventStreamPart.Events -> {
                     session.onAnswered()
-                    append(it)
+                    part.events.forEach { append(it) }
                 }
 
-                ResponsePart.End -> {
-                    if (splitter.hasPartial) return false
+                EventStreamPart.Complete -> {
                     attempt.close()
                     session.onCompleted()
                     recordResult(isComplete = true, "complete")
                     return true
                 }
 
-                is ResponsePart.ConnectionLost -> {
-                    session.onConnectionLostDuringResponse(attempt.target.worker)
+                is EventStreamPart.BrokenOff -> {
+                    if (part.isConnectionLost) session.onConnectionLostDuringResponse(attempt.target.worker)
                     return false
                 }
 
-                ResponsePart.TimedOut -> return false
+                EventStreamPart.TimedOut -> return false
             }
             if (isFinished) return true
             saveProgressPeriodically()
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -83,6 +83,17 @@
             }
         }
 
+        test("an item whose stream has no length or chunks and ends before its first event runs again") {
+            withFleet { fleet ->
+                fleet.startWorker("w", head + "\r\nCLOSE", itemResponse)
+                fleet.publishConfiguration()
+                val node = fleet.start("a")
+                fleet.awaitReady(node)
+                eventually(5.seconds) { fleet.submit(node, "first") shouldBe 202 }
+                eventually(10.seconds) { fleet.results(node).contains("first true one|two") shouldBe true }
+            }
+        }
+
         test("while the log is unavailable submissions are refused and unknown ones are not reported as missing") {
             withFleet { fleet ->
                 fleet.startWorker("w", itemResponse)
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/EventSplitterTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/EventSplitterTest.kt
@@ -32,6 +32,7 @@
             val splitter = EventSplitter()
             splitter.add(Buffer.buffer("id: 1\ndata: one\n\nid: 2\nda")).size shouldBe 1
             splitter.hasPartial shouldBe true
-            splitter.takePartial().toString() shouldBe "id: 2\nda"
+            splitter.add(Buffer.buffer("ta: 2\n\n")).map { it.bytes.toString() } shouldBe listOf("id: 2\ndata: 2\n\n")
+            splitter.hasPartial shouldBe false
         }
     })
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -47,6 +47,11 @@
         fun event(number: Int) = "id: $number\ndata: $number\n\n"
         val completeStream = streamHead + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"
         val truncatedStream = streamHead + chunk(event(1) + "id: 2\nda") + "CLOSE"
+        val unframedHead = "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: 1\r\n\r\n"
+        val unframedStream = unframedHead + event(1) + event(2) + "CLOSE"
+        val truncatedUnframedStream = unframedHead + event(1) + "id: 2\ndaCLOSE"
+        val streamEndingInEvent = streamHead + chunk(event(1) + "id: 2\nda") + "0\r\n\r\n"
+        val emptyUnframedStream = unframedHead + "CLOSE"
         val resumedStream = streamHead + chunk(event(2)) + "0\r\n\r\n"
 
         data class Case(
@@ -57,6 +62,7 @@
             val expected: OnlineOutcome,
             val body: String = "",
             val expectedRequests: Int,
+            val expectedResumeAfter: String? = "After: 1",
             val crashedWorkers: List<String> = emptyList(),
         )
         val body = Buffer.buffer("x")
@@ -151,6 +157,50 @@
                 event(1) + event(2),
                 expectedRequests = 2,
             ),
+            Case(
+                "a stream without a length or chunks that ends after an event is delivered",
+                RouteKind.STREAM,
+                responses = listOf(unframedStream),
+                expected = delivered,
+                body = event(1) + event(2),
+                expectedRequests = 1,
+            ),
+            Case(
+                "a stream without a length or chunks that ends inside an event resumes after the last complete event",
+                RouteKind.STREAM,
+                isResumable = true,
+                responses = listOf(truncatedUnframedStream, resumedStream),
+                expected = delivered,
+                body = event(1) + event(2),
+                expectedRequests = 2,
+            ),
+            Case(
+                "a stream without a length or chunks that ends inside an event is aborted unless it is resumable",
+                RouteKind.STREAM,
+                responses = listOf(truncatedUnframedStream, resumedStream),
+                expected = OnlineOutcome.Aborted("the stream ended inside an event"),
+                body = event(1),
+                expectedRequests = 1,
+            ),
+            Case(
+                "a stream without a length or chunks that ends before its first event is sent to another worker",
+                RouteKind.STREAM,
+                isResumable = true,
+                responses = listOf(emptyUnframedStream, completeStream),
+                expected = delivered,
+                body = event(1) + event(2),
+                expectedRequests = 2,
+                expectedResumeAfter = null,
+            ),
+            Case(
+                "a stream in chunks that ends inside an event resumes after the last complete event",
+                RouteKind.STREAM,
+                isResumable = true,
+                responses = listOf(streamEndingInEvent, resumedStream),
+                expected = delivered,
+                body = event(1) + event(2),
+                expectedRequests = 2,
+            ),
             Case(
                 "a truncated stream that is not resumable is aborted",
                 RouteKind.STREAM,
@@ -241,7 +291,8 @@
                 if (case.isResumable &&
                     case.expectedRequests > 0
                 ) {
-                    workers.last().requests.single().contains("After: 1") shouldBe true
+                    val received = workers.last().requests.single().lines()
+                    received.filter { it.startsWith("After:") } shouldBe listOfNotNull(case.expectedResumeAfter)
                 }
                 scope.cancel()
                 vertx.close().coAwait()
