Confirm with the log that there are no further results

Cause: the waiting read of that node had missed the record (its neighbour's log says so of its own read), and the node took its view as current for 2.5 s after any read. Ruled out: a result that was not written; it was read back at 40.73 s.

Cost: about one more read of the log for each empty answer.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -106,8 +106,14 @@
         if (!follower.isStarted) return false
         val result = log.read(topic, number, follower.position, waitMillis = 0)
         if (result !is ReadResult.Records) return false
-        val endMillis = clock.millis() + CATCH_UP_TIMEOUT_MILLIS
-        while (follower.position < result.end) {
+        if (awaitPosition(result.end, FIRST_CATCH_UP_TIMEOUT_MILLIS)) return true
+        follower.restartRead()
+        return awaitPosition(result.end, CATCH_UP_TIMEOUT_MILLIS)
+    }
+
+    private suspend fun awaitPosition(end: Long, timeoutMillis: Long): Boolean {
+        val endMillis = clock.millis() + timeoutMillis
+        while (follower.position < end) {
             val remainingMillis = endMillis - clock.millis()
             if (remainingMillis <= 0) return false
             follower.skipPause()
@@ -200,6 +206,10 @@
         const val READ_PAUSE_MILLIS = 400L
         const val CATCH_UP_TIMEOUT_MILLIS = 800L
 
+        // Several times the usual duration of a read. A waiting read that has not returned the records by then has
+        // missed them.
+        const val FIRST_CATCH_UP_TIMEOUT_MILLIS = 100L
+
         // More than ten times the usual time until a record is read back. Observed without any outage: a long-polling
         // read returned only at the end of its wait time, a second after the record was appended.
         const val FIRST_READ_BACK_TIMEOUT_MILLIS = 200L
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -68,28 +68,30 @@
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
         val partition = store.partitionOf(owner)
-        find(operation.submission, owner) ?: return refuseMissing(partition, operation.submission, owner)
+        val id = operation.submission
+        refuseIfMissing(partition, id, owner)?.let { return it }
         val endMillis = clock.millis() + minOf(operation.waitMillis, MAXIMUM_WAIT_MILLIS)
         while (true) {
-            val state =
-                find(operation.submission, owner) ?: return refuseMissing(partition, operation.submission, owner)
+            val state = find(id, owner) ?: return Refusal.NOT_CAUGHT_UP
             val remainingMillis = endMillis - clock.millis()
             if (operation.after < state.results.size || remainingMillis <= 0 || state.isComplete) break
             partition.awaitChange(remainingMillis)
         }
-        val state = find(operation.submission, owner) ?: return Refusal.NOT_CAUGHT_UP
-        val mayLackResults = operation.after >= state.results.size && !state.isComplete
-        if (mayLackResults &&
+        if (mayLackResults(find(id, owner), operation.after) &&
             !partition.isCurrent(MAXIMUM_READ_AGE_MILLIS) &&
             !partition.catchUp()
         ) {
             return Refusal.NOT_CAUGHT_UP
         }
+        val state = find(id, owner) ?: return Refusal.NOT_CAUGHT_UP
         sendResults(state, operation.after, sink)
         record.end("read")
         return null
     }
 
+    private fun mayLackResults(state: SubmissionState?, after: Int): Boolean =
+        state == null || (after >= state.results.size && !state.isComplete)
+
     /** Returns the request body of an item. */
     suspend fun readItem(
         operation: CallerOperation.ReadItem,
@@ -98,8 +100,8 @@
         record: CallRecord,
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
-        val state = find(operation.submission, owner)
-            ?: return refuseMissing(store.partitionOf(owner), operation.submission, owner)
+        refuseIfMissing(store.partitionOf(owner), operation.submission, owner)?.let { return it }
+        val state = find(operation.submission, owner) ?: return Refusal.NOT_CAUGHT_UP
         val item = state.item(operation.item) ?: return Refusal.UNKNOWN_ITEM
         CallHandlers.respond(sink, OK, Buffer.buffer(item.body), "application/octet-stream")
         record.end("read")
@@ -115,7 +117,8 @@
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
         val partition = store.partitionOf(owner)
-        val state = find(operation.submission, owner) ?: return refuseMissing(partition, operation.submission, owner)
+        refuseIfMissing(partition, operation.submission, owner)?.let { return it }
+        val state = find(operation.submission, owner) ?: return Refusal.NOT_CAUGHT_UP
         if (!state.isEnded) {
             when (partition.write(SubmissionRecord.Ended(operation.submission), ByteArray(0))) {
                 is WriteResult.Applied -> Unit
@@ -131,9 +134,11 @@
     private fun find(id: String, owner: String): SubmissionState? = store.find(id, owner)
 
     // Only a node that has read the whole log may report that a submission does not exist.
-    private suspend fun refuseMissing(partition: SubmissionPartition, id: String, owner: String): Refusal {
-        if (!partition.catchUp()) return Refusal.NOT_CAUGHT_UP
-        return if (find(id, owner) == null) Refusal.UNKNOWN_SUBMISSION else Refusal.NOT_CAUGHT_UP
+    private suspend fun refuseIfMissing(partition: SubmissionPartition, id: String, owner: String): Refusal? = when {
+        find(id, owner) != null -> null
+        !partition.catchUp() -> Refusal.NOT_CAUGHT_UP
+        find(id, owner) == null -> Refusal.UNKNOWN_SUBMISSION
+        else -> null
     }
 
     // The log refuses appends when too many are queued. A retry here is cheaper than another call by the caller.
@@ -216,8 +221,9 @@
         // Callers time out 1.5 s after the wait time that they request.
         const val MAXIMUM_WAIT_MILLIS = 1_000L
 
-        // A read of the log returns within this time unless its connection is stalled.
-        const val MAXIMUM_READ_AGE_MILLIS = 2_500L
+        // A result that another node has listed must be listed here within a second. A waiting read of the log may miss
+        // it for longer.
+        const val MAXIMUM_READ_AGE_MILLIS = 300L
 
         // The limit for a page is 1 MB. The difference leaves room for escaping.
         const val MAXIMUM_PAGE_BYTES = 800_000
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -83,6 +83,19 @@
             }
         }
 
+        test("a node lists a result that another node has listed although its waiting read of the log misses it") {
+            withFleet { fleet ->
+                fleet.startWorker("w", itemResponse)
+                fleet.publishConfiguration()
+                val nodes = listOf(fleet.start("a"), fleet.start("b", ownsBatch = false))
+                nodes.forEach { fleet.awaitReady(it) }
+                fleet.log.missesRecords = true
+                eventually(5.seconds) { fleet.submit(nodes[0], "first") shouldBe 202 }
+                eventually(10.seconds) { fleet.results(nodes[0]) shouldBe "first true one|two" }
+                fleet.results(nodes[1]) shouldBe "first true one|two"
+            }
+        }
+
         test("an item whose stream has no length or chunks and ends before its first event runs again") {
             withFleet { fleet ->
                 fleet.startWorker("w", head + "\r\nCLOSE", itemResponse)
