Read the rate limits that workers state, and log their changes

The logs could not show when a node learns of a worker's limit and when it ends. No decision uses it yet.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -15,6 +15,10 @@
     var batch = 0
         private set
 
+    /** Requests per second that the worker accepts from all nodes together, or null if it does not limit them. */
+    var requestsPerSecond: Double? = null
+        private set
+
     /** Whether the worker receives no new requests until a connection to it succeeds. */
     var isSuspect = false
         private set
@@ -39,6 +43,13 @@
         peakOwnSinceReport = online + batch
     }
 
+    /** Records the limit that the worker states in a response. Returns whether it has changed. */
+    fun onRateLimit(requestsPerSecond: Double?): Boolean {
+        val isChanged = this.requestsPerSecond != requestsPerSecond
+        this.requestsPerSecond = requestsPerSecond
+        return isChanged
+    }
+
     /** Records that the worker is reachable, which clears the suspicion. */
     fun onReachable() {
         consecutiveLosses = 0
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.forward
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
@@ -255,24 +256,40 @@
             mayHaveRunAt(slot.target, "silent", isTimeout = true)
         }
 
-        is ExchangeResult.Response -> {
-            val head = result.head
-            head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
-            when {
-                head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
-                head.status in SUCCESS_STATUSES && !head.hasReceipt ->
-                    mayHaveRunAt(slot.target, "success without receipt", isTimeout = false)
-
-                else -> {
-                    recordResponse(slot.target, head)
-                    val release = { forwarding.dispatcher.release(slot) }
-                    val attempt = Attempt(slot.target, exchange, connection, forwarding.connections, release)
-                    AttemptResult.Responded(attempt, head, result.headers)
-                }
+        is ExchangeResult.Response -> classifyResponse(slot, exchange, connection, result)
+    }
+
+    private suspend fun classifyResponse(
+        slot: AssignedSlot,
+        exchange: WorkerExchange,
+        connection: WorkerConnection,
+        result: ExchangeResult.Response,
+    ): AttemptResult {
+        val head = result.head
+        head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
+        recordRateLimit(slot.target, head.requestsPerSecond)
+        return when {
+            head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
+            head.status in SUCCESS_STATUSES && !head.hasReceipt ->
+                mayHaveRunAt(slot.target, "success without receipt", isTimeout = false)
+
+            else -> {
+                recordResponse(slot.target, head)
+                val release = { forwarding.dispatcher.release(slot) }
+                val attempt = Attempt(slot.target, exchange, connection, forwarding.connections, release)
+                AttemptResult.Responded(attempt, head, result.headers)
             }
         }
     }
 
+    private fun recordRateLimit(target: WorkerState, requestsPerSecond: Double?) {
+        if (!target.onRateLimit(requestsPerSecond)) return
+        logger.atInfo {
+            message = "forward: the rate limit of a worker has changed"
+            payload = mapOf("worker" to target.worker.id, "requests_per_second" to requestsPerSecond)
+        }
+    }
+
     private fun recordResponse(target: WorkerState, head: ResponseHead) {
         target.onReachable()
         possibleRuns++
@@ -316,6 +333,7 @@
     }
 
     private companion object {
+        val logger = KotlinLogging.logger {}
         val SUCCESS_STATUSES = 200..299
 
         // Limits consecutive refusals by workers: further attempts would use up the caller's time on a full service.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -44,6 +44,8 @@
  * @property requestId id of the request that the response belongs to, or null when the worker does not state it
  * @property hasNotRun whether the worker states that it did not run the request
  * @property requestsAtWorker number of running and waiting requests at the worker, or null
+ * @property requestsPerSecond requests per second that the worker accepts from all nodes together, or null when it does
+ *   not limit them at present
  * @property keepAliveMillis time in milliseconds that the worker keeps an idle connection open, or null
  * @property closesConnection whether the worker closes the connection after the response
  * @property hasReceipt whether the response contains the worker's receipt header
@@ -53,6 +55,7 @@
     val requestId: String?,
     val hasNotRun: Boolean,
     val requestsAtWorker: Int?,
+    val requestsPerSecond: Double?,
     val keepAliveMillis: Long?,
     val closesConnection: Boolean,
     val hasReceipt: Boolean,
