Keep to the rate limits that workers state, for all nodes together

Workers in need saw: up to one and a half times as many requests in 4 s as the rule allows beyond the rate that they had named, from all nodes together, as long as the limit lasted.

Cause: the limit was read by no one, and what a worker can take was its free slots.

Change: the scheduler of a zone, which grants the slots at its workers to all nodes, spaces the grants. Nodes report a stated limit that differs from the one in the grant, and tell a new scheduler what they know; a node without a scheduler keeps to its share.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -7,9 +7,14 @@
  * responses. The estimate decays, because a report says little about the load some seconds later.
  *
  * @param ownZone availability zone that is preferred among workers of about the same load
+ * @param rateShare returns the share of the rate limits of workers that the user of this object may use, 0 to 1
  * @param random returns values from 0 until 1, used to break ties
  */
-class LoadBalancer(private val ownZone: String, private val random: () -> Double = Math::random) {
+class LoadBalancer(
+    private val ownZone: String,
+    private val rateShare: () -> Double = { 1.0 },
+    private val random: () -> Double = Math::random,
+) {
     private val statesById = HashMap<String, WorkerState>()
     private var statesByService = mapOf<String, List<WorkerState>>()
 
@@ -24,7 +29,7 @@
         for (worker in workers) {
             val existing = statesById[worker.id]
             if (existing == null || existing.worker.startedMillis != worker.startedMillis) {
-                statesById[worker.id] = WorkerState(worker)
+                statesById[worker.id] = WorkerState(worker, rateShare)
             } else {
                 existing.worker = worker
             }
@@ -44,14 +49,14 @@
         statesByService[service].orEmpty().filter { !it.worker.isDraining && !it.isSuspect }
 
     /**
-     * Returns the least loaded worker of [service] that has free slots, or null.
+     * Returns the least loaded worker of [service] that has free slots and accepts a request now, or null.
      *
      * @param headroom slots that must stay free; a negative value allows requests to queue at the worker
      * @param excluded ids of workers to which the request has already been sent
      */
     fun choose(service: String, headroom: Int, excluded: Set<String>, nowMillis: Long): WorkerState? =
         available(service)
-            .filter { it.worker.id !in excluded && it.freeSlots(nowMillis) > headroom }
+            .filter { it.worker.id !in excluded && it.freeSlots(nowMillis) > headroom && it.isWithinRate(nowMillis) }
             .minByOrNull { score(it, nowMillis) }
 
     /** Whether [service] has an available worker outside [excluded], with or without free slots. */
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/RequestPacer.kt
@@ -0,0 +1,36 @@
+package org.poplarshift.core.dispatch
+
+/**
+ * Spaces the requests to a worker that limits their rate. Times are monotonic milliseconds.
+ *
+ * A pacer starts without tokens, because the requests that were sent before are not known.
+ *
+ * @param requestsPerSecond requests per second that may be sent
+ */
+class RequestPacer(requestsPerSecond: Double, private var updatedMillis: Long) {
+    private val ratePerMilli = maxOf(requestsPerSecond, MINIMUM_RATE) / MILLIS_PER_SECOND
+    private var tokens = 0.0
+
+    /** Number of requests that may be sent at once, which may have a fraction. */
+    fun available(nowMillis: Long): Double {
+        val elapsedMillis = (nowMillis - updatedMillis).coerceAtLeast(0)
+        tokens = minOf(tokens + elapsedMillis * ratePerMilli, BURST)
+        updatedMillis = maxOf(updatedMillis, nowMillis)
+        return tokens
+    }
+
+    /** Records a request that is sent. */
+    fun onSent(nowMillis: Long) {
+        tokens = available(nowMillis) - 1.0
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        // A worker that accepts no requests can state the end of its limit only in a response.
+        const val MINIMUM_RATE = 0.2
+
+        // Lets a worker that had no requests for a while start two at the same time.
+        const val BURST = 2.0
+    }
+}
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
@@ -6,10 +6,14 @@
 /** A message of a node to the scheduler of a service in an availability zone. Times are relative, in milliseconds. */
 @Serializable
 sealed interface NodeMessage {
-    /** The first message on a connection: the slots that the node uses, whoever granted them. */
+    /**
+     * The first message on a connection: the slots that the node uses, whoever granted them, and the rate limits in
+     * requests per second that workers have stated to it, by the ids of the workers.
+     */
     @Serializable
     @SerialName("hello")
-    data class Hello(val node: String, val leases: List<HeldSlot>) : NodeMessage
+    data class Hello(val node: String, val leases: List<HeldSlot>, val rateLimits: Map<String, Double> = emptyMap()) :
+        NodeMessage
 
     /** Asks for a slot. See [SlotRequest]. */
     @Serializable
@@ -28,6 +32,11 @@
     @SerialName("release")
     data class Release(val number: Long, val outcome: SlotOutcome = SlotOutcome.USED) : NodeMessage
 
+    /** The rate limit that [worker] has stated differs from the one in the grant; null if there is none any more. */
+    @Serializable
+    @SerialName("rateLimit")
+    data class RateLimit(val worker: String, val requestsPerSecond: Double? = null) : NodeMessage
+
     /** Keeps the slots of the node from expiring. */
     @Serializable
     @SerialName("alive")
@@ -57,10 +66,10 @@
 /** A message of a scheduler to a node. */
 @Serializable
 sealed interface SchedulerMessage {
-    /** The request has a slot at [worker]. */
+    /** The request has a slot at [worker], whose rate limit is [requestsPerSecond] as far as the scheduler knows. */
     @Serializable
     @SerialName("granted")
-    data class Granted(val number: Long, val worker: String) : SchedulerMessage
+    data class Granted(val number: Long, val worker: String, val requestsPerSecond: Double? = null) : SchedulerMessage
 
     /** The request waits for a slot. */
     @Serializable
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
@@ -1,11 +1,9 @@
 package org.poplarshift.core.dispatch
 
-import kotlin.math.floor
-
 /** The outcome of a request for a slot. */
 sealed interface SlotDecision {
-    /** The request has a slot at [worker]. */
-    data class Granted(val worker: String) : SlotDecision
+    /** The request has a slot at [worker], whose rate limit is [requestsPerSecond] as far as is known. */
+    data class Granted(val worker: String, val requestsPerSecond: Double? = null) : SlotDecision
 
     /** The request waits for a slot. */
     data object Queued : SlotDecision
@@ -96,7 +94,7 @@
         if (waitingOnline == 0) return emptyList()
         val preempted = leases.count { it.isBeingPreempted(nowMillis) }
         return leases
-            .filter { it.use == SlotUse.BATCH && it.preemptedMillis == null }
+            .filter { isPreemptible(it, nowMillis) }
             .sortedByDescending { it.onTimeUntilMillis }
             .take(maxOf(0, waitingOnline - preempted))
             .onEach { it.preemptedMillis = nowMillis }
@@ -116,12 +114,12 @@
     /** Returns the capacity that is left. */
     fun capacity(nowMillis: Long): ServiceCapacity {
         val available = workers.available(service)
-        val free = available.sumOf { maxOf(0, floor(it.freeSlots(nowMillis)).toInt()) }
+        val free = available.sumOf { it.startableRequests(nowMillis) }
         return ServiceCapacity(
             workers = available.size,
             free = free,
             spare = free - reserve(available),
-            preemptible = leases.count { it.use == SlotUse.BATCH && it.preemptedMillis == null },
+            preemptible = leases.count { isPreemptible(it, nowMillis) },
             waiting = waiters.count { it.request.use == SlotUse.ONLINE },
         )
     }
@@ -130,7 +128,8 @@
         if (request.use == SlotUse.BATCH && capacity(nowMillis).spare <= 0) return null
         val state = workers.choose(service, headroom = 0, request.excludedWorkers, nowMillis) ?: return null
         hold(SlotLease(request.key, request.use, state.worker.id, request.onTimeUntilMillis), state)
-        return SlotDecision.Granted(state.worker.id)
+        state.onPaced(nowMillis)
+        return SlotDecision.Granted(state.worker.id, state.requestsPerSecond)
     }
 
     private fun hold(lease: SlotLease, state: WorkerState?) {
@@ -138,8 +137,14 @@
         state?.onSent(lease.use != SlotUse.ONLINE)
     }
 
+    // The slot of an item at a worker that accepts no request now is of no use to the requests that wait.
+    private fun isPreemptible(lease: SlotLease, nowMillis: Long): Boolean = lease.use == SlotUse.BATCH &&
+        lease.preemptedMillis == null &&
+        workers.state(lease.worker)?.isWithinRate(nowMillis) != false
+
+    // Slots of workers with a rate limit can't be kept ready, because each request has to wait for its turn anyway.
     private fun reserve(available: List<WorkerState>): Int =
-        (available.sumOf { it.worker.slots } * RESERVED_SHARE).toInt()
+        (available.filter { it.requestsPerSecond == null }.sumOf { it.worker.slots } * RESERVED_SHARE).toInt()
 
     private fun order(nowMillis: Long): Comparator<Waiter> = compareBy(
         { it.request.use },
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
@@ -38,13 +38,18 @@
     /** Returns the capacity that is left. */
     fun capacity(nowMillis: Long): ServiceCapacity = queue.capacity(nowMillis)
 
-    /** Handles the [connection] of [node], which replaces an earlier one. */
-    fun onConnected(node: String, held: List<HeldSlot>, nowMillis: Long, connection: NodeConnection) {
+    /** Handles the [connection] of a node, which replaces an earlier one. */
+    fun onConnected(hello: NodeMessage.Hello, nowMillis: Long, connection: NodeConnection) {
+        val node = hello.node
         removeNode(node)
         sessions[node] = Session(connection, nowMillis)
-        for (slot in held) {
+        for (slot in hello.leases) {
             queue.adopt(SlotLease(SlotKey(node, slot.number), slot.use, slot.worker, nowMillis + slot.onTimeInMillis))
         }
+        // What this scheduler knows already is newer.
+        hello.rateLimits.forEach { (worker, limit) ->
+            workers.state(worker)?.takeIf { it.requestsPerSecond == null }?.onRateLimit(limit, nowMillis)
+        }
     }
 
     /** Handles the loss of [connection]. The slots of the node stay in use until they expire. */
@@ -61,6 +66,7 @@
         when (message) {
             is NodeMessage.Acquire -> onAcquire(node, message, nowMillis)
             is NodeMessage.Release -> onRelease(SlotKey(node, message.number), message.outcome, nowMillis)
+            is NodeMessage.RateLimit -> workers.state(message.worker)?.onRateLimit(message.requestsPerSecond, nowMillis)
             is NodeMessage.Hello, NodeMessage.Alive -> Unit
         }
     }
@@ -87,7 +93,7 @@
             mayRedirect = message.mayRedirect,
         )
         when (val decision = queue.submit(request, nowMillis)) {
-            is SlotDecision.Granted -> send(node, SchedulerMessage.Granted(message.number, decision.worker))
+            is SlotDecision.Granted -> send(node, decision.toMessage(message.number))
             SlotDecision.Queued -> onQueued(request, nowMillis)
             SlotDecision.NoWorker -> onNoWorker(request, nowMillis)
         }
@@ -134,8 +140,7 @@
     private fun dispatch(nowMillis: Long) {
         for (event in queue.dispatch(nowMillis)) {
             when (val decision = event.decision) {
-                is SlotDecision.Granted ->
-                    send(event.key.node, SchedulerMessage.Granted(event.key.number, decision.worker))
+                is SlotDecision.Granted -> send(event.key.node, decision.toMessage(event.key.number))
                 SlotDecision.NoWorker -> send(event.key.node, SchedulerMessage.NoWorker(event.key.number))
                 SlotDecision.Queued -> Unit
             }
@@ -143,6 +148,9 @@
         sendPreemptions(queue.selectPreemptions(nowMillis))
     }
 
+    private fun SlotDecision.Granted.toMessage(number: Long) =
+        SchedulerMessage.Granted(number, worker, requestsPerSecond)
+
     private fun redirectWaiting(use: SlotUse, nowMillis: Long) {
         while (queue.waiting.any { it.use == use && it.mayRedirect }) {
             val zone = capacities.choose(use, nowMillis) ?: return
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -1,11 +1,18 @@
 package org.poplarshift.core.dispatch
 
-/** The state of one worker as seen by one node or scheduler. Times are monotonic milliseconds. */
-class WorkerState(var worker: FleetWorker) {
+import kotlin.math.floor
+
+/**
+ * The state of one worker as seen by one node or scheduler. Times are monotonic milliseconds.
+ *
+ * @param rateShare returns the share of the worker's rate limit that the observer may use, 0 to 1
+ */
+class WorkerState(var worker: FleetWorker, private val rateShare: () -> Double = { 1.0 }) {
     private var reportedPeerRequests = 0.0
     private var reportedMillis = Long.MIN_VALUE
     private var consecutiveLosses = 0
     private var peakOwnSinceReport = 0
+    private var pacer: RequestPacer? = null
 
     /** Counted online requests in flight at the worker. */
     var online = 0
@@ -44,12 +51,32 @@
     }
 
     /** Records the limit that the worker states in a response. Returns whether it has changed. */
-    fun onRateLimit(requestsPerSecond: Double?): Boolean {
-        val isChanged = this.requestsPerSecond != requestsPerSecond
+    fun onRateLimit(requestsPerSecond: Double?, nowMillis: Long): Boolean {
+        if (this.requestsPerSecond == requestsPerSecond) return false
         this.requestsPerSecond = requestsPerSecond
-        return isChanged
+        restartPacing(nowMillis)
+        return true
     }
 
+    /** Spaces the requests from now on as if none had been possible before. */
+    fun restartPacing(nowMillis: Long) {
+        pacer = requestsPerSecond?.let { RequestPacer(it * rateShare(), nowMillis) }
+    }
+
+    /** Number of requests that may be sent at once: free slots, and no more than the worker's rate limit allows. */
+    fun startableRequests(nowMillis: Long): Int {
+        val paced = pacer?.available(nowMillis) ?: Double.MAX_VALUE
+        return floor(minOf(freeSlots(nowMillis), paced)).toInt().coerceAtLeast(0)
+    }
+
+    /** Counts a request against the worker's rate limit. */
+    fun onPaced(nowMillis: Long) {
+        pacer?.onSent(nowMillis)
+    }
+
+    /** Whether the worker's rate limit allows a request now. */
+    fun isWithinRate(nowMillis: Long): Boolean = (pacer?.available(nowMillis) ?: 1.0) >= 1.0
+
     /** Records that the worker is reachable, which clears the suspicion. */
     fun onReachable() {
         consecutiveLosses = 0
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/SharedWorkersSimulation.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SharedWorkersSimulation.kt
@@ -41,8 +41,7 @@
         )
 
         fun connect(node: Node) = scheduler.onConnected(
-            node.name,
-            held = emptyList(),
+            NodeMessage.Hello(node.name, leases = emptyList()),
             nowMillis = 0,
             object : SlotScheduler.NodeConnection {
                 override fun send(message: SchedulerMessage) =
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
@@ -34,7 +34,7 @@
             val scheduler = SlotScheduler("s", balancer, capacities)
 
             fun connect(node: String, vararg held: HeldSlot): Connection =
-                Connection().also { scheduler.onConnected(node, held.toList(), nowMillis = 0, it) }
+                Connection().also { scheduler.onConnected(NodeMessage.Hello(node, held.toList()), nowMillis = 0, it) }
 
             fun acquire(node: String, number: Long, use: SlotUse = SlotUse.ONLINE, nowMillis: Long = 0) =
                 scheduler.onMessage(node, NodeMessage.Acquire(number, use, priority = 0, 300), nowMillis)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -49,7 +49,7 @@
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
 ) {
-    private val loadBalancer = LoadBalancer(settings.zone)
+    private val loadBalancer: LoadBalancer = LoadBalancer(settings.zone, rateShare = { 1.0 / members.size })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -1,6 +1,5 @@
 package org.poplarshift.serving.forward
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
@@ -267,7 +266,7 @@
     ): AttemptResult {
         val head = result.head
         head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
-        recordRateLimit(slot.target, head.requestsPerSecond)
+        forwarding.dispatcher.onRateLimit(slot, head.requestsPerSecond)
         return when {
             head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
             head.status in SUCCESS_STATUSES && !head.hasReceipt ->
@@ -282,14 +281,6 @@
         }
     }
 
-    private fun recordRateLimit(target: WorkerState, requestsPerSecond: Double?) {
-        if (!target.onRateLimit(requestsPerSecond)) return
-        logger.atInfo {
-            message = "forward: the rate limit of a worker has changed"
-            payload = mapOf("worker" to target.worker.id, "requests_per_second" to requestsPerSecond)
-        }
-    }
-
     private fun recordResponse(target: WorkerState, head: ResponseHead) {
         target.onReachable()
         possibleRuns++
@@ -333,7 +324,6 @@
     }
 
     private companion object {
-        val logger = KotlinLogging.logger {}
         val SUCCESS_STATUSES = 200..299
 
         // Limits consecutive refusals by workers: further attempts would use up the caller's time on a full service.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -40,8 +40,16 @@
  * A slot at the worker [target] that is reserved for a request of this node.
  *
  * @property zone the availability zone whose scheduler has granted the slot, or null if this node chose it alone
+ * @property requestsPerSecond the worker's rate limit for which the scheduler has accounted, or null
  */
-class AssignedSlot(val number: Long, val service: String, val zone: String?, val target: WorkerState, use: SlotUse) {
+class AssignedSlot(
+    val number: Long,
+    val service: String,
+    val zone: String?,
+    val target: WorkerState,
+    use: SlotUse,
+    val requestsPerSecond: Double? = null,
+) {
     /** Whether a batch item uses the slot. */
     val isBatch = use != SlotUse.ONLINE
 }
@@ -57,6 +65,9 @@
     /** Releases [slot] and reports the [outcome] of its use. */
     fun release(slot: AssignedSlot, outcome: SlotOutcome = SlotOutcome.USED)
 
+    /** Records the rate limit in requests per second that the worker of [slot] states, or null if it states none. */
+    fun onRateLimit(slot: AssignedSlot, requestsPerSecond: Double?)
+
     /** Describes the workers and the load of [service] for the log. */
     fun describe(service: String): String
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.scheduling
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.LoadBalancer
@@ -57,7 +58,7 @@
             val waitMillis = deadlineMillis - clock.millis()
             when (val result = link(zone, request.service).acquire(message, waitMillis)) {
                 is LinkResult.Granted -> {
-                    use(zone, request, message.number, result.worker)?.let { return DispatchResult.Assigned(it) }
+                    use(zone, request, message.number, result)?.let { return DispatchResult.Assigned(it) }
                     excluded += result.worker
                 }
 
@@ -88,6 +89,18 @@
         }
     }
 
+    override fun onRateLimit(slot: AssignedSlot, requestsPerSecond: Double?) {
+        val worker = slot.target.worker.id
+        if (slot.target.onRateLimit(requestsPerSecond, clock.millis())) {
+            logger.atInfo {
+                message = "dispatch: the rate limit of a worker has changed"
+                payload = mapOf("worker" to worker, "requests_per_second" to requestsPerSecond)
+            }
+        }
+        if (slot.zone == null || requestsPerSecond == slot.requestsPerSecond) return
+        link(slot.zone, slot.service).reportRateLimit(worker, requestsPerSecond)
+    }
+
     /** Maintains the connections to the schedulers until cancelled. */
     suspend fun run() {
         while (true) {
@@ -107,6 +120,7 @@
         waitMillis: Long,
     ): DispatchResult {
         val own = ownSchedulers.getOrPut(request.service) { OwnScheduler(request.service) }
+        own.onRequest()
         val message = message(request, excluded, mayRedirect = false)
         return when (val result = own.link.acquire(message, waitMillis)) {
             is LinkResult.Granted -> {
@@ -121,7 +135,8 @@
     }
 
     /** Takes over the granted slot, or returns it if this node can't use the worker. */
-    private fun use(zone: String, request: DispatchRequest, number: Long, worker: String): AssignedSlot? {
+    private fun use(zone: String, request: DispatchRequest, number: Long, granted: LinkResult.Granted): AssignedSlot? {
+        val worker = granted.worker
         val state = workers.state(worker)
         val link = link(zone, request.service)
         if (state == null || state.isSuspect || state.worker.isDraining) {
@@ -130,7 +145,7 @@
         }
         link.onUsed(request.toSlot(number, worker))
         state.onSent(request.use != SlotUse.ONLINE)
-        return AssignedSlot(number, request.service, zone, state, request.use)
+        return AssignedSlot(number, request.service, zone, state, request.use, granted.requestsPerSecond)
     }
 
     private fun DispatchRequest.toSlot(number: Long, worker: String) =
@@ -149,8 +164,14 @@
         .filter { it.isSuspect && it.worker.service == service }
         .map { it.worker.id }
 
+    private fun rateLimits(): Map<String, Double> = workers.workerStates
+        .mapNotNull { state -> state.requestsPerSecond?.let { state.worker.id to it } }
+        .toMap()
+
     private fun link(zone: String, service: String): SchedulerLink = links.getOrPut(zone to service) {
-        SchedulerLink(scope, clock, self.name, service, connector, reachability) { directory.order(zone, service) }
+        SchedulerLink(scope, clock, self.name, service, connector, reachability, ::rateLimits) {
+            directory.order(zone, service)
+        }
     }
 
     /** The scheduler that this node uses while no other responds. It schedules requests of this node only. */
@@ -163,10 +184,24 @@
             service,
             { _, _, hello, receiver -> LocalSchedulerChannel(scheduler, clock, hello, receiver) },
             PeerReachability(clock),
+            rateLimits = { emptyMap() },
         ) { listOf(self) }
+        private var lastRequestMillis = Long.MIN_VALUE / 2
+
+        /** Called before each request. What this node may send to workers with rate limits is not saved up meanwhile. */
+        fun onRequest() {
+            val now = clock.millis()
+            if (now - lastRequestMillis > PACING_PAUSE_MILLIS) workers.workerStates.forEach { it.restartPacing(now) }
+            lastRequestMillis = now
+        }
     }
 
     private companion object {
+        val logger = KotlinLogging.logger {}
+
+        // Time without own decisions after which the schedulers have probably been in charge again.
+        const val PACING_PAUSE_MILLIS = 2_000L
+
         // One redirection usually suffices. More of them show that the announced capacity is out of date.
         const val MAXIMUM_HOPS = 2
         const val MAINTENANCE_INTERVAL_MILLIS = 100L
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/LocalSchedulerChannel.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/LocalSchedulerChannel.kt
@@ -14,7 +14,7 @@
 ) : SchedulerChannel,
     SlotScheduler.NodeConnection {
     init {
-        scheduler.onConnected(hello.node, hello.leases, clock.millis(), connection = this)
+        scheduler.onConnected(hello, clock.millis(), connection = this)
     }
 
     override fun send(message: NodeMessage) = scheduler.onMessage(hello.node, message, clock.millis())
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -134,7 +134,7 @@
             when {
                 message is NodeMessage.Hello -> {
                     node = message.node
-                    scheduler.onConnected(message.node, message.leases, clock.millis(), connection)
+                    scheduler.onConnected(message, clock.millis(), connection)
                 }
 
                 message == null || sender == null -> socket.close()
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -17,8 +17,8 @@
 
 /** The answer of a scheduler to a request for a slot. */
 sealed interface LinkResult {
-    /** The request has a slot at [worker]. */
-    data class Granted(val worker: String) : LinkResult
+    /** The request has a slot at [worker], whose rate limit is [requestsPerSecond] as far as the scheduler knows. */
+    data class Granted(val worker: String, val requestsPerSecond: Double?) : LinkResult
 
     /** The scheduler of [zone] has more capacity. */
     data class Redirected(val zone: String) : LinkResult
@@ -45,6 +45,7 @@
 /**
  * This node's connection to the scheduler of one service in one availability zone.
  *
+ * @param rateLimits returns the rate limits of workers that this node knows
  * @param candidates returns the nodes that may run the scheduler, in the order in which they are asked
  */
 class SchedulerLink(
@@ -54,6 +55,7 @@
     private val service: String,
     private val connector: SchedulerConnector,
     private val reachability: PeerReachability,
+    private val rateLimits: () -> Map<String, Double>,
     private val candidates: () -> List<FleetMember>,
 ) {
     private class PendingRequest {
@@ -115,6 +117,11 @@
         channel?.let { send(it, NodeMessage.Release(number, outcome)) }
     }
 
+    /** Tells the scheduler the rate limit of [worker]. */
+    fun reportRateLimit(worker: String, requestsPerSecond: Double?) {
+        channel?.let { send(it, NodeMessage.RateLimit(worker, requestsPerSecond)) }
+    }
+
     /** Keeps the slots in use, detects a silent scheduler, and moves to a preferred one. Called in short intervals. */
     fun maintain() {
         val connected = channel
@@ -152,7 +159,7 @@
 
     private suspend fun connectToPreferred() {
         val member = preferred() ?: return
-        val hello = NodeMessage.Hello(self, slots.values.map { it.toHeldSlot() })
+        val hello = NodeMessage.Hello(self, slots.values.map { it.toHeldSlot() }, rateLimits())
         val newReceiver = Receiver()
         val previousReceiver = receiver
         val newChannel = connector.connect(member, service, hello, newReceiver)
@@ -190,7 +197,11 @@
     }
 
     private fun onGranted(message: SchedulerMessage.Granted) {
-        if (message.number in pending) return decide(message.number, LinkResult.Granted(message.worker))
+        if (message.number in
+            pending
+        ) {
+            return decide(message.number, LinkResult.Granted(message.worker, message.requestsPerSecond))
+        }
         // The request has stopped waiting in the meantime.
         channel?.let { send(it, NodeMessage.Release(message.number, SlotOutcome.UNUSED)) }
     }
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -57,15 +57,15 @@
             val unreachable = HashSet<String>()
             var connectMillis = 0L
             var answer: (NodeMessage.Acquire) -> SchedulerMessage? = { SchedulerMessage.Granted(it.number, "w0") }
-            val workers = LoadBalancer("here") { 0.0 }.apply {
+            private val self = FleetMember("self", "here", "10.0.0.1:1", speed = 0.1)
+            private val members = FleetMembers(FakeLog(), clock, "members", self)
+            val workers = LoadBalancer("here", rateShare = { 1.0 / members.size }) { 0.0 }.apply {
                 update(
                     List(2) {
                         FleetWorker("w$it", "s", "10.0.0.1:80", "here", 1, isDraining = false, startedMillis = 1)
                     },
                 )
             }
-            private val self = FleetMember("self", "here", "10.0.0.1:1", speed = 0.1)
-            private val members = FleetMembers(FakeLog(), clock, "members", self)
             private val directory = SchedulerDirectory(self, members)
             private val connector = SchedulerConnector { member, _, hello, receiver ->
                 delay(connectMillis)
@@ -248,6 +248,57 @@
             }
         }
 
+        data class LimitCase(val name: String, val granted: Double?, val stated: Double?, val isReported: Boolean)
+        listOf(
+            LimitCase("a new limit", granted = null, stated = 3.0, isReported = true),
+            LimitCase("a changed limit", granted = 2.0, stated = 3.0, isReported = true),
+            LimitCase("the end of a limit", granted = 3.0, stated = null, isReported = true),
+            LimitCase("the limit that the scheduler knows", granted = 3.0, stated = 3.0, isReported = false),
+            LimitCase("no limit", granted = null, stated = null, isReported = false),
+        ).forEach { case ->
+            test("${case.name} of a worker is ${if (case.isReported) "" else "not "}reported to the scheduler") {
+                runTest {
+                    val fixture = Fixture(this, "here-1")
+                    fixture.answer = { SchedulerMessage.Granted(it.number, "w0", case.granted) }
+                    val slot = fixture.acquire().shouldBeInstanceOf<DispatchResult.Assigned>().slot
+                    fixture.dispatcher.onRateLimit(slot, case.stated)
+                    fixture.connections.single().sent.filterIsInstance<NodeMessage.RateLimit>() shouldBe
+                        if (case.isReported) listOf(NodeMessage.RateLimit("w0", case.stated)) else emptyList()
+                }
+            }
+        }
+
+        test("a new scheduler is told the rate limits that the node knows") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                val slot = fixture.acquire().shouldBeInstanceOf<DispatchResult.Assigned>().slot
+                fixture.dispatcher.onRateLimit(slot, requestsPerSecond = 3.0)
+                fixture.connections.single().lose()
+                fixture.acquire()
+                fixture.connections.last().sent.first().shouldBeInstanceOf<NodeMessage.Hello>().rateLimits shouldBe
+                    mapOf("w0" to 3.0)
+            }
+        }
+
+        test(
+            "a node without a scheduler sends no request to a worker with a rate limit at first, and its share later",
+        ) {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                val slot = fixture.acquire().shouldBeInstanceOf<DispatchResult.Assigned>().slot
+                fixture.dispatcher.onRateLimit(slot, requestsPerSecond = 4.0)
+                fixture.dispatcher.release(slot, SlotOutcome.USED)
+                fixture.unreachable += listOf("here-1", "self")
+                fixture.connections.single().lose()
+                delay(10_000)
+                fixture.acquire().worker() shouldBe "w1"
+                val waitingSince = fixture.clock.millis()
+                fixture.acquire().worker() shouldBe "w0"
+                // Two nodes share four requests per second.
+                (fixture.clock.millis() - waitingSince in 400..1_000) shouldBe true
+            }
+        }
+
         test("a granted worker that this node can't use is returned, and another one is requested") {
             runTest {
                 val fixture = Fixture(this, "here-1")
