Run batch items again at once after crashes of workers

Cause: items were quarantined like online requests. After three crashes under an item its runs were spaced by 4, 8, 16, 32 and 64 s. Items never crash workers by themselves.

The fixture CrashingWorker takes a condition instead of a prompt part.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -18,7 +18,8 @@
  *
  * @property deadlineMillis monotonic time in milliseconds after which the response is no longer needed
  * @property maximumAttempts maximum number of workers that may run the request
- * @property enforcesQuarantine whether the request is refused once it has crashed several workers
+ * @property mayCrashWorkers whether the request may be the cause when workers crash while they run it, so that it is
+ *   refused after several crashes
  */
 class AttemptPlan(
     val id: String,
@@ -30,7 +31,7 @@
     val body: Buffer,
     val deadlineMillis: Long,
     val maximumAttempts: Int,
-    val enforcesQuarantine: Boolean = true,
+    val mayCrashWorkers: Boolean = true,
 ) {
     /** Identifies the request when it is repeated with another id. */
     val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { RequestFingerprint.of(organisation, uri, body) }
@@ -141,8 +142,7 @@
         }
     }
 
-    /** Whether the request has crashed several workers. */
-    val isQuarantined: Boolean
+    private val isQuarantined: Boolean
         get() = !forwarding.crashTracker.isEmpty &&
             forwarding.crashTracker.statusOf(plan.fingerprint) == SuspectStatus.Quarantined
 
@@ -163,7 +163,7 @@
 
     // Checked again after the request has waited for a slot, because other nodes may have learned of crashes meanwhile.
     private fun isRefused(): Boolean {
-        if (!plan.enforcesQuarantine) return false
+        if (!plan.mayCrashWorkers) return false
         val blamedParts = forwarding.crashTracker.blamedParts(sharedPromptParts)
         if (blamedParts.isEmpty() && !isQuarantined) return false
         trace += "quarantined(${blamedParts.joinToString("+") { "part $it" }.ifEmpty { plan.fingerprint }})"
@@ -180,10 +180,10 @@
             fingerprint = plan.fingerprint,
             worker = "${worker.id}/${worker.startedMillis}",
             requestId = plan.id,
-            // Batch items never crash workers by themselves.
-            promptParts = if (plan.enforcesQuarantine) sharedPromptParts else emptyList(),
+            promptParts = sharedPromptParts,
             sentMillis = sentMillis,
             hasBegun = isAnswered,
+            isSuspect = plan.mayCrashWorkers,
         ),
     )
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
@@ -20,6 +20,7 @@
  * @property promptParts ids of the parts of the prompt that other requests may have in common with this one
  * @property sentMillis monotonic time in milliseconds at which the request was sent to the worker
  * @property hasBegun whether the worker had begun to write its response
+ * @property isSuspect whether the request may be the cause if the worker has crashed
  */
 data class WorkerRun(
     val fingerprint: String,
@@ -28,6 +29,7 @@
     val promptParts: List<String> = emptyList(),
     val sentMillis: Long = 0,
     val hasBegun: Boolean = false,
+    val isSuspect: Boolean = true,
 )
 
 /**
@@ -72,13 +74,18 @@
     /** Records that a worker has begun to answer a request with the prompt parts [parts]. */
     fun onAnswered(parts: List<String>) = promptParts.onAnswered(parts)
 
-    /** Records a strike, because the connection to the worker was lost during [run]. */
+    /** Records a strike against a suspect request, because the connection to the worker was lost during [run]. */
     fun onConnectionLost(run: WorkerRun) {
+        if (!run.isSuspect) return logLoss(run)
         isEmpty = false
         if (!run.hasBegun) promptParts.onConnectionLost(run)
         val update = localTable.onWorkerCrash(run.fingerprint, run.worker, clock.millis())
         if (!table.merge(update, clock.millis())) return
-        val status = statusOf(run.fingerprint)
+        logLoss(run)
+        writer.schedule()
+    }
+
+    private fun logLoss(run: WorkerRun) {
         logger.atInfo {
             message = "quarantine: connection lost during a run"
             payload = mapOf(
@@ -87,10 +94,9 @@
                 "worker" to run.worker,
                 "prompt_parts" to run.promptParts.joinToString(","),
                 "begun" to run.hasBegun,
-                "status" to "$status",
+                "status" to "${statusOf(run.fingerprint)}",
             )
         }
-        writer.schedule()
     }
 
     /** Clears the strikes of the suspect request with [fingerprint], because it has completed. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -32,7 +32,6 @@
     private val output = StringBuilder()
     private var hasOutput = false
     private var internalErrors = 0
-    private var quarantinedRuns = 0
     private var lastSaveMillis = forwarding.clock.millis()
     private var savedLength = 0
 
@@ -87,7 +86,6 @@
         while (!isFinished) {
             if (remainingMillis() <= 0) return recordResult(isComplete = false, "time is up")
             val session = newSession()
-            delayIfQuarantined(session)
             isWaiting = true
             val request = DispatchRequest(
                 proposal.service,
@@ -109,15 +107,6 @@
         }
     }
 
-    // An item must not be abandoned because it crashes workers. Each further attempt, however, may also interrupt the
-    // requests that share the worker, so attempts are spaced with exponential backoff.
-    private suspend fun delayIfQuarantined(session: AttemptSession) {
-        if (!session.isQuarantined) return
-        val pauseMillis = QUARANTINE_DELAY_MILLIS shl minOf(quarantinedRuns++, MAXIMUM_DOUBLINGS)
-        logger.info { "batch: item $key is quarantined because workers crashed; next attempt in $pauseMillis ms" }
-        delay(pauseMillis)
-    }
-
     /** Saves the output so far in the log, so that another node can resume after the last event. */
     suspend fun saveProgress() {
         val last = lastEvent ?: return
@@ -253,7 +242,7 @@
             body = Buffer.buffer(item.body),
             deadlineMillis = forwarding.clock.millis() + remainingMillis(),
             maximumAttempts = proposal.maximumAttempts,
-            enforcesQuarantine = false,
+            mayCrashWorkers = false,
         )
         return AttemptSession(plan, forwarding)
     }
@@ -275,10 +264,6 @@
         // About the run time of an item of typical size on a busy worker.
         private const val URGENT_MILLIS = 6_500L
 
-        // A crashed worker restarts within seconds. The backoff must still allow an item that did not cause the crashes
-        // to complete before its submission is abandoned.
-        private const val QUARANTINE_DELAY_MILLIS = 4_000L
-        private const val MAXIMUM_DOUBLINGS = 4
         private const val WORKER_WAIT_MILLIS = 1_000L
         private const val RETRY_MILLIS = 150L
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/quarantine/CrashingPromptPartTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/quarantine/CrashingPromptPartTest.kt
@@ -16,11 +16,13 @@
  */
 class CrashingPromptPartTest :
     FunSpec({
+        fun hasCrashingPart(request: String) = Regex("(?im)^part: crashing\\s*$").containsMatchIn(request)
+
         class Traffic(val fleet: TestFleet, val nodes: List<TestFleet.Node>, val workers: List<CrashingWorker>) {
             private var sent = 0
 
             val crashingRequests: Int
-                get() = workers.sumOf { it.crashingRequests }
+                get() = workers.sumOf { worker -> worker.requests.count { hasCrashingPart(it) } }
 
             suspend fun send(vararg parts: String): Int {
                 val node = nodes[sent++ % nodes.size]
@@ -37,7 +39,8 @@
         suspend fun withTraffic(block: suspend Traffic.() -> Unit) {
             val fleet = TestFleet()
             try {
-                val workers = List(WORKERS) { fleet.startCrashingWorker("w$it", crashingPart = "crashing") }
+                val workers =
+                    List(WORKERS) { fleet.startCrashingWorker("w$it") { request -> hasCrashingPart(request) } }
                 fleet.publishConfiguration()
                 val nodes = listOf("a", "b").map { fleet.start(it) }
                 nodes.forEach { node ->
