Run batch items at workers with a rate limit first

Batch items now prefer workers with a rate limit, online requests avoid them until the others are half full.

LoadBalancerTest has four cases.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -51,13 +51,22 @@
     /**
      * Returns the least loaded worker of [service] that has free slots and accepts a request now, or null.
      *
+     * A worker with a rate limit has more slots than it can use. Long runs, those of batch items, make the most of each
+     * request that it accepts, so they prefer such workers and online requests avoid them until the others are half
+     * full.
+     *
      * @param headroom slots that must stay free; a negative value allows requests to queue at the worker
      * @param excluded ids of workers to which the request has already been sent
      */
-    fun choose(service: String, headroom: Int, excluded: Set<String>, nowMillis: Long): WorkerState? =
-        available(service)
-            .filter { it.worker.id !in excluded && it.freeSlots(nowMillis) > headroom && it.isWithinRate(nowMillis) }
-            .minByOrNull { score(it, nowMillis) }
+    fun choose(
+        service: String,
+        headroom: Int,
+        excluded: Set<String>,
+        nowMillis: Long,
+        use: SlotUse = SlotUse.ONLINE,
+    ): WorkerState? = available(service)
+        .filter { it.worker.id !in excluded && it.freeSlots(nowMillis) > headroom && it.isWithinRate(nowMillis) }
+        .minByOrNull { score(it, nowMillis) + rateLimitPenalty(it, use) }
 
     /** Whether [service] has an available worker outside [excluded], with or without free slots. */
     fun hasWorker(service: String, excluded: Set<String>): Boolean =
@@ -75,7 +84,16 @@
         return (state.load(nowMillis) + zonePenalty + random() * TIE_BREAK_RANGE) / maxOf(1, state.worker.slots)
     }
 
+    private fun rateLimitPenalty(state: WorkerState, use: SlotUse): Double = when {
+        state.requestsPerSecond == null -> 0.0
+        use == SlotUse.ONLINE -> RATE_LIMIT_PENALTY
+        else -> -1.0
+    }
+
     private companion object {
+        // In shares of a worker's slots.
+        const val RATE_LIMIT_PENALTY = 0.5
+
         // Number of requests by which a worker in another zone must be less loaded to be preferred. One more running
         // request slows down a step of the engine by less than the network delay between zones.
         const val CROSS_ZONE_PENALTY = 0.6
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
@@ -126,7 +126,8 @@
 
     private fun grant(request: SlotRequest, nowMillis: Long): SlotDecision.Granted? {
         if (request.use == SlotUse.BATCH && capacity(nowMillis).spare <= 0) return null
-        val state = workers.choose(service, headroom = 0, request.excludedWorkers, nowMillis) ?: return null
+        val state = workers.choose(service, headroom = 0, request.excludedWorkers, nowMillis, request.use)
+            ?: return null
         hold(SlotLease(request.key, request.use, state.worker.id, request.onTimeUntilMillis), state)
         state.onPaced(nowMillis)
         return SlotDecision.Granted(state.worker.id, state.requestsPerSecond)
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
@@ -34,6 +34,24 @@
             balancer.hasWorker("service", excluded = setOf("excluded", "good")) shouldBe false
         }
 
+        data class RateLimitCase(val name: String, val use: SlotUse, val load: Int, val expected: String)
+        listOf(
+            RateLimitCase("an online request avoids", SlotUse.ONLINE, load = 0, expected = "free"),
+            RateLimitCase("an online request uses, as the other is over half full,", SlotUse.ONLINE, 3, "limited"),
+            RateLimitCase("a batch item uses", SlotUse.BATCH, load = 0, expected = "limited"),
+            RateLimitCase("an urgent batch item uses", SlotUse.URGENT_BATCH, load = 0, expected = "limited"),
+        ).forEach { case ->
+            test("${case.name} a worker with a rate limit") {
+                val balancer = LoadBalancer("here") { 0.0 }.apply {
+                    update(listOf("free", "limited").map { worker(it).copy(slots = 4) })
+                }
+                balancer.state("limited")?.onRateLimit(requestsPerSecond = 5.0, nowMillis = 0)
+                repeat(case.load) { balancer.state("free")?.onSent(isBatch = false) }
+                balancer.choose("service", headroom = 0, emptySet(), nowMillis = 1_000, case.use)?.worker?.id shouldBe
+                    case.expected
+            }
+        }
+
         test("three consecutive lost connections make a worker suspect, fewer do not") {
             val state = WorkerState(worker("a"))
             repeat(2) { state.onConnectionLost() }
