--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/http/StandInServer.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/http/StandInServer.kt
@@ -9,7 +9,9 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.ext.web.Router
 import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 
 /**
  * An HTTP server that can stop responding on open connections and can be restarted on the same port.
@@ -59,7 +61,7 @@
     /** Whether [connection] is silenced, so that nothing may be written to it. */
     fun isSilent(connection: HttpConnection): Boolean = connection in silentConnections
 
-    /** Runs [action] on the event loop of this server. */
+    /** Runs [action] on the event loop of this server and returns once it has run. */
     fun run(action: () -> Unit) = eventLoop.run(action)
 
     private fun track(connection: HttpConnection) {
@@ -85,11 +87,23 @@
         val isDeployed: Boolean
             get() = context != null
 
-        fun run(action: () -> Unit) = context.runOnContext { action() }
+        fun run(action: () -> Unit) {
+            if (Vertx.currentContext() === context) return action()
+            val done = CompletableFuture<Unit>()
+            context.runOnContext {
+                try {
+                    done.complete(action())
+                } catch (exception: Exception) {
+                    done.completeExceptionally(exception)
+                }
+            }
+            done.get(RUN_SECONDS, TimeUnit.SECONDS)
+        }
     }
 
     private companion object {
         const val MAXIMUM_LINE_BYTES = 16_384
         const val FAULTS_PATH = "/faults"
+        const val RUN_SECONDS = 5L
     }
 }
