Let the stand-ins answer requests that set their faults

It ran the action at once only in the context of the server itself, but Vert.x gives each request handler a context of its own on the same thread, so that a handler waited 5 s for its own event loop and then failed.

run now compares threads. FaultsOverHttpTest fails on the parent commit (no response of the engine and the service within a second) and passes now, as do the other tests of the stand-ins. Ruled out: load; the test fails on an idle machine each time.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/http/StandInServer.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/http/StandInServer.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.standins.http
 
+import io.vertx.core.Future
 import io.vertx.core.Promise
 import io.vertx.core.VerticleBase
 import io.vertx.core.Vertx
@@ -84,11 +85,20 @@
      * servers that start on the same thread.
      */
     private class EventLoopVerticle : VerticleBase() {
+        @Volatile
+        private var thread: Thread? = null
+
         val isDeployed: Boolean
             get() = context != null
 
+        override fun start(): Future<*> {
+            thread = Thread.currentThread()
+            return Future.succeededFuture<Unit>()
+        }
+
         fun run(action: () -> Unit) {
-            if (Vertx.currentContext() === context) return action()
+            // A request handler runs in a context of its own on this thread, so contexts can't be compared.
+            if (Thread.currentThread() === thread) return action()
             val done = CompletableFuture<Unit>()
             context.runOnContext {
                 try {
