Give batch items up by their certain age, not by the time of day alone

Cause: the node compared the time of the submission, as written by another node, with its own time of day. With any jump ahead, items close to the end of their time are given up early, and results are removed from the log too soon. The class of fault: a duration measured between two clocks that may jump and differ. Change: a submission is never older than the time since this node has read it on the steady clock; after a restart that is less than its age, so that items are kept longer, never shorter. Both uses of the age for a decision that can't be undone (giving up, removal from the log) go through SubmissionPartition.certainAgeMillis. The order of items by due time still uses the time of day, as a wrong order loses no item.

Tests: the new case of ServingNodeTest failed before (the item was listed as failed); SubmissionPartitionTest has three cases.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -48,6 +48,7 @@
     private val ports: ServingPorts,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+    wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
     private val loadBalancer: LoadBalancer = LoadBalancer(settings.zone, rateShare = { 1.0 / members.size })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
@@ -82,7 +83,7 @@
     )
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock)
     private val prober = WorkerProber(scope, loadBalancer, connections)
-    private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name)
+    private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name, wallClockMillis)
     private val forwarding =
         ForwardingContext(dispatcher, connections, prober, ports.workerProtocol, clock, crashTracker)
     private val registry: WorkerRegistry =
@@ -90,8 +91,8 @@
     private val store =
         SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions)
     private val batchRunner =
-        BatchRunner(scope, store, ports.group, forwarding, settings.retentionMillis) { log.isServed }
-    private val submissions = SubmissionService(store, ports.callerProtocol, clock)
+        BatchRunner(scope, store, ports.group, forwarding, settings.retentionMillis, wallClockMillis) { log.isServed }
+    private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
     private val callerServer =
         CallerServer(vertx, scope, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -76,7 +76,7 @@
             val expired = partition.ledger.submissions
                 .filter { it.isEnded || it.isComplete }
                 .filter {
-                    now - it.proposal.firstSentMillis >
+                    partition.certainAgeMillis(it.proposal, now) >
                         maxOf(retentionMillis, it.proposal.abandonMillis) + CLOCK_SKEW_MILLIS
                 }
                 .map { it.proposal.submission }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -247,7 +247,8 @@
         return AttemptSession(plan, forwarding)
     }
 
-    private fun remainingMillis(): Long = proposal.firstSentMillis + proposal.abandonMillis - wallClockMillis()
+    private fun remainingMillis(): Long =
+        proposal.abandonMillis - partition.certainAgeMillis(proposal, wallClockMillis())
 
     companion object {
         /** Unique key of [item] of the submission [state] across all submissions. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -45,6 +45,8 @@
     private var assembler = RecordAssembler()
     private var changed = CompletableDeferred<Unit>()
     private var submissionsByKey = HashMap<String, String>()
+    private var firstReadMillis = HashMap<String, Long>()
+    private var firstReadMillisBeforeRestart = HashMap<String, Long>()
 
     /** The state that results from applying all records read so far. */
     var ledger = SubmissionLedger()
@@ -62,12 +64,17 @@
         ledger = SubmissionLedger()
         assembler = RecordAssembler()
         submissionsByKey = HashMap()
+        firstReadMillisBeforeRestart = firstReadMillis
+        firstReadMillis = HashMap()
     }
 
     override fun onRecord(record: LogRecord) {
         revision++
         if (record.value.isEmpty()) {
-            submissionsByKey.remove(record.key)?.let { ledger.remove(listOf(it)) }
+            submissionsByKey.remove(record.key)?.let {
+                ledger.remove(listOf(it))
+                firstReadMillis.remove(it)
+            }
             return
         }
         val assembled = try {
@@ -87,6 +94,20 @@
         previous.complete(Unit)
     }
 
+    /**
+     * Returns an age in milliseconds that the submission of [proposal] has reached for certain.
+     *
+     * The time of day may jump and may differ between nodes. The submission is therefore never older than the time since
+     * this node has read it, which is less than its age after a restart of the node.
+     *
+     * @param wallClockMillis the time of day in Unix milliseconds
+     */
+    fun certainAgeMillis(proposal: SubmissionRecord.Proposed, wallClockMillis: Long): Long {
+        val now = clock.millis()
+        val sinceReadMillis = now - (firstReadMillis[proposal.submission] ?: now)
+        return minOf(sinceReadMillis, wallClockMillis - proposal.firstSentMillis)
+    }
+
     /** Waits until more records have been read, for at most [millis]. */
     suspend fun awaitChange(millis: Long) {
         withTimeoutOrNull(millis) { changed.await() }
@@ -169,13 +190,18 @@
     /** Removes the submissions [ids] from the ledger and their records from the log. */
     suspend fun remove(ids: List<String>): AppendResult {
         val keys = ledger.remove(ids)
+        firstReadMillis.keys.removeAll(ids.toSet())
         return log.append(topic, number, keys.map { KeyedValue(it, ByteArray(0)) })
     }
 
     private fun apply(assembled: AssembledRecord) {
         val record = assembled.decoded.record
         val effect = ledger.apply(record, assembled.decoded.content, assembled.keys)
-        if (effect is LedgerEffect.Accepted) submissionsByKey[assembled.keys.first()] = record.submission
+        if (effect is LedgerEffect.Accepted) {
+            val id = record.submission
+            submissionsByKey[assembled.keys.first()] = id
+            firstReadMillis[id] = firstReadMillisBeforeRestart.remove(id) ?: clock.millis()
+        }
         pendingWrites.remove(assembled.id)?.complete(effect)
     }
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -107,6 +107,17 @@
             }
         }
 
+        test("an item is not given up early because the time of day of its node jumps ahead") {
+            withFleet { fleet ->
+                fleet.publishConfiguration()
+                val node = fleet.start("a")
+                eventually(5.seconds) { fleet.submit(node, "first") shouldBe 202 }
+                fleet.wallClockOffsetMillis = JUMP_MILLIS
+                fleet.startWorker("w", itemResponse)
+                eventually(10.seconds) { fleet.results(node) shouldBe "first true one|two" }
+            }
+        }
+
         test("while the log is unavailable submissions are refused and unknown ones are not reported as missing") {
             withFleet { fleet ->
                 fleet.startWorker("w", itemResponse)
@@ -138,4 +149,9 @@
                 }
             }
         }
-    })
+    }) {
+    private companion object {
+        // Beyond the time after which items may be given up.
+        const val JUMP_MILLIS = 60_000L
+    }
+}
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -69,6 +69,27 @@
             }
         }
 
+        data class AgeCase(val name: String, val wallClockMillis: Long, val ageMillis: Long)
+        listOf(
+            AgeCase("the time of day is right", wallClockMillis = 1_003_000, ageMillis = 3_000),
+            AgeCase("the time of day has jumped ahead", wallClockMillis = 9_000_000, ageMillis = 3_000),
+            AgeCase("the time of day has jumped back", wallClockMillis = 1_001_000, ageMillis = 1_000),
+        ).forEach { case ->
+            test("the certain age of a submission does not exceed the time since it was read: ${case.name}") {
+                var now = 50_000L
+                val sent = proposal.copy(firstSentMillis = 1_000_000)
+                coroutineScope {
+                    val partition = SubmissionPartition(FakeLog(), { now }, "t", 0, this) { "id${ids++}" }
+                    launch { partition.follower.run() }
+                    partition.follower.awaitStart()
+                    partition.write(sent, ByteArray(5_000)).shouldBeInstanceOf<WriteResult.Applied>()
+                    now += 3_000
+                    partition.certainAgeMillis(sent, case.wallClockMillis) shouldBe case.ageMillis
+                    coroutineContext.cancelChildren()
+                }
+            }
+        }
+
         test("a write that the log refuses leaves no submission in the ledger") {
             val log = FakeLog()
             withPartition(log) { partition ->
