Judge peers that relay calls to the log apart from those that run schedulers

Cause: while the store is silent, nodes call it through each other, and these calls time out because the peer itself waits for the store. The relay took that for an unreachable peer and said so to the one record of reachable peers that the schedulers use as well. Ruled out with logs in a scratch copy: nodes that assign slots without any scheduler (30 requests in four seconds at all workers together, all after the schedulers had moved). The class of fault: a shared verdict about a peer that one of its users bases on a third party.

Change: the relay keeps its own record.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -55,7 +55,7 @@
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
     private val peerServer = PeerServer(vertx, scope)
-    private val relay: PeerLogRelay = PeerLogRelay(peerClient, reachability) { members.peers }
+    private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock) { members.peers }
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
         log,
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.submission.KeyedValue
+import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.LogRecord
@@ -18,11 +19,10 @@
  *
  * The node that served the last call is asked first, and then a randomly chosen one.
  */
-class PeerLogRelay(
-    private val client: PeerClient,
-    private val reachability: PeerReachability,
-    private val peers: () -> List<FleetMember>,
-) : LogRelay {
+class PeerLogRelay(private val client: PeerClient, clock: MonotonicClock, private val peers: () -> List<FleetMember>) :
+    LogRelay {
+    // A peer that does not answer these calls usually waits for the log. It can still run schedulers.
+    private val reachability = PeerReachability(clock)
     private var lastPeer: String? = null
 
     @Serializable
