Read the settings again on SIGHUP instead of ending

Change: SIGHUP reads the settings file again. A handler that does nothing stands from the first line of the command until the settings have been read; SIG_IGN can't be used there, as the JVM then refuses to install another.

--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -20,6 +20,7 @@
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
+import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
@@ -42,6 +43,8 @@
     var settingsFile: Path? = null
 
     override fun call(): Int {
+        // The default action would end the program while it starts. The JVM lets nothing replace SIG_IGN.
+        Signal.handle(Signal("HUP")) {}
         val file = settingsFile
         if (file == null) {
             System.err.println("poplarshift-node: no settings file given")
@@ -51,10 +54,10 @@
             System.err.println("poplarshift-node: ${it.message}")
             return CommandLine.ExitCode.USAGE
         }
-        return run(settings)
+        return run(file, settings)
     }
 
-    private fun run(settings: PlatformSettings): Int {
+    private fun run(file: Path, settings: PlatformSettings): Int {
         Logging.configure(LogFormat.JSON)
         val vertx = Vertx.vertx(vertxOptions())
         val exceptionHandler =
@@ -64,6 +67,10 @@
         Gauge.builder("log_lines_dropped") { CountingAsyncAppender.dropped }.register(metrics)
         val node =
             ServingNode(vertx, scope, settings.toServingSettings(), PlatformPorts(vertx, settings), metrics = metrics)
+        val reload = SettingsReload(file, settings) { changed ->
+            vertx.runOnContext { node.updateTimes(changed.toServingSettings()) }
+        }
+        reload.listen()
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 runBlocking { scope.async { node.stop() }.await() }
--- a/node/src/test/kotlin/org/poplarshift/node/NodeProgramTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/NodeProgramTest.kt
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
-/** Guards against wrong exit codes and against settings that are validated only after the node listens. */
+/** Guards against wrong exit codes, signals that end the program, and settings that are validated after the node listens. */
 class NodeProgramTest :
     FunSpec({
         val settingsFile = tempfile(suffix = ".json")
@@ -56,6 +56,27 @@
             }
         }
 
+        test("SIGHUP neither ends the serving program nor its shutdown") {
+            val readiness = Fleet.freeAddress()
+            settingsFile.writeText(
+                """{"name":"n","zone":"z","host":"127.0.0.1","processorShare":1.0,"processorSpeed":1.0,
+                "callers":"${Fleet.freeAddress()}","readiness":"$readiness",
+                "firstFreePort":${Fleet.freeAddress().substringAfter(':')},
+                "retentionSeconds":120,"shutdownSeconds":4,
+                "log":{"address":"127.0.0.1:9","recordBytes":1000,"callBytes":2000,"partitions":4,
+                "shortestMembershipMillis":1000}}""",
+            )
+            val process = start("serve", "--settings", settingsFile.path)
+            fun signal(name: String) = ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor()
+            eventually(20.seconds) { Socket("127.0.0.1", readiness.substringAfter(':').toInt()).close() }
+            repeat(20) { signal("HUP") }
+            process.waitFor(1, TimeUnit.SECONDS) shouldBe false
+            signal("TERM")
+            repeat(5) { signal("HUP") }
+            process.exitCode() shouldBe 0
+            process.inputStream.reader().readText() shouldContain "settings: read again"
+        }
+
         test("the program exits with 0 after SIGTERM") {
             val peersAddress = Fleet.freeAddress()
             write(Fleet.freeAddress(), peersAddress)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -51,6 +51,7 @@
     private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
     wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
+    private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
         LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.size) })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
@@ -126,6 +127,12 @@
         ),
     )
 
+    /** Applies the retention and drain times of [changed], also to a shutdown that has not begun yet. */
+    fun updateTimes(changed: ServingSettings) {
+        drainMillis = changed.drainMillis
+        batchRunner.retentionMillis = changed.retentionMillis
+    }
+
     /** Starts the background tasks and the servers. */
     suspend fun start() {
         followers.forEach { scope.launch { it.run() } }
@@ -158,7 +165,7 @@
         logger.info { "node: shutting down, ${callerServer.activeRequests} requests are active" }
         callerServer.isShuttingDown = true
         val handover = scope.launch { batchRunner.leave() }
-        callerServer.drain(DEREGISTRATION_MILLIS, settings.drainMillis)
+        callerServer.drain(DEREGISTRATION_MILLIS, drainMillis)
         joinAll(handover)
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -26,7 +26,7 @@
     private val store: SubmissionStore,
     private val group: ConsumerGroup,
     private val forwarding: ForwardingContext,
-    private val retentionMillis: Long,
+    var retentionMillis: Long,
     private val wallClockMillis: () -> Long = System::currentTimeMillis,
     private val isLogReachable: () -> Boolean,
 ) {
