Bound the memory that responses without end use

An event without a blank line grew until the route's timeout (callers got an error, the node had read what its heap allows), a plain body up to 64 MB, with a heap of 96 MB; a stream that sent a byte now and then restarted its timeout with each byte.

Lines of event streams may also end with a carriage return, alone or before the line feed.

Heads, interim responses, chunk extensions and trailers were bounded by Vert.x already. Not covered: responses of the store and of peers.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -66,6 +66,7 @@
     fun close() {
         if (isClosed) return
         isClosed = true
+        exchange.close()
         if (exchange.isReusable) connections.release(connection, exchange.keepAliveMillis) else connection.close()
         onClose()
     }
@@ -204,7 +205,7 @@
                 forwarding.prober.markUnreachable(target)
                 return notRunAt(target, "connect_failed")
             }
-            val exchange = WorkerExchange(connection, forwarding.protocol)
+            val exchange = WorkerExchange(connection, forwarding.protocol, forwarding.responseMemory)
             isInFlight = true
             val exchangeResult = exchange.send(
                 outgoingRequest(target, resumeAfter),
@@ -341,4 +342,10 @@
     val protocol: WorkerProtocol,
     val clock: MonotonicClock,
     val crashTracker: CrashTracker,
-)
+    val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
+) {
+    private companion object {
+        // A fifth of the heap of a node.
+        const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -6,40 +6,71 @@
  * Splits the bytes of an event stream (server-sent events) into complete events.
  *
  * A worker may fail in the middle of an event. Only complete events are forwarded, so that another worker can resume
- * the stream after the last one.
+ * the stream after the last one. Lines end with a line feed, a carriage return, or both.
  */
 class EventSplitter {
     private var pending = Buffer.buffer()
     private var scanned = 0
+    private var lineStart = 0
 
     /** Whether the buffer contains bytes of an incomplete event. */
     val hasPartial: Boolean
         get() = pending.length() > 0
 
+    /** Number of bytes in the buffer. */
+    val pendingBytes: Int
+        get() = pending.length()
+
     /** Appends [bytes] and returns the events that are now complete. */
     fun add(bytes: Buffer): List<StreamEvent> {
         pending.appendBuffer(bytes)
         val events = ArrayList<StreamEvent>()
-        var start = 0
-        var position = maxOf(1, scanned)
-        while (position < pending.length()) {
-            if (pending.getByte(position) == NEWLINE &&
-                pending.getByte(position - 1) == NEWLINE &&
-                position - 1 >= start
-            ) {
-                events += StreamEvent.parse(pending.getBuffer(start, position + 1))
-                start = position + 1
-                position = start
+        var eventStart = 0
+        while (scanned < pending.length()) {
+            val terminatorBytes = terminatorBytes(scanned) ?: break
+            val isBlankLine = terminatorBytes > 0 && scanned == lineStart
+            scanned += maxOf(1, terminatorBytes)
+            if (terminatorBytes > 0) lineStart = scanned
+            if (isBlankLine) {
+                events += StreamEvent.parse(pending.getBuffer(eventStart, scanned))
+                eventStart = scanned
             }
-            position++
         }
-        if (start > 0) pending = pending.getBuffer(start, pending.length())
-        scanned = maxOf(0, pending.length())
+        if (eventStart > 0) removeFirst(eventStart)
         return events
     }
 
+    /** Returns the event that the end of the stream completes, or null. */
+    fun end(): StreamEvent? {
+        val endsWithBlankLine = scanned == lineStart && scanned == pending.length() - 1
+        if (!endsWithBlankLine) return null
+        return StreamEvent.parse(pending).also { removeFirst(pending.length()) }
+    }
+
+    /**
+     * Returns the length of the line terminator at [position], 0 if there is none, or null if that depends on the next
+     * byte, which has not been received.
+     */
+    private fun terminatorBytes(position: Int): Int? = when (pending.getByte(position)) {
+        LINE_FEED -> 1
+        CARRIAGE_RETURN -> when {
+            position + 1 == pending.length() -> null
+            pending.getByte(position + 1) == LINE_FEED -> 2
+            else -> 1
+        }
+
+        else -> 0
+    }
+
+    private fun removeFirst(bytes: Int) {
+        pending = pending.getBuffer(bytes, pending.length())
+        scanned = maxOf(0, scanned - bytes)
+        lineStart = maxOf(0, lineStart - bytes)
+    }
+
     private companion object {
-        const val NEWLINE = '\n'.code.toByte()
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
 }
 
@@ -56,8 +87,8 @@
         fun parse(bytes: Buffer): StreamEvent {
             var id: Long? = null
             val data = ArrayList<String>(1)
-            for (line in bytes.toString(Charsets.UTF_8).split('\n')) {
-                val value = line.substringAfter(':', "").removePrefix(" ").removeSuffix("\r")
+            for (line in bytes.toString(Charsets.UTF_8).lineSequence()) {
+                val value = line.substringAfter(':', "").removePrefix(" ")
                 when (line.substringBefore(':')) {
                     "id" -> id = value.toLongOrNull()
                     "data" -> data += value
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -116,7 +116,7 @@
 
         // Workers need more than this for a usual response, so that a shorter attempt would be pointless.
         const val MINIMUM_ATTEMPT_MILLIS = 100L
-        private const val MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024
+        private const val MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024
         private val SUCCESS_STATUSES = 200..299
         private const val FIRST_SERVER_ERROR = 500
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -30,7 +30,12 @@
 }
 
 /** One HTTP request and its response on one connection. */
-class WorkerExchange(private val connection: WorkerConnection, private val protocol: WorkerProtocol) {
+class WorkerExchange(
+    private val connection: WorkerConnection,
+    private val protocol: WorkerProtocol,
+    private val responseMemory: ResponseMemory,
+) {
+    private var allocation: ResponseMemory.Allocation? = null
     private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
     private var response: HttpClientResponse? = null
     private var isComplete = false
@@ -52,6 +57,17 @@
     val keepAliveMillis: Long?
         get() = responseHead?.keepAliveMillis
 
+    /** Records that the received and not yet forwarded bytes are [bytes]. Returns whether more may be received. */
+    fun hold(bytes: Int): Boolean {
+        val allocated = allocation ?: responseMemory.allocate().also { allocation = it }
+        return allocated.resize(bytes.toLong())
+    }
+
+    /** Frees the memory of the bytes that were received and not forwarded. */
+    fun close() {
+        allocation?.free()
+    }
+
     /** Sends [request] and waits up to [timeoutMillis] for the response head. */
     suspend fun send(request: OutgoingRequest, timeoutMillis: Long): ExchangeResult {
         val received = try {
@@ -78,15 +94,22 @@
     }
 
     /** Reads the whole body of up to [maximumBytes] within [timeoutMillis]. */
-    suspend fun readAll(timeoutMillis: Long, maximumBytes: Int): BodyResult =
+    suspend fun readAll(timeoutMillis: Long, maximumBytes: Int): BodyResult = try {
         withTimeoutOrNull(timeoutMillis) { collect(timeoutMillis, maximumBytes) }
             ?: BodyResult.Incomplete("body took over $timeoutMillis ms")
+    } finally {
+        close()
+    }
 
     private suspend fun collect(timeoutMillis: Long, maximumBytes: Int): BodyResult {
         val body = Buffer.buffer()
         while (body.length() <= maximumBytes) {
             when (val part = next(timeoutMillis)) {
-                is ResponsePart.Bytes -> body.appendBuffer(part.bytes)
+                is ResponsePart.Bytes -> {
+                    body.appendBuffer(part.bytes)
+                    if (!hold(body.length())) return BodyResult.Incomplete("no memory for a body of this size")
+                }
+
                 ResponsePart.End -> return BodyResult.Complete(body)
                 is ResponsePart.ConnectionLost -> return BodyResult.Incomplete(part.reason, isConnectionLost = true)
                 ResponsePart.TimedOut -> return BodyResult.Incomplete("silent within the body")
