--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -175,7 +175,7 @@
     }
 
     /** The scheduler that this node uses while no other responds. It schedules requests of this node only. */
-    private inner class OwnScheduler(service: String) {
+    private inner class OwnScheduler(private val service: String) {
         val scheduler = SlotScheduler(service, workers, ZoneCapacities(), reports = null)
         val link = SchedulerLink(
             scope,
@@ -191,7 +191,13 @@
         /** Called before each request. What this node may send to workers with rate limits is not saved up meanwhile. */
         fun onRequest() {
             val now = clock.millis()
-            if (now - lastRequestMillis > PACING_PAUSE_MILLIS) workers.workerStates.forEach { it.restartPacing(now) }
+            if (now - lastRequestMillis > PACING_PAUSE_MILLIS) {
+                workers.workerStates.forEach { it.restartPacing(now) }
+                logger.atInfo {
+                    message = "dispatch: this node assigns slots without a scheduler"
+                    payload = mapOf("service" to service, "members" to directory.order(self.zone, service).size)
+                }
+            }
             lastRequestMillis = now
         }
     }
