Keep the members of the fleet as long as the log can't be read

In an outage of the log of more than a minute all records of members grew too old, and the first read afterwards dropped them before they could be renewed. The share of a node in the rate limit of each organisation is one part of as many as there are members, so each node took the whole limit until the others had renewed their records, half a second later at best; each node would also have been its own scheduler.

Change: the lifetime of a record counts only the time in which this node reads the log. FleetMembersTest fails before: one member of three after an outage of an hour. Gone nodes are dropped after a minute of reading, as before.

--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -25,8 +25,7 @@
  * The nodes of the fleet, as announced in a keyed topic.
  *
  * A node is a member until its record is removed or has not been renewed for [EXPIRY_MILLIS]. A node that can't reach
- * the log can't renew its record but continues to serve callers. The expiry time must therefore exceed the duration of
- * such an outage.
+ * the log can't renew its record but continues to serve callers, so only the time counts in which this node reads the log.
  */
 class FleetMembers(
     private val log: PartitionedLog,
@@ -35,17 +34,20 @@
     private val self: FleetMember,
     private val onChange: () -> Unit = {},
 ) : RecordReceiver {
-    private class MemberEntry(val member: FleetMember, val readMillis: Long)
+    /** A member whose record was read after [readTimeMillis]. */
+    private class MemberEntry(val member: FleetMember, val readTimeMillis: Long)
 
     private val entries = HashMap<String, MemberEntry>()
+    private var readTimeMillis = 0L
+    private var caughtUpMillis: Long? = null
 
     /** Number of nodes in the fleet, including this one. */
     val size: Int
-        get() = maxOf(1, liveMembers().size + if (self.name in entries) 0 else 1)
+        get() = entries.size + if (self.name in entries) 0 else 1
 
     /** The other nodes of the fleet. */
     val peers: List<FleetMember>
-        get() = liveMembers().filter { it.name != self.name }
+        get() = entries.values.map { it.member }.filter { it.name != self.name }
 
     override fun onRestart() = entries.clear()
 
@@ -59,11 +61,17 @@
                 logger.warn { "fleet: record ${record.key} at offset ${record.offset} ignored: ${exception.message}" }
                 return
             }
-            entries[record.key] = MemberEntry(member, clock.millis())
+            entries[record.key] = MemberEntry(member, readTimeMillis)
         }
     }
 
-    override fun onCaughtUp() = onChange()
+    override fun onCaughtUp() {
+        val now = clock.millis()
+        readTimeMillis += minOf(now - (caughtUpMillis ?: now), MAXIMUM_READ_GAP_MILLIS)
+        caughtUpMillis = now
+        entries.values.removeIf { readTimeMillis - it.readTimeMillis > EXPIRY_MILLIS }
+        onChange()
+    }
 
     /** Announces this node and renews its record until cancelled. */
     suspend fun run() {
@@ -75,19 +83,17 @@
         }
     }
 
-    private fun liveMembers(): List<FleetMember> {
-        val now = clock.millis()
-        return entries.values.filter { now - it.readMillis <= EXPIRY_MILLIS }.map { it.member }
-    }
-
     companion object {
         private val logger = KotlinLogging.logger {}
 
         /** The partition of the topic that holds the records. */
         const val PARTITION = 0
 
-        // Longer than the usual outages of the log and of zones, during which nodes continue to serve.
+        // Longer than the usual time for which a single node or zone is cut off from the log while it continues to serve.
         const val EXPIRY_MILLIS = 60_000L
+
+        // Longer than the wait time of a read. After a longer gap the log could not be read.
+        private const val MAXIMUM_READ_GAP_MILLIS = 5_000L
         private const val RENEWAL_INTERVAL_MILLIS = 15_000L
         private const val RETRY_MILLIS = 500L
     }
--- /dev/null
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
@@ -0,0 +1,64 @@
+package org.poplarshift.serving.fleet
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.log.LogRecord
+
+/**
+ * Guards against nodes that forget each other in a long outage of the log. Each of them would use the whole rate limit of
+ * every organisation, because the share of a node is one part of as many as there are members.
+ */
+class FleetMembersTest :
+    FunSpec({
+        class Fixture {
+            var now = 100_000L
+            val self = FleetMember("a", "here", "10.0.0.1:1")
+            val members = FleetMembers(FakeLog(), MonotonicClock { now }, "members", self)
+
+            fun renew(name: String) {
+                val value = """{"name":"$name","zone":"here","peerAddress":"10.0.0.2:1"}"""
+                members.onRecord(LogRecord(0, name, value.encodeToByteArray()))
+            }
+
+            fun readLogFor(millis: Long, renewed: List<String> = emptyList()) {
+                val end = now + millis
+                while (now < end) {
+                    now += 1_500
+                    if (now % 15_000 == 1_000L) renewed.forEach { renew(it) }
+                    members.onCaughtUp()
+                }
+            }
+        }
+
+        data class Case(
+            val name: String,
+            val outageMillis: Long,
+            val readMillis: Long,
+            val renewed: Boolean,
+            val size: Int,
+        )
+        listOf(
+            Case("after an outage of an hour", outageMillis = 3_600_000, readMillis = 1_500, renewed = false, size = 3),
+            Case("a minute after an outage", outageMillis = 3_600_000, readMillis = 75_000, renewed = true, size = 3),
+            Case("gone nodes, a minute after an outage", 3_600_000, readMillis = 75_000, renewed = false, size = 1),
+            Case("gone nodes without an outage", outageMillis = 0, readMillis = 75_000, renewed = false, size = 1),
+        ).forEach { case ->
+            test("members are kept as long as their records could not be read: ${case.name}") {
+                val fixture = Fixture()
+                listOf("a", "b", "c").forEach { fixture.renew(it) }
+                fixture.members.onCaughtUp()
+                fixture.now += case.outageMillis
+                fixture.readLogFor(case.readMillis, if (case.renewed) listOf("a", "b", "c") else emptyList())
+                fixture.members.size shouldBe case.size
+            }
+        }
+
+        test("a node that has left is no member any more") {
+            val fixture = Fixture()
+            listOf("a", "b").forEach { fixture.renew(it) }
+            fixture.members.onRecord(LogRecord(1, "b", ByteArray(0)))
+            fixture.members.size shouldBe 1
+        }
+    })
