--- a/core/src/main/kotlin/org/poplarshift/core/quarantine/PromptPartTable.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/quarantine/PromptPartTable.kt
@@ -146,12 +146,8 @@
     }
 
     private fun strikesOf(part: String, nowMillis: Long): List<PromptPartStrikeEntry> =
-        evidenceByPart.getValue(part).expiries.map { (strike, expiry) ->
-            PromptPartStrikeEntry(
-                strike,
-                expiry - nowMillis,
-            )
-        }
+        evidenceByPart.getValue(part).expiries
+            .map { (strike, expiry) -> PromptPartStrikeEntry(strike, expiry - nowMillis) }
 
     private fun isHarmless(part: String): Boolean = part in answeredMillis || part in acquittalExpiries
 
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Attempt.kt
@@ -0,0 +1,23 @@
+package org.poplarshift.serving.forward
+
+import org.poplarshift.core.dispatch.WorkerState
+
+/** An exchange with a worker whose response head has been received. */
+class Attempt(
+    val target: WorkerState,
+    val exchange: WorkerExchange,
+    private val connection: WorkerConnection,
+    private val connections: WorkerConnectionPool,
+    private val onClose: () -> Unit,
+) {
+    private var isClosed = false
+
+    /** Releases the worker and returns the connection to the pool if it is reusable, otherwise closes it. */
+    fun close() {
+        if (isClosed) return
+        isClosed = true
+        exchange.close()
+        if (exchange.isReusable) connections.release(connection, exchange.keepAliveMillis) else connection.close()
+        onClose()
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
@@ -0,0 +1,30 @@
+package org.poplarshift.serving.forward
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import org.poplarshift.serving.quarantine.RequestFingerprint
+
+/**
+ * The parts of a request that are the same in all its attempts.
+ *
+ * @property deadlineMillis monotonic time in milliseconds after which the response is no longer needed
+ * @property maximumAttempts maximum number of workers that may run the request
+ * @property mayCrashWorkers whether the request may be the cause when workers crash while they run it, so that it is
+ *   refused after several crashes
+ */
+class AttemptPlan(
+    val id: String,
+    val service: String,
+    val organisation: String?,
+    val method: HttpMethod,
+    val uri: String,
+    val headers: MultiMap,
+    val body: Buffer,
+    val deadlineMillis: Long,
+    val maximumAttempts: Int,
+    val mayCrashWorkers: Boolean = true,
+) {
+    /** Identifies the request when it is repeated with another id. */
+    val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { RequestFingerprint.of(organisation, uri, body) }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptResult.kt
@@ -0,0 +1,18 @@
+package org.poplarshift.serving.forward
+
+import io.vertx.core.MultiMap
+
+/** The outcome of one attempt. */
+sealed interface AttemptResult {
+    /** The head of a response was received. The receiver must close [attempt]. */
+    class Responded(val attempt: Attempt, val head: ResponseHead, val headers: MultiMap) : AttemptResult
+
+    /** No worker ran the request in this attempt. */
+    data class NotRun(val reason: String) : AttemptResult
+
+    /** The request has crashed several workers and was not sent. */
+    data object Quarantined : AttemptResult
+
+    /** A worker may have run the request, but no usable response was received. */
+    data class MayHaveRun(val reason: String, val isTimeout: Boolean) : AttemptResult
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -1,77 +1,13 @@
 package org.poplarshift.serving.forward
 
-import io.vertx.core.MultiMap
-import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpMethod
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.core.quarantine.SuspectStatus
 import org.poplarshift.serving.MonotonicClock
-import org.poplarshift.serving.quarantine.CrashTracker
-import org.poplarshift.serving.quarantine.RequestFingerprint
 import org.poplarshift.serving.quarantine.WorkerRun
 import java.net.HttpURLConnection.HTTP_UNAVAILABLE
 
-/**
- * The parts of a request that are the same in all its attempts.
- *
- * @property deadlineMillis monotonic time in milliseconds after which the response is no longer needed
- * @property maximumAttempts maximum number of workers that may run the request
- * @property mayCrashWorkers whether the request may be the cause when workers crash while they run it, so that it is
- *   refused after several crashes
- */
-class AttemptPlan(
-    val id: String,
-    val service: String,
-    val organisation: String?,
-    val method: HttpMethod,
-    val uri: String,
-    val headers: MultiMap,
-    val body: Buffer,
-    val deadlineMillis: Long,
-    val maximumAttempts: Int,
-    val mayCrashWorkers: Boolean = true,
-) {
-    /** Identifies the request when it is repeated with another id. */
-    val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { RequestFingerprint.of(organisation, uri, body) }
-}
-
-/** The outcome of one attempt. */
-sealed interface AttemptResult {
-    /** The head of a response was received. The receiver must close [attempt]. */
-    class Responded(val attempt: Attempt, val head: ResponseHead, val headers: MultiMap) : AttemptResult
-
-    /** No worker ran the request in this attempt. */
-    data class NotRun(val reason: String) : AttemptResult
-
-    /** The request has crashed several workers and was not sent. */
-    data object Quarantined : AttemptResult
-
-    /** A worker may have run the request, but no usable response was received. */
-    data class MayHaveRun(val reason: String, val isTimeout: Boolean) : AttemptResult
-}
-
-/** An exchange with a worker whose response head has been received. */
-class Attempt(
-    val target: WorkerState,
-    val exchange: WorkerExchange,
-    private val connection: WorkerConnection,
-    private val connections: WorkerConnectionPool,
-    private val onClose: () -> Unit,
-) {
-    private var isClosed = false
-
-    /** Releases the worker and returns the connection to the pool if it is reusable, otherwise closes it. */
-    fun close() {
-        if (isClosed) return
-        isClosed = true
-        exchange.close()
-        if (exchange.isReusable) connections.release(connection, exchange.keepAliveMillis) else connection.close()
-        onClose()
-    }
-}
-
 /** Sends one request to workers until one of them responds, and counts the attempts that may have run it. */
 class AttemptSession(private val plan: AttemptPlan, private val forwarding: ForwardingContext) {
     private val clock: MonotonicClock = forwarding.clock
@@ -333,19 +269,3 @@
         const val REFUSAL_BODY_BYTES = 65_536
     }
 }
-
-/** Dependencies shared by all classes that send requests to workers. */
-class ForwardingContext(
-    val dispatcher: Dispatcher,
-    val connections: WorkerConnectionPool,
-    val prober: WorkerProber,
-    val protocol: WorkerProtocol,
-    val clock: MonotonicClock,
-    val crashTracker: CrashTracker,
-    val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
-) {
-    private companion object {
-        // A fifth of the heap of a node.
-        const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
-    }
-}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamPart.kt
@@ -0,0 +1,20 @@
+package org.poplarshift.serving.forward
+
+/** The result of reading on in an event stream. */
+sealed interface EventStreamPart {
+    /** At least one complete event. */
+    class Events(val events: List<StreamEvent>) : EventStreamPart
+
+    /** The stream is complete. */
+    data object Complete : EventStreamPart
+
+    /**
+     * The worker has broken the stream off.
+     *
+     * @property isConnectionLost whether the connection to the worker was closed as well
+     */
+    data class BrokenOff(val reason: String, val isConnectionLost: Boolean) : EventStreamPart
+
+    /** No complete event was received within the timeout. */
+    data object TimedOut : EventStreamPart
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
@@ -0,0 +1,20 @@
+package org.poplarshift.serving.forward
+
+import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.quarantine.CrashTracker
+
+/** Dependencies shared by all classes that send requests to workers. */
+class ForwardingContext(
+    val dispatcher: Dispatcher,
+    val connections: WorkerConnectionPool,
+    val prober: WorkerProber,
+    val protocol: WorkerProtocol,
+    val clock: MonotonicClock,
+    val crashTracker: CrashTracker,
+    val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
+) {
+    private companion object {
+        // A fifth of the heap of a node.
+        const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -195,11 +195,8 @@
     }
 
     private fun onGranted(message: SchedulerMessage.Granted) {
-        if (message.number in
-            pending
-        ) {
-            return decide(message.number, LinkResult.Granted(message.worker, message.requestsPerSecond))
-        }
+        val isWaiting = message.number in pending
+        if (isWaiting) return decide(message.number, LinkResult.Granted(message.worker, message.requestsPerSecond))
         // The request has stopped waiting in the meantime.
         channel?.let { send(it, NodeMessage.Release(message.number, SlotOutcome.UNUSED)) }
     }
