End runs of batch items whose worker sends bytes without end

Cause: ItemRun waited up to 2.5 s for each event and took any bytes that end in a blank line for one, so that a run lasted as long as bytes arrived. The time left of the item was checked between runs only, and its output had no maximum size.

Ruled out: a lost slot or share; the worker's byte count rises until the end, so the run goes on.

An item drops the output of an invalid response and prefers other workers for its next run. Online streams use the same reader: a stream that repeats events is broken off, where it was relayed until the deadline before.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -82,6 +82,10 @@
  * @property data the values of the data lines joined by line feeds, or null when the event has none
  */
 class StreamEvent(val bytes: Buffer, val id: Long?, val data: String?) {
+    /** Whether the event has neither an id nor data, such as a comment that keeps the connection open. */
+    val isEmpty: Boolean
+        get() = id == null && data == null
+
     companion object {
         /** Parses the id and data fields of one event. */
         fun parse(bytes: Buffer): StreamEvent {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamPart.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamPart.kt
@@ -15,6 +15,9 @@
      */
     data class BrokenOff(val reason: String, val isConnectionLost: Boolean) : EventStreamPart
 
-    /** No complete event was received within the timeout. */
+    /** The worker has sent something other than a response to the request, so its events must not be used. */
+    data class Invalid(val reason: String) : EventStreamPart
+
+    /** The stream has not continued within the timeout. */
     data object TimedOut : EventStreamPart
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -2,21 +2,45 @@
 
 import io.vertx.core.buffer.Buffer
 import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.serving.MonotonicClock
 
 /**
  * Reads the response of one run as an event stream.
  *
  * A response without a length or chunks ends when its connection is closed, also when the worker has crashed. Such a
  * stream is complete only if it has events and ends after one of them.
+ *
+ * A faulty worker may send bytes without end. The ids of events must therefore increase, and events without id and data
+ * do not extend the time within which the stream must continue.
+ *
+ * @param resumeAfter id of the last event of an earlier run that this run continues, or null
+ * @param maximumBytes maximum size of all events together, for receivers that keep them; null if there is no limit
  */
-class EventStreamReader(private val exchange: WorkerExchange) {
+class EventStreamReader(
+    private val exchange: WorkerExchange,
+    private val clock: MonotonicClock,
+    resumeAfter: Long?,
+    private val maximumBytes: Int? = null,
+) {
     private val splitter = EventSplitter()
+    private var lastEventId = resumeAfter
+    private var keptBytes = 0
+    private var stalledSinceMillis: Long? = null
+    private var failure: EventStreamPart? = null
     private var hasEvents = false
     private var isEnded = false
 
-    /** Returns the next events or the end of the stream; waits up to [timeoutMillis] for a complete event. */
-    suspend fun next(timeoutMillis: Long): EventStreamPart =
-        withTimeoutOrNull(timeoutMillis) { next() } ?: EventStreamPart.TimedOut
+    /** Returns the next events or the end of the stream; waits up to [timeoutMillis] for the stream to continue. */
+    suspend fun next(timeoutMillis: Long): EventStreamPart {
+        failure?.let { return it }
+        val now = clock.millis()
+        val remainingMillis = (stalledSinceMillis ?: now) + timeoutMillis - now
+        val part = withTimeoutOrNull(remainingMillis) { next() } ?: return EventStreamPart.TimedOut
+        if (part is EventStreamPart.Events) {
+            stalledSinceMillis = if (part.events.all { it.isEmpty }) stalledSinceMillis ?: now else null
+        }
+        return part
+    }
 
     private suspend fun next(): EventStreamPart {
         while (!isEnded) {
@@ -35,15 +59,28 @@
 
     private fun onBytes(bytes: Buffer): EventStreamPart? {
         val events = splitter.add(bytes)
-        val isWithinLimit = splitter.pendingBytes <= MAXIMUM_EVENT_BYTES && exchange.hold(splitter.pendingBytes)
+        if (maximumBytes != null) keptBytes += events.sumOf { it.bytes.length() }
+        val isWithinLimit = splitter.pendingBytes <= MAXIMUM_EVENT_BYTES &&
+            exchange.hold(keptBytes + splitter.pendingBytes)
         return when {
+            maximumBytes != null && keptBytes > maximumBytes -> EventStreamPart.Invalid("over $maximumBytes bytes")
             events.isNotEmpty() -> onEvents(events)
             isWithinLimit -> null
             else -> EventStreamPart.BrokenOff("an event has no end after ${splitter.pendingBytes} bytes", false)
         }
     }
 
+    /** Returns the events up to the first one that is out of order. The next call then returns the failure. */
     private fun onEvents(events: List<StreamEvent>): EventStreamPart {
+        for ((index, event) in events.withIndex()) {
+            val id = event.id ?: continue
+            val previous = lastEventId
+            if (previous != null && id <= previous) {
+                val invalid = EventStreamPart.Invalid("event $id after event $previous").also { failure = it }
+                return if (index == 0) invalid else EventStreamPart.Events(events.take(index))
+            }
+            lastEventId = id
+        }
         hasEvents = true
         return EventStreamPart.Events(events)
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -16,6 +16,7 @@
 ) {
     private var isStreamStarted = false
     private var lastEventId = call.resumeAfter
+    private var isInvalid = false
     private var worker = ""
 
     /** Forwards the request until the stream ends or can't be resumed. */
@@ -47,10 +48,13 @@
                 isStreamStarted = true
                 sink.startStream(OK, forwarding.protocol.responseHeaders(response.headers))
             }
+            val lastEventIdBefore = lastEventId
             val failure = relayEvents(attempt) ?: return OnlineOutcome.Delivered(OK, worker)
             attempt.close()
             session.trace += failure
-            return if (canResume()) null else failureOutcome(failure, isTimeout = session.remainingMillis <= 0)
+            // Another worker can't continue after events that were no response to the request.
+            val mayResume = !isInvalid || lastEventId == lastEventIdBefore
+            return if (mayResume && canResume()) null else failureOutcome(failure, session.remainingMillis <= 0)
         } finally {
             attempt.close()
         }
@@ -58,7 +62,8 @@
 
     /** Relays events to the caller; returns null when the stream is complete, otherwise the reason why it is not. */
     private suspend fun relayEvents(attempt: Attempt): String? {
-        val reader = EventStreamReader(attempt.exchange)
+        val reader = EventStreamReader(attempt.exchange, forwarding.clock, lastEventId)
+        isInvalid = false
         while (true) {
             when (val part = reader.next(eventTimeoutMillis())) {
                 is EventStreamPart.Events -> deliver(part.events)
@@ -68,6 +73,12 @@
                     return part.reason
                 }
 
+                is EventStreamPart.Invalid -> {
+                    isInvalid = true
+                    attempt.target.onConnectionLost()
+                    return part.reason
+                }
+
                 EventStreamPart.TimedOut ->
                     return if (session.remainingMillis <= 0) "time is up" else "silent within the stream"
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -18,7 +18,6 @@
 import org.poplarshift.serving.forward.EventStreamPart
 import org.poplarshift.serving.forward.EventStreamReader
 import org.poplarshift.serving.forward.ForwardingContext
-import org.poplarshift.serving.forward.StreamEvent
 
 /** Runs one item until it has a result. An interrupted run is resumed after the last event that was received. */
 class ItemRun(
@@ -29,8 +28,7 @@
     private val wallClockMillis: () -> Long,
 ) {
     private val proposal = state.proposal
-    private val output = StringBuilder()
-    private var hasOutput = false
+    private val output = ItemOutput(item.progress)
     private var internalErrors = 0
     private var lastSaveMillis = forwarding.clock.millis()
     private var savedLength = 0
@@ -60,18 +58,6 @@
 
     private val key = key(state, item)
 
-    /** Id of the last event in the output, or null if no event has been received. */
-    var lastEvent: Long? = null
-        private set
-
-    init {
-        item.progress?.let { progress ->
-            lastEvent = progress.lastEvent
-            output.append(progress.output.decodeToString())
-            hasOutput = true
-        }
-    }
-
     /** Whether the run has not received a response from a worker yet. */
     var isWaiting = false
         private set
@@ -83,36 +69,34 @@
      */
     suspend fun run(onPreempt: () -> Unit) {
         isWaiting = true
+        var failedWorker: String? = null
         while (!isFinished) {
             if (remainingMillis() <= 0) return recordResult(isComplete = false, "time is up")
             val session = newSession()
             isWaiting = true
-            val request = DispatchRequest(
-                proposal.service,
-                BATCH_PRIORITY,
-                WORKER_WAIT_MILLIS,
-                use = if (isUrgent) SlotUse.URGENT_BATCH else SlotUse.BATCH,
-                onTimeUntilMillis = forwarding.clock.millis() + untilDueMillis,
-                onPreempt = onPreempt,
-            )
-            val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, lastEvent)
+            val request = dispatchRequest(failedWorker, onPreempt)
+            failedWorker = null
+            val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
             isWaiting = false
             when (result) {
                 is AttemptResult.NotRun, AttemptResult.Quarantined -> delay(RETRY_MILLIS)
                 is AttemptResult.MayHaveRun -> logger.debug {
                     "batch: item ${item.proposed.id} may have run: ${session.trace}"
                 }
-                is AttemptResult.Responded -> if (handleResponse(result, session)) return
+                is AttemptResult.Responded -> {
+                    if (handleResponse(result, session)) return
+                    failedWorker = result.attempt.target.worker.id
+                }
             }
         }
     }
 
     /** Saves the output so far in the log, so that another node can resume after the last event. */
     suspend fun saveProgress() {
-        val last = lastEvent ?: return
+        val last = output.lastEvent ?: return
         if (isFinished || output.length < MINIMUM_UNSAVED_LENGTH) return
         val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
-        val result = partition.write(record, output.toString().encodeToByteArray())
+        val result = partition.write(record, output.encode())
         logger.atInfo {
             message = "batch: progress of an item saved"
             payload = mapOf(
@@ -158,12 +142,13 @@
     }
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
-        val reader = EventStreamReader(attempt.exchange)
+        val reader = EventStreamReader(attempt.exchange, forwarding.clock, output.lastEvent, MAXIMUM_OUTPUT_BYTES)
+        val before = output.mark()
         while (true) {
-            when (val part = reader.next(IDLE_TIMEOUT_MILLIS)) {
+            when (val part = reader.next(minOf(IDLE_TIMEOUT_MILLIS, remainingMillis()))) {
                 is EventStreamPart.Events -> {
                     session.onAnswered()
-                    part.events.forEach { append(it) }
+                    part.events.forEach { output.append(it) }
                 }
 
                 EventStreamPart.Complete -> {
@@ -178,6 +163,12 @@
                     return false
                 }
 
+                is EventStreamPart.Invalid -> {
+                    output.restore(before)
+                    onInvalidResponse(attempt, part.reason)
+                    return false
+                }
+
                 EventStreamPart.TimedOut -> return false
             }
             if (isFinished) return true
@@ -185,28 +176,33 @@
         }
     }
 
+    private fun onInvalidResponse(attempt: Attempt, reason: String) {
+        attempt.target.onConnectionLost()
+        logger.atWarn {
+            message = "batch: a worker has sent an invalid response to an item"
+            payload = mapOf(
+                "submission" to proposal.submission,
+                "item" to item.proposed.id,
+                "worker" to attempt.target.worker.id,
+                "reason" to reason,
+            )
+        }
+    }
+
     // A process that is killed would otherwise lose all output of its runs.
     private fun saveProgressPeriodically() {
         val now = forwarding.clock.millis()
         if (now - lastSaveMillis < SAVE_INTERVAL_MILLIS || output.length - savedLength < MINIMUM_UNSAVED_LENGTH) return
-        val last = lastEvent ?: return
+        val last = output.lastEvent ?: return
         lastSaveMillis = now
         savedLength = output.length
         val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
-        partition.writeInBackground(record, output.toString().encodeToByteArray())
-    }
-
-    private fun append(event: StreamEvent) {
-        event.id?.let { lastEvent = it }
-        val data = event.data ?: return
-        if (hasOutput) output.append('\n')
-        output.append(data)
-        hasOutput = true
+        partition.writeInBackground(record, output.encode())
     }
 
     private suspend fun recordResult(isComplete: Boolean, reason: String) {
         val record = SubmissionRecord.Result(proposal.submission, item.proposed.id, isComplete)
-        val content = if (isComplete) output.toString().encodeToByteArray() else ByteArray(0)
+        val content = if (isComplete) output.encode() else ByteArray(0)
         while (!isFinished) {
             when (val result = partition.write(record, content)) {
                 is WriteResult.Applied -> break
@@ -228,6 +224,16 @@
         }
     }
 
+    private fun dispatchRequest(failedWorker: String?, onPreempt: () -> Unit) = DispatchRequest(
+        proposal.service,
+        BATCH_PRIORITY,
+        WORKER_WAIT_MILLIS,
+        use = if (isUrgent) SlotUse.URGENT_BATCH else SlotUse.BATCH,
+        onTimeUntilMillis = forwarding.clock.millis() + untilDueMillis,
+        excludedWorkers = setOfNotNull(failedWorker),
+        onPreempt = onPreempt,
+    )
+
     private fun newSession(): AttemptSession {
         val headers = MultiMap.caseInsensitiveMultiMap()
         item.proposed.headers.forEach { (name, value) -> headers.add(name, value) }
@@ -271,6 +277,9 @@
         // Requests queue at a fully loaded worker. A worker that does not respond for longer has probably failed.
         private const val HEAD_TIMEOUT_MILLIS = 4_000L
         private const val IDLE_TIMEOUT_MILLIS = 2_500L
+
+        // Callers receive results in pages of at most 1 MB.
+        private const val MAXIMUM_OUTPUT_BYTES = 1024 * 1024
         private const val ERROR_BODY_TIMEOUT_MILLIS = 500L
         private const val MAXIMUM_ERROR_BODY_BYTES = 65_536
 
