Run batch items at the service that their route has now

Cause: the service was chosen when the submission was accepted, stored in its record and never chosen again.

The new test in ServingNodeTest failed before the change (no result within 10 s) and passes after it. Ruled out: a configuration that is not read; online requests on the moved route are served by the new service.

Change: an item takes its service from the configuration in force before each run, and keeps it while the route still sends there. Items of a removed route stay with their last service.

--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -15,6 +15,7 @@
     private val routesByHost = routes
         .groupBy { it.host.lowercase() }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
+    private val routesByName = routes.associateBy { it.name }
     private val organisationsByKey = organisations.flatMap { organisation ->
         organisation.keys.map { it to organisation }
     }.toMap()
@@ -23,6 +24,9 @@
     fun findRoute(host: String, path: String): IngressRoute? =
         routesByHost[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
+    /** Returns the route [name], or null. */
+    fun findRoute(name: String): IngressRoute? = routesByName[name]
+
     /** Returns the organisation that owns [key], or null. */
     fun findOrganisation(key: String?): IngressOrganisation? = key?.let { organisationsByKey[it] }
 
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressRoute.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressRoute.kt
@@ -55,6 +55,10 @@
         }
         return targets.lastOrNull()?.service
     }
+
+    /** Returns [current] if the route still sends requests to that service, otherwise as [chooseService]. */
+    fun keepOrChooseService(current: String, random: Double): String? =
+        if (targets.any { it.service == current && it.weight > 0 }) current else chooseService(random)
 }
 
 /**
--- a/core/src/test/kotlin/org/poplarshift/core/ingress/IngressConfigurationTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/ingress/IngressConfigurationTest.kt
@@ -60,4 +60,22 @@
             weighted.chooseService(0.91) shouldBe "b"
             weighted.chooseService(0.9999) shouldBe "b"
         }
+
+        data class MoveCase(val name: String, val targets: Map<String, Double>, val expected: String?)
+        listOf(
+            MoveCase("is kept while the route has it", mapOf("old" to 1.0, "new" to 9.0), "old"),
+            MoveCase("is replaced when the route has another one", mapOf("new" to 1.0), "new"),
+            MoveCase("is replaced when its weight is 0", mapOf("old" to 0.0, "new" to 1.0), "new"),
+            MoveCase("has no replacement when the route has none", emptyMap(), null),
+        ).forEach { case ->
+            test("the service of an accepted item ${case.name}") {
+                val moved = route("m", "a", "/").copy(targets = case.targets.map { WeightedService(it.key, it.value) })
+                moved.keepOrChooseService("old", random = 0.5) shouldBe case.expected
+            }
+        }
+
+        test("a route is found by its name") {
+            configuration.findRoute("long")?.pathPrefix shouldBe "/x/y/"
+            configuration.findRoute("none") shouldBe null
+        }
     })
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -93,8 +93,16 @@
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
     private val store =
         SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions)
-    private val batchRunner =
-        BatchRunner(scope, store, ports.group, forwarding, settings.retentionMillis, wallClockMillis) { log.isServed }
+    private val batchRunner = BatchRunner(
+        scope,
+        store,
+        ports.group,
+        forwarding,
+        { configuration.current },
+        settings.retentionMillis,
+        wallClockMillis,
+        isLogReachable = { log.isServed },
+    )
     private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
     private val callerServer =
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import org.poplarshift.core.dispatch.BatchOrdering
+import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.submission.ItemShares
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.forward.ForwardingContext
@@ -26,6 +27,7 @@
     private val store: SubmissionStore,
     private val group: ConsumerGroup,
     private val forwarding: ForwardingContext,
+    private val configuration: () -> IngressConfiguration?,
     var retentionMillis: Long,
     private val wallClockMillis: () -> Long = System::currentTimeMillis,
     private val isLogReachable: () -> Boolean,
@@ -151,7 +153,8 @@
                 if (item.hasResult || item.share !in startMillisByShare) continue
                 val key = ItemRun.key(state, item)
                 if (key !in entries) {
-                    entries[key] = Entry(ItemRun(partition, state, item, forwarding, wallClockMillis), item.share)
+                    val run = ItemRun(partition, state, item, forwarding, configuration, wallClockMillis)
+                    entries[key] = Entry(run, item.share)
                 }
             }
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -6,6 +6,8 @@
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.core.ingress.IngressConfiguration
+import org.poplarshift.core.ingress.RouteKind
 import org.poplarshift.core.submission.ItemState
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.core.submission.SubmissionState
@@ -25,6 +27,7 @@
     state: SubmissionState,
     private val item: ItemState,
     private val forwarding: ForwardingContext,
+    private val configuration: () -> IngressConfiguration?,
     private val wallClockMillis: () -> Long,
 ) {
     private val proposal = state.proposal
@@ -52,11 +55,20 @@
     val isUrgent: Boolean
         get() = untilDueMillis in 0..URGENT_MILLIS
 
-    /** The service whose workers run the item. */
-    val service: String
-        get() = proposal.service
-
     private val key = key(state, item)
+    private var seenConfiguration: IngressConfiguration? = null
+    private var chosenService = proposal.service
+
+    /** The service whose workers run the item: that of its route in the configuration in force. */
+    val service: String
+        get() {
+            val current = configuration()
+            if (current != null && current !== seenConfiguration) {
+                seenConfiguration = current
+                updateService(current)
+            }
+            return chosenService
+        }
 
     /** Whether the run has not received a response from a worker yet. */
     var isWaiting = false
@@ -224,8 +236,31 @@
         }
     }
 
+    private fun updateService(current: IngressConfiguration) {
+        val route = current.findRoute(proposal.route)
+            ?: current.findRoute(proposal.host, item.proposed.path)?.takeIf { it.kind == RouteKind.BATCH }
+        // An item whose route was removed may still run where it was accepted.
+        val service = route?.keepOrChooseService(chosenService, serviceChoice) ?: return
+        if (service == chosenService) return
+        logger.atInfo {
+            message = "batch: item is moved to another service"
+            payload = mapOf(
+                "submission" to proposal.submission,
+                "item" to item.proposed.id,
+                "configuration" to current.version,
+                "previous" to chosenService,
+                "service" to service,
+            )
+        }
+        chosenService = service
+    }
+
+    // Derived from the item, so that all nodes choose the same service.
+    private val serviceChoice: Double
+        get() = Math.floorMod(key.hashCode(), SERVICE_CHOICES) / SERVICE_CHOICES.toDouble()
+
     private fun dispatchRequest(failedWorker: String?, onPreempt: () -> Unit) = DispatchRequest(
-        proposal.service,
+        service,
         BATCH_PRIORITY,
         WORKER_WAIT_MILLIS,
         use = if (isUrgent) SlotUse.URGENT_BATCH else SlotUse.BATCH,
@@ -240,7 +275,7 @@
         headers.set("Host", proposal.host)
         val plan = AttemptPlan(
             id = item.proposed.id,
-            service = proposal.service,
+            service = service,
             organisation = proposal.organisation.ifEmpty { null },
             method = HttpMethod.POST,
             uri = item.proposed.path,
@@ -273,6 +308,7 @@
 
         private const val WORKER_WAIT_MILLIS = 1_000L
         private const val RETRY_MILLIS = 150L
+        private const val SERVICE_CHOICES = 1_000
 
         // Requests queue at a fully loaded worker. A worker that does not respond for longer has probably failed.
         private const val HEAD_TIMEOUT_MILLIS = 4_000L
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -107,6 +107,17 @@
             }
         }
 
+        test("items that were accepted before their route was moved to another service run there") {
+            withFleet { fleet ->
+                fleet.publishConfiguration()
+                val node = fleet.start("a")
+                eventually(5.seconds) { fleet.submit(node, "first\nsecond") shouldBe 202 }
+                fleet.moveRoutes("other")
+                fleet.startWorker("w", itemResponse, itemResponse, service = "other")
+                eventually(10.seconds) { fleet.results(node).split("|").size shouldBe 4 }
+            }
+        }
+
         test("an item is not given up early because the time of day of its node jumps ahead") {
             withFleet { fleet ->
                 fleet.publishConfiguration()
