Measure the age of the ledger from the sending of a read

Cause: the ledger counted as current for 0.3 s after a read of the log had returned, but a read that waits, is slow or lies in the socket of a busy node returns records of the time at which the log collected them, up to 1.5 s before.

Evidence: SubmissionPartitionTest failed with delays of 50, 400 and 1000 ms before the change and passes after it. Ruled out by reading: results that are not in the log, and another order of results after a restart.

Change: only the time at which the last read that reached the end was sent counts. A successful catch-up counts in the same way, so that callers who wait for the same partition don't repeat it.

--- a/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
@@ -40,8 +40,13 @@
     val isStarted: Boolean
         get() = next != NOT_STARTED
 
-    /** Time of the last successful read, in monotonic milliseconds. */
-    var lastReadMillis = Long.MIN_VALUE
+    /**
+     * Time at which the last read that reached the end of the partition was sent, in monotonic milliseconds.
+     *
+     * All records that were in the log at this time have been delivered. The time at which the read returned says
+     * nothing about that: the records may have been collected long before, by a waiting read or a slow log.
+     */
+    var upToDateMillis = Long.MIN_VALUE / 2
         private set
 
     /**
@@ -90,10 +95,9 @@
     }
 
     private fun onSuccess() {
-        lastReadMillis = clock.millis()
         if (!isFailing) return
         isFailing = false
-        recoveredMillis = lastReadMillis
+        recoveredMillis = clock.millis()
         logger.atInfo {
             message = "log: reads of a topic succeed again"
             payload = mapOf("topic" to topic, "partition" to partition, "position" to next)
@@ -105,6 +109,7 @@
     }
 
     private suspend fun readNewest(): Boolean {
+        val sentMillis = clock.millis()
         val records = ArrayList<LogRecord>()
         var end = NOT_STARTED
         var after: String? = null
@@ -123,6 +128,7 @@
         records.sortBy { it.offset }
         records.forEach { receiver.onRecord(it) }
         next = end
+        upToDateMillis = sentMillis
         receiver.onCaughtUp()
         started.complete(Unit)
         return true
@@ -132,11 +138,20 @@
         // After an outage, a waiting read would delay the detection of the recovery, because it may hang for its whole
         // wait time.
         val wait = if (isFailing) 0 else waitMillis
-        when (val result = readUnlessInterrupted(wait) ?: log.read(topic, partition, next, waitMillis = 0)) {
+        var sentMillis = clock.millis()
+        var result = readUnlessInterrupted(wait)
+        if (result == null) {
+            sentMillis = clock.millis()
+            result = log.read(topic, partition, next, waitMillis = 0)
+        }
+        when (result) {
             is ReadResult.Records -> {
                 result.records.forEach { receiver.onRecord(it) }
                 next = result.next
-                if (next >= result.end) receiver.onCaughtUp()
+                if (next >= result.end) {
+                    upToDateMillis = sentMillis
+                    receiver.onCaughtUp()
+                }
                 if (result.records.isNotEmpty() && pauseMillis > 0) pause()
             }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -47,6 +47,7 @@
     private var submissionsByKey = HashMap<String, String>()
     private var firstReadMillis = HashMap<String, Long>()
     private var firstReadMillisBeforeRestart = HashMap<String, Long>()
+    private var caughtUpMillis = Long.MIN_VALUE / 2
 
     /** The state that results from applying all records read so far. */
     var ledger = SubmissionLedger()
@@ -115,8 +116,7 @@
 
     /** Whether the ledger was up to date with the log at some time within the last [maximumAgeMillis]. */
     fun isCurrent(maximumAgeMillis: Long): Boolean = follower.isStarted &&
-        !follower.isFailing &&
-        clock.millis() - follower.lastReadMillis <= maximumAgeMillis
+        clock.millis() - maxOf(follower.upToDateMillis, caughtUpMillis) <= maximumAgeMillis
 
     /**
      * Reads all records that are in the log at the time of the call.
@@ -125,11 +125,15 @@
      */
     suspend fun catchUp(): Boolean {
         if (!follower.isStarted) return false
+        val sentMillis = clock.millis()
         val result = log.read(topic, number, follower.position, waitMillis = 0)
         if (result !is ReadResult.Records) return false
-        if (awaitPosition(result.end, FIRST_CATCH_UP_TIMEOUT_MILLIS)) return true
-        follower.restartRead()
-        return awaitPosition(result.end, CATCH_UP_TIMEOUT_MILLIS)
+        if (!awaitPosition(result.end, FIRST_CATCH_UP_TIMEOUT_MILLIS)) {
+            follower.restartRead()
+            if (!awaitPosition(result.end, CATCH_UP_TIMEOUT_MILLIS)) return false
+        }
+        caughtUpMillis = maxOf(caughtUpMillis, sentMillis)
+        return true
     }
 
     private suspend fun awaitPosition(end: Long, timeoutMillis: Long): Boolean {
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -9,11 +9,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.core.submission.LedgerEffect
 import org.poplarshift.core.submission.ProposedItem
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Guards against the loss of acknowledged submissions and against refused submissions that are stored. */
 class SubmissionPartitionTest :
@@ -100,6 +103,35 @@
             }
         }
 
+        listOf(50L, 400L, 1_000L).forEach { delayMillis ->
+            test("the ledger is not up to date because a read returns old records after $delayMillis ms") {
+                val log = FakeLog()
+                withPartition(log) { partition ->
+                    log.readDelayMillis = delayMillis
+                    // The read that waits now returns with the first record, the next one after its wait time of 1.5 s.
+                    log.append("t", 0, listOf(KeyedValue("first", byteArrayOf(1))))
+                    delay(READ_PAUSE_MILLIS + 2 * delayMillis + 100)
+                    log.append("t", 0, listOf(KeyedValue("second", byteArrayOf(1))))
+                    val clock = TimeSource.Monotonic.markNow()
+                    while (partition.follower.position < 2) {
+                        val isStale = clock.elapsedNow() > MAXIMUM_AGE_MILLIS.milliseconds
+                        if (isStale) partition.isCurrent(MAXIMUM_AGE_MILLIS) shouldBe false
+                        delay(5)
+                    }
+                }
+            }
+        }
+
+        test("a ledger that has caught up with a slow log is up to date for a short time") {
+            val log = FakeLog().apply { readDelayMillis = 50 }
+            withPartition(log) { partition ->
+                delay(MAXIMUM_AGE_MILLIS + 100)
+                partition.isCurrent(MAXIMUM_AGE_MILLIS) shouldBe false
+                partition.catchUp() shouldBe true
+                partition.isCurrent(MAXIMUM_AGE_MILLIS) shouldBe true
+            }
+        }
+
         test("catching up fails while the log is unavailable") {
             val log = FakeLog()
             withPartition(log) { partition ->
@@ -108,4 +140,10 @@
                 partition.catchUp() shouldBe false
             }
         }
-    })
+    }) {
+    private companion object {
+        // The pause of a partition after a read that returned records.
+        const val READ_PAUSE_MILLIS = 400L
+        const val MAXIMUM_AGE_MILLIS = 300L
+    }
+}
