Check with the log before refusing a submission for its tokens

Callers saw: 429 for a submission that another node had accepted when the first response was lost, which states that it does not run.

Cause: the limit was applied to a ledger of any age. A node that had not yet read the release of tokens and the acceptance refused the repeated submission.

Evidence: the new case of ServingNodeTest got 429 before the change and 202 after it. Found while looking for the cause of stale results on related paths.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -48,7 +48,7 @@
         val batchSettings = route.batch ?: return Refusal.BAD_REQUEST
         val tokens = items.sumOf { it.tokens }
         if (!partition.ledger.fits(owner, route.name, tokens, batchSettings.waitingTokensLimit)) {
-            return Refusal.WAITING_TOKENS
+            return refuseWaitingTokens(partition, id, owner, sink, record)
         }
         val proposal = createProposal(id, route, owner, items)
         val content = items.fold(ByteArray(0)) { joined, item -> joined + item.body }
@@ -141,6 +141,19 @@
         else -> null
     }
 
+    // Another node may have accepted the submission. Refusing it would state that it does not run.
+    private suspend fun refuseWaitingTokens(
+        partition: SubmissionPartition,
+        id: String,
+        owner: String,
+        sink: HttpCallerSink,
+        record: CallRecord,
+    ): Refusal? {
+        if (!partition.isCurrent(MAXIMUM_READ_AGE_MILLIS) && !partition.catchUp()) return Refusal.NOT_CAUGHT_UP
+        val existing = partition.ledger.find(id) ?: return Refusal.WAITING_TOKENS
+        return handleDuplicate(existing, owner, sink, record)
+    }
+
     // The log refuses appends when too many are queued. A retry here is cheaper than another call by the caller.
     private suspend fun write(
         partition: SubmissionPartition,
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -7,6 +7,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import org.poplarshift.serving.fixture.TestFleet
 import kotlin.time.Duration.Companion.seconds
 
@@ -96,6 +97,26 @@
             }
         }
 
+        test(
+            "a submission that another node has accepted is not refused by a node that has not read the tokens' release",
+        ) {
+            withFleet { fleet ->
+                fleet.publishConfiguration()
+                val nodes = listOf(fleet.start("a"), fleet.start("b", ownsBatch = false))
+                val full = List(LIMIT_ITEMS) { "item-$it" }.joinToString("\n")
+                eventually(5.seconds) { fleet.submit(nodes[0], full) shouldBe 202 }
+                eventually(5.seconds) { fleet.status(nodes[1].callersAddress, "/results/s") shouldBe 200 }
+                delay(READ_PAUSE_MILLIS)
+                fleet.log.missesRecords = true
+                val ended = fleet.sendRequest(nodes[0].callersAddress, HttpMethod.DELETE, "/results/s")
+                ended.statusCode() shouldBe 200
+                nodes.forEach { node ->
+                    val response = fleet.sendRequest(node.callersAddress, HttpMethod.POST, "/batch/next", "item")
+                    response.statusCode() shouldBe 202
+                }
+            }
+        }
+
         test("an item whose stream has no length or chunks and ends before its first event runs again") {
             withFleet { fleet ->
                 fleet.startWorker("w", head + "\r\nCLOSE", itemResponse)
@@ -164,5 +185,11 @@
     private companion object {
         // Beyond the time after which items may be given up.
         const val JUMP_MILLIS = 60_000L
+
+        // Items whose tokens reach the limit of the batch route.
+        const val LIMIT_ITEMS = 100
+
+        // Longer than the pause of a node after a read that returned records.
+        const val READ_PAUSE_MILLIS = 600L
     }
 }
