Follow the registry past entries that can't be used

Callers saw (in reports from a similar system): nodes that no longer followed the registry after another writer had left one odd entry.

Cause: a follower ended with the first exception or error of its receiver.

Change: records that can't be applied are logged and skipped; a follower that has run out of memory starts from the newest records again.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -85,10 +85,7 @@
     }
 
     private suspend fun connect(worker: FleetWorker): WorkerConnection? {
-        val socket = SocketAddresses.parse(worker.address)
-        val options = HttpConnectOptions().setHost(
-            socket.host(),
-        ).setPort(socket.port()).setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+        val options = connectOptions(worker) ?: return null
         val pending = client.connect(options)
         val connection = try {
             withTimeoutOrNull(CONNECT_TIMEOUT_MILLIS) { pending.coAwait() }
@@ -107,6 +104,14 @@
         return WorkerConnection(worker.id, worker.address, connection)
     }
 
+    private fun connectOptions(worker: FleetWorker): HttpConnectOptions? = try {
+        val socket = SocketAddresses.parse(worker.address)
+        HttpConnectOptions().setHost(socket.host()).setPort(socket.port()).setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+    } catch (exception: IllegalArgumentException) {
+        logger.warn { "forward: ${worker.id} has the invalid address ${worker.address}: ${exception.message}" }
+        null
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
@@ -83,8 +83,7 @@
     suspend fun run() {
         var failures = 0
         while (true) {
-            val isRead = if (next == NOT_STARTED) readNewest() else readNext()
-            if (isRead) {
+            if (readOnce()) {
                 failures = 0
                 onSuccess()
             } else {
@@ -94,6 +93,15 @@
         }
     }
 
+    private suspend fun readOnce(): Boolean = try {
+        if (next == NOT_STARTED) readNewest() else readNext()
+    } catch (error: OutOfMemoryError) {
+        // Some of the records that were read may not have been applied.
+        next = NOT_STARTED
+        receiver.onRestart()
+        reportFailure("$error")
+    }
+
     private fun onSuccess() {
         if (!isFailing) return
         isFailing = false
@@ -126,7 +134,7 @@
         } while (page.hasMore && after != null)
         receiver.onRestart()
         records.sortBy { it.offset }
-        records.forEach { receiver.onRecord(it) }
+        records.forEach { deliver(it) }
         next = end
         upToDateMillis = sentMillis
         receiver.onCaughtUp()
@@ -146,7 +154,7 @@
         }
         when (result) {
             is ReadResult.Records -> {
-                result.records.forEach { receiver.onRecord(it) }
+                result.records.forEach { deliver(it) }
                 next = result.next
                 if (next >= result.end) {
                     upToDateMillis = sentMillis
@@ -169,6 +177,29 @@
         return true
     }
 
+    /** Delivers [record]. A record that can't be applied must not keep the receiver from getting the others. */
+    private fun deliver(record: LogRecord) {
+        try {
+            receiver.onRecord(record)
+        } catch (exception: Exception) {
+            reportRejected(record, exception)
+        } catch (error: StackOverflowError) {
+            reportRejected(record, error)
+        }
+    }
+
+    private fun reportRejected(record: LogRecord, cause: Throwable) = logger.atError {
+        message = "log: a record can't be applied and is skipped"
+        payload = mapOf(
+            "topic" to topic,
+            "partition" to partition,
+            "offset" to record.offset,
+            "key" to record.key,
+            "bytes" to record.value.size,
+            "reason" to "$cause",
+        )
+    }
+
     private suspend fun readUnlessInterrupted(wait: Long): ReadResult? = coroutineScope {
         interrupt = CompletableDeferred()
         val reading = async { log.read(topic, partition, next, wait) }
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.fixture.TestFleet
 import kotlin.time.Duration.Companion.seconds
 
@@ -16,6 +17,7 @@
     FunSpec({
         val head = "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: 1\r\n"
         val okResponse = head + "Content-Length: 4\r\n\r\ngood"
+        val closingResponse = head + "Connection: close\r\nContent-Length: 4\r\n\r\ngoodCLOSE"
         fun stream(text: String) = head + "Transfer-Encoding: chunked\r\n\r\n" +
             Integer.toHexString(text.length) + "\r\n" + text + "\r\n0\r\n\r\n"
         val itemResponse = stream("id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
@@ -128,6 +130,34 @@
             }
         }
 
+        listOf("127.0.0.1:99999", "127.0.0.1", "127.0.0.1:x").forEach { address ->
+            test("a registered worker with the address $address does not fail the requests of callers") {
+                withFleet { fleet ->
+                    fleet.startWorker("w", closingResponse, closingResponse, closingResponse, closingResponse)
+                    fleet.publishConfiguration()
+                    val node = fleet.start("a")
+                    fleet.awaitReady(node)
+                    fleet.register("odd", address)
+                    repeat(4) {
+                        fleet.sendRequest(node.callersAddress, HttpMethod.POST, "/safe/x").statusCode() shouldBe 200
+                        delay(READ_PAUSE_MILLIS)
+                    }
+                }
+            }
+        }
+
+        test("a node follows the registry although one of its entries can't be decoded") {
+            withFleet { fleet ->
+                fleet.publishConfiguration()
+                val node = fleet.start("a")
+                // The fleet's decoder throws an exception for unknown workers.
+                fleet.log.append("workers", 0, listOf(KeyedValue("unknown", byteArrayOf(1))))
+                fleet.status(node.readinessAddress, "/ready") shouldBe 503
+                fleet.startWorker("w", okResponse)
+                fleet.awaitReady(node)
+            }
+        }
+
         test("items that were accepted before their route was moved to another service run there") {
             withFleet { fleet ->
                 fleet.publishConfiguration()
--- a/serving/src/test/kotlin/org/poplarshift/serving/log/TopicFollowerTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/log/TopicFollowerTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.supervisorScope
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
@@ -46,6 +47,47 @@
             }
         }
 
+        listOf<Throwable>(IllegalStateException("odd"), StackOverflowError()).forEach { failure ->
+            test("a record at which the receiver fails with $failure does not end the follower") {
+                val log = FakeLog()
+                listOf("a" to "1", "b" to "odd").forEach { (key, value) -> log.put(key, value) }
+                val received = ReceivedRecords()
+                val receiver = object : RecordReceiver by received {
+                    override fun onRecord(record: LogRecord) {
+                        if (record.value.decodeToString() == "odd") throw failure
+                        received.onRecord(record)
+                    }
+                }
+                supervisorScope {
+                    val following = launch { follower(log, receiver).run() }
+                    eventually(5.seconds) { received.values shouldBe listOf("1") }
+                    log.put("c", "odd")
+                    log.put("d", "2")
+                    eventually(5.seconds) { received.values shouldBe listOf("1", "2") }
+                    following.isActive shouldBe true
+                    coroutineContext.cancelChildren()
+                }
+            }
+        }
+
+        test("the follower starts from the newest records again after it has run out of memory") {
+            val log = FakeLog()
+            val received = ReceivedRecords()
+            var failures = 2
+            val receiver = object : RecordReceiver by received {
+                override fun onRecord(record: LogRecord) {
+                    if (record.value.decodeToString() == "2" && failures-- > 0) throw OutOfMemoryError("planned")
+                    received.onRecord(record)
+                }
+            }
+            supervisorScope {
+                launch { follower(log, receiver).run() }
+                listOf("a" to "1", "b" to "2", "c" to "3").forEach { (key, value) -> log.put(key, value) }
+                eventually(5.seconds) { received.values shouldBe listOf("1", "2", "3") }
+                coroutineContext.cancelChildren()
+            }
+        }
+
         test("no record is lost or repeated after an outage of the log") {
             val log = FakeLog()
             log.put("a", "1")
