Respond to every request before a shutdown ends

Callers saw (in reports from a similar system): requests taken late in a planned stop ended with a closed connection after they had been passed on to a worker.

Cause: the server only waited for active requests until the time of the shutdown had passed.

Requests that are still open at the end get 503 if no worker has got them and 504 otherwise.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.ingress.IngressOrganisation
@@ -121,16 +122,20 @@
             withTimeoutOrNull((call.deadlineMillis - clock.millis()).coerceAtLeast(1)) {
                 forwarder.serve(call, session, sink)
             }
+        } catch (exception: CancellationException) {
+            if (!record.isStopped) throw exception
+            null
         } finally {
             record.waitedMillis = session.waitedMillis
         }
-        return conclude(outcome ?: timedOut(sink, session), sink, record)
+        val reason = if (record.isStopped) Refusal.SHUTTING_DOWN.reason else "time is up"
+        return conclude(outcome ?: interrupted(reason, sink, session), sink, record)
     }
 
-    private fun timedOut(sink: HttpCallerSink, session: AttemptSession): OnlineOutcome = when {
-        sink.status != null -> OnlineOutcome.Aborted("time is up")
-        session.possibleRuns == 0 && !session.isInFlight -> OnlineOutcome.Refused("time is up")
-        else -> OnlineOutcome.Failed("time is up", isTimeout = true)
+    private fun interrupted(reason: String, sink: HttpCallerSink, session: AttemptSession): OnlineOutcome = when {
+        sink.status != null -> OnlineOutcome.Aborted(reason)
+        session.possibleRuns == 0 && !session.isInFlight -> OnlineOutcome.Refused(reason)
+        else -> OnlineOutcome.Failed(reason, isTimeout = true)
     }
 
     private fun conclude(outcome: OnlineOutcome, sink: HttpCallerSink, record: CallRecord): Refusal? = when (outcome) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.poplarshift.serving.MonotonicClock
@@ -30,11 +31,19 @@
     private val handlers: CallHandlers,
     private val recorder: CallRecorder,
 ) {
+    private class ActiveCall(val record: CallRecord) {
+        lateinit var job: Job
+    }
+
     private var server: HttpServer? = null
+    private val activeCalls = LinkedHashSet<ActiveCall>()
+
+    // Time at which the shutdown ends, known once the external load balancer has had time to detect it.
+    private var shutdownEndMillis: Long? = null
 
     /** Number of requests whose response is not complete. */
-    var activeRequests = 0
-        private set
+    val activeRequests: Int
+        get() = activeCalls.size
 
     /** Whether the node is shutting down. Responses then contain the header `Connection: close`. */
     var isShuttingDown = false
@@ -69,18 +78,28 @@
      * Shuts the server down gracefully.
      *
      * Requests are accepted for another [deregistrationMillis], so that the external load balancer can detect the
-     * shutdown. Then idle connections are closed and new ones are refused. Returns when no request is active, but after
-     * [maximumMillis] in total at the latest, plus the time for flushing buffers.
+     * shutdown. Then idle connections are closed, new ones are refused, and so are requests that may not end in time.
+     * Returns when no request is active. After [maximumMillis] in total, the remaining requests get an error response.
      */
     suspend fun drain(deregistrationMillis: Long, maximumMillis: Long) {
         val deadlineMillis = clock.millis() + maximumMillis
         delay(minOf(deregistrationMillis, maximumMillis))
+        shutdownEndMillis = deadlineMillis
         server?.shutdown(maximumMillis, TimeUnit.MILLISECONDS)
-        while (activeRequests > 0 && clock.millis() < deadlineMillis) delay(DRAIN_POLL_INTERVAL_MILLIS)
+        awaitNoRequests(deadlineMillis)
+        activeCalls.toList().forEach {
+            it.record.isStopped = true
+            it.job.cancel()
+        }
+        awaitNoRequests(deadlineMillis + STOP_MILLIS)
         // The last bytes of a response may still be in the connection's buffer.
         delay(FLUSH_MILLIS)
     }
 
+    private suspend fun awaitNoRequests(deadlineMillis: Long) {
+        while (activeRequests > 0 && clock.millis() < deadlineMillis) delay(DRAIN_POLL_INTERVAL_MILLIS)
+    }
+
     private fun handle(request: HttpServerRequest) {
         val receivedMillis = clock.millis()
         val limit = configuration.current?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
@@ -88,22 +107,23 @@
         val operation = protocol.decode(request.method(), request.uri(), request.headers())
         val record = CallRecord(operation.head, request.method().name(), receivedMillis)
         val sink = HttpCallerSink(request, onStart = { record.responseStartMillis = clock.millis() }) { isShuttingDown }
-        activeRequests++
+        val call = ActiveCall(record).also { activeCalls += it }
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
             try {
                 serve(operation, request, body, sink, record)
             } catch (exception: CancellationException) {
-                record.end("caller_gone")
+                if (record.isStopped) respondStopped(sink, record) else record.end("caller_gone")
                 throw exception
             } catch (exception: Exception) {
                 record.end("internal")
                 logger.error(exception) { "ingress: request ${operation.head.requestId} failed" }
                 if (sink.status == null) refuse(sink, Refusal(500, "internal")) else sink.abort()
             } finally {
-                activeRequests--
+                activeCalls -= call
                 recorder.finish(record, sink.status, clock.millis())
             }
         }
+        call.job = job
         request.response().closeHandler { if (job.isActive && !request.response().ended()) job.cancel() }
         request.response().exceptionHandler { logger.debug { "ingress: sending a response failed: ${it.message}" } }
         request.exceptionHandler { if (job.isActive) job.cancel() }
@@ -123,6 +143,11 @@
             refuse(sink, Refusal.BODY_TOO_LARGE, closesConnection = true)
             return
         }
+        if (mayOutlastShutdown(operation.head)) {
+            record.end(Refusal.SHUTTING_DOWN.reason)
+            refuse(sink, Refusal.SHUTTING_DOWN)
+            return
+        }
         val refusal = handlers.handle(
             IncomingCall(operation, request.method(), request.uri(), request.headers(), bytes),
             sink,
@@ -133,6 +158,19 @@
         refuse(sink, refusal)
     }
 
+    private fun mayOutlastShutdown(head: CallerRequestHead): Boolean {
+        val endMillis = shutdownEndMillis ?: return false
+        val timeoutMillis = head.timeoutMillis ?: return true
+        return clock.millis() + timeoutMillis > endMillis
+    }
+
+    /** Responds to a call that the shutdown has ended. A request that has not been read has not run. */
+    private fun respondStopped(sink: HttpCallerSink, record: CallRecord) {
+        val refusal = if (record.readMillis == null) Refusal.SHUTTING_DOWN else Refusal.OUTCOME_UNKNOWN
+        record.end("${Refusal.SHUTTING_DOWN.reason}: ${refusal.status}")
+        if (sink.status == null) refuse(sink, refusal) else sink.abort()
+    }
+
     private fun refuse(sink: HttpCallerSink, refusal: Refusal, closesConnection: Boolean = false) {
         val headers = MultiMap.caseInsensitiveMultiMap()
         refusal.retryMillis?.let { headers.addAll(protocol.retryAfterHeaders(it)) }
@@ -156,5 +194,8 @@
         const val ACCEPT_BACKLOG = 1_024
         const val DRAIN_POLL_INTERVAL_MILLIS = 20L
         const val FLUSH_MILLIS = 150L
+
+        // Several times what the error responses to all active requests take.
+        const val STOP_MILLIS = 200L
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecord.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/CallRecord.kt
@@ -25,6 +25,9 @@
     /** Monotonic time in milliseconds at which the response started, or null. */
     var responseStartMillis: Long? = null
 
+    /** Whether the shutdown of the node has ended the call. */
+    var isStopped = false
+
     /** How the call ended. */
     var outcome = "unknown"
         private set
