Show that bytes after a complete response don't keep a connection open

The report of a worker that sends bytes without end, in a head or a body, is covered by EndlessResponseTest for online requests and by EndlessItemResponseTest for batch items. Three more cases send bytes, lines and responses without end after a complete response. They pass without a change of the product: the connection is closed.

--- a/serving/src/test/kotlin/org/poplarshift/serving/EndlessResponseTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/EndlessResponseTest.kt
@@ -27,7 +27,9 @@
             val repeated: String,
             val path: String = "/safe/x",
             val pauseMillis: Long = 0,
+            val isComplete: Boolean = false,
         )
+        val completeResponse = head + "Content-Length: 4\r\n\r\ngood"
         listOf(
             Case("a plain body in chunks", chunkedHead, chunk),
             Case("a plain body without a length", head + "\r\n", kilobyte),
@@ -43,6 +45,9 @@
             Case("a chunk extension", chunkedHead + "1;", kilobyte),
             Case("a trailer", chunkedHead + "0\r\n", "X: x\r\n"),
             Case("no response", "", kilobyte),
+            Case("bytes after a complete response", completeResponse, kilobyte, isComplete = true),
+            Case("lines after a complete response", completeResponse, "$kilobyte\r\n\r\n", isComplete = true),
+            Case("complete responses", completeResponse, completeResponse, isComplete = true),
         ).forEach { case ->
             test("a worker that sends ${case.name} without end is closed, and its caller gets an error in time") {
                 val fleet = TestFleet()
@@ -58,7 +63,11 @@
                         fleet.sendRequest(node.callersAddress, HttpMethod.POST, case.path).statusCode()
                     }.getOrNull()
                     // A stream that has begun can only be broken off.
-                    if (status != null) status shouldBeGreaterThanOrEqual 500
+                    if (case.isComplete) {
+                        status shouldBe 200
+                    } else if (status != null) {
+                        status shouldBeGreaterThanOrEqual 500
+                    }
                     val takenMillis = System.currentTimeMillis() - startMillis
                     withClue("time of the response") { takenMillis shouldBeLessThan ROUTE_TIMEOUT_MILLIS + 500 }
                     eventually(3.seconds) { fleet.onEventLoop { worker.openConnections } shouldBe 0 }
