Send nothing to a worker that has stated that it leaves

A worker that leaves states so in all its responses, and a node that has passed on such a response must send it no later request, whether the node can read the registry or not. Until now a node knew only from the registry that a worker is draining.

The mark belongs to the incarnation of the worker: it ends when the registry shows a later start. It counts for online requests, streams, batch items, retries and slots that were granted before, and is passed to the schedulers as an excluded worker.

Other nodes are not told; they learn it from the registry or from a response.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -44,9 +44,8 @@
     val workerStates: Collection<WorkerState>
         get() = statesById.values
 
-    /** Workers of [service] that accept new requests: neither draining nor suspect. */
-    fun available(service: String): List<WorkerState> =
-        statesByService[service].orEmpty().filter { !it.worker.isDraining && !it.isSuspect }
+    /** Workers of [service] that accept new requests. */
+    fun available(service: String): List<WorkerState> = statesByService[service].orEmpty().filter { it.isAvailable }
 
     /**
      * Returns the least loaded worker of [service] that has free slots and accepts a request now, or null.
@@ -74,7 +73,7 @@
 
     /** Whether at least half of the workers of the same service remain available without [state]. */
     fun mayEject(state: WorkerState): Boolean {
-        val all = statesByService[state.worker.service].orEmpty().filter { !it.worker.isDraining }
+        val all = statesByService[state.worker.service].orEmpty().filter { !it.worker.isDraining && !it.isLeaving }
         val remaining = all.count { !it.isSuspect && it !== state }
         return remaining > 0 && remaining * 2 >= all.size
     }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -30,6 +30,14 @@
     var isSuspect = false
         private set
 
+    /** Whether the worker has stated in a response that it leaves. Holds until the worker has restarted. */
+    var isLeaving = false
+        private set
+
+    /** Whether the worker accepts new requests. */
+    val isAvailable: Boolean
+        get() = !worker.isDraining && !isLeaving && !isSuspect
+
     /** Counts a request that is being sent. */
     fun onSent(isBatch: Boolean) {
         if (isBatch) batch++ else online++
@@ -63,6 +71,13 @@
         pacer = requestsPerSecond?.let { RequestPacer(it, rateShare, nowMillis) }
     }
 
+    /** Records that the worker states in a response that it leaves. Returns whether this was not known before. */
+    fun onLeaving(): Boolean {
+        if (isLeaving) return false
+        isLeaving = true
+        return true
+    }
+
     /** Number of requests that may be sent at once: free slots, and no more than the worker's rate limit allows. */
     fun startableRequests(nowMillis: Long): Int {
         val paced = pacer?.available(nowMillis) ?: Double.MAX_VALUE
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.forward
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.WorkerState
@@ -204,6 +205,7 @@
         val head = result.head
         head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
         forwarding.dispatcher.onRateLimit(slot, head.requestsPerSecond)
+        if (head.isLeaving) onLeaving(slot.target)
         return when {
             head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
             head.status in SUCCESS_STATUSES && !head.hasReceipt ->
@@ -218,6 +220,14 @@
         }
     }
 
+    private fun onLeaving(target: WorkerState) {
+        if (!target.onLeaving()) return
+        logger.atInfo {
+            message = "forward: worker states that it leaves"
+            payload = mapOf("worker" to target.worker.id, "address" to target.worker.address, "request" to plan.id)
+        }
+    }
+
     private fun recordResponse(target: WorkerState, head: ResponseHead) {
         target.onReachable()
         possibleRuns++
@@ -261,6 +271,7 @@
     }
 
     private companion object {
+        val logger = KotlinLogging.logger {}
         val SUCCESS_STATUSES = 200..299
 
         // Limits consecutive refusals by workers: further attempts would use up the caller's time on a full service.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -46,6 +46,7 @@
  * @property requestsAtWorker number of running and waiting requests at the worker, or null
  * @property requestsPerSecond requests per second that the worker accepts from all nodes together, or null when it does
  *   not limit them at present
+ * @property isLeaving whether the worker states that it leaves and must not get new requests
  * @property keepAliveMillis time in milliseconds that the worker keeps an idle connection open, or null
  * @property closesConnection whether the worker closes the connection after the response
  * @property hasReceipt whether the response contains the worker's receipt header
@@ -56,6 +57,7 @@
     val hasNotRun: Boolean,
     val requestsAtWorker: Int?,
     val requestsPerSecond: Double?,
+    val isLeaving: Boolean,
     val keepAliveMillis: Long?,
     val closesConnection: Boolean,
     val hasReceipt: Boolean,
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -139,7 +139,7 @@
         val worker = granted.worker
         val state = workers.state(worker)
         val link = link(zone, request.service)
-        if (state == null || state.isSuspect || state.worker.isDraining) {
+        if (state == null || !state.isAvailable) {
             link.release(number, SlotOutcome.UNUSED)
             return null
         }
@@ -156,12 +156,13 @@
         use = request.use,
         priority = request.priority,
         onTimeInMillis = request.onTimeUntilMillis - clock.millis(),
-        excludedWorkers = excluded + suspects(request.service),
+        excludedWorkers = excluded + unavailable(request.service),
         mayRedirect = mayRedirect,
     )
 
-    private fun suspects(service: String): List<String> = workers.workerStates
-        .filter { it.isSuspect && it.worker.service == service }
+    // Schedulers know from the registry which workers are draining.
+    private fun unavailable(service: String): List<String> = workers.workerStates
+        .filter { (it.isSuspect || it.isLeaving) && it.worker.service == service }
         .map { it.worker.id }
 
     private fun rateLimits(): Map<String, Double> = workers.workerStates
