Read the time left of each batch item once before sorting

Cause: the comparisons of BatchOrdering.sort read the clock. In a long queue the order changed during the sort, which threw an exception and ended the batch runner.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchOrdering.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchOrdering.kt
@@ -9,8 +9,11 @@
  */
 object BatchOrdering {
     /** Returns [items] in the order in which they run. [untilDueMillis] is the time left, negative when overdue. */
-    fun <T> sort(items: List<T>, untilDueMillis: (T) -> Long): List<T> =
-        items.sortedWith(compareBy({ isTooLate(untilDueMillis(it)) }, { untilDueMillis(it) }))
+    fun <T> sort(items: List<T>, untilDueMillis: (T) -> Long): List<T> = items
+        // Read once for each item: an order that changes while it is established is an error of the sort.
+        .map { it to untilDueMillis(it) }
+        .sortedWith(compareBy({ (_, untilDue) -> isTooLate(untilDue) }, { (_, untilDue) -> untilDue }))
+        .map { (item, _) -> item }
 
     /** Whether an item that is due in [untilDueMillis] can no longer finish on time. */
     fun isTooLate(untilDueMillis: Long): Boolean = untilDueMillis < TYPICAL_RUN_MILLIS
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/BatchOrderingTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/BatchOrderingTest.kt
@@ -22,6 +22,18 @@
             }
         }
 
+        test("the time left of an item is read once, so that a clock that moves does not change the order meanwhile") {
+            val reads = HashMap<Int, Int>()
+            var nowMillis = 0L
+            val items = List(2_000) { it }
+            val sorted = BatchOrdering.sort(items) { item ->
+                reads.merge(item, 1, Int::plus)
+                item % 50 * 200L - nowMillis++
+            }
+            sorted.toSet() shouldBe items.toSet()
+            reads.values.toSet() shouldBe setOf(1)
+        }
+
         class Item(val sentMillis: Long) {
             val dueMillis = sentMillis + 18_000
         }
