Start long-running tasks of a node again after a failure

Cause: followers, the batch runner, the membership and the other long-running tasks ended with their first exception. The node logged it, stayed ready and kept its shares.

Change: BackgroundTasks starts a failed task again with a growing delay and counts failures by task in the metrics.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -112,6 +112,9 @@
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
     private val metricsServer = StatusServer(vertx, { metrics.scrape() }) { OK }
+    private val tasks = BackgroundTasks(scope, clock) { name ->
+        metrics.counter("task_failures", "task", name).increment()
+    }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -143,22 +146,23 @@
 
     /** Starts the background tasks and the servers. */
     suspend fun start() {
-        followers.forEach { scope.launch { it.run() } }
-        store.partitions.forEach { scope.launch { it.follower.run() } }
-        scope.launch { members.run() }
-        scope.launch { registry.run() }
-        scope.launch { runMaintenance() }
+        followers.forEach { tasks.launch("follower of ${it.topic}") { it.run() } }
+        store.partitions.forEach { tasks.launch("follower of submissions ${it.number}") { it.follower.run() } }
+        tasks.launch("members") { members.run() }
+        tasks.launch("registry") { registry.run() }
+        tasks.launch("maintenance") { runMaintenance() }
         tokenSource.serve(peerServer) { organisation, wanted -> rateLimiter.grant(organisation, wanted) }
         schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
-        scope.launch { schedulerHost.run() }
-        scope.launch { dispatcher.run() }
+        tasks.launch("schedulers") { schedulerHost.run() }
+        tasks.launch("dispatcher") { dispatcher.run() }
         readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
         callerServer.listen(settings.callersAddress)
-        scope.launch { startBatch() }
+        tasks.launch("batch membership") { awaitSubmissions { batchRunner.maintainMembership() } }
+        tasks.launch("batch items") { awaitSubmissions { batchRunner.run() } }
         logger.atInfo {
             message = "node: started"
             payload = mapOf("node" to settings.name, "zone" to settings.zone, "callers" to settings.callersAddress)
@@ -178,9 +182,9 @@
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
     }
 
-    private suspend fun startBatch() {
+    private suspend fun awaitSubmissions(run: suspend () -> Unit) {
         store.partitions.forEach { it.follower.awaitStart() }
-        batchRunner.run()
+        run()
     }
 
     private fun readinessStatus(): Int {
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -55,9 +55,8 @@
     val shares: Set<Int>
         get() = startMillisByShare.keys
 
-    /** Maintains the group membership and schedules items until cancelled or until [leave] is called. */
+    /** Schedules items until cancelled or until [leave] is called. */
     suspend fun run() {
-        scope.launch { maintainMembership() }
         while (!isLeaving) {
             schedule()
             delay(SCHEDULE_INTERVAL_MILLIS)
@@ -89,7 +88,8 @@
         }
     }
 
-    private suspend fun maintainMembership() {
+    /** Maintains the group membership until cancelled or until [leave] is called. */
+    suspend fun maintainMembership() {
         while (!isLeaving) {
             when (val result = group.join(generation)) {
                 is JoinResult.Unavailable -> logger.debug { "batch: can't join the group: ${result.reason}" }
