Keep a service without workers from stopping the items of others

Cause: a run that no worker took did not count as waiting during its retry delay, so that the next item was started, until one service held all 96 runs of a node.

Evidence: the new case of ServingNodeTest had no result within 5 s before the change.

Change: such a run ends and its item returns to the queue. The limit of 96 runs is divided among the services that have items.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -133,7 +133,8 @@
         updateEntries()
         // If no node can reach the log, no other node can take over the shares, so this node continues to run them.
         if (clock.millis() - lastJoinMillis > MEMBERSHIP_MILLIS && isLogReachable()) return
-        entries.values.groupBy { it.run.service }.values.forEach { startRuns(it) }
+        val services = entries.values.groupBy { it.run.service }.values
+        services.forEach { startRuns(it, maxOf(1, MAXIMUM_ACTIVE_RUNS / services.size)) }
     }
 
     private fun updateEntries() {
@@ -160,13 +161,20 @@
         }
     }
 
-    /** Starts runs of one service while few of them wait for a slot, the most important ones first. */
-    private fun startRuns(candidates: List<Entry>) {
+    /**
+     * Starts runs of one service while few of them wait for a slot, the most important ones first.
+     *
+     * @param limit maximum number of runs of the service, so that one service does not use up what others need
+     */
+    private fun startRuns(candidates: List<Entry>, limit: Int) {
         val now = clock.millis()
         var waiting = candidates.count { it.isActive && it.run.isWaiting }
-        val idle = candidates.filter { !it.isActive && now >= (startMillisByShare[it.share] ?: Long.MAX_VALUE) }
+        var active = candidates.count { it.isActive }
+        val idle = candidates.filter {
+            !it.isActive && now >= maxOf(it.run.retryMillis, startMillisByShare[it.share] ?: Long.MAX_VALUE)
+        }
         for (entry in BatchOrdering.sort(idle) { it.run.untilDueMillis }) {
-            if (waiting++ >= MAXIMUM_WAITING_RUNS || runningItems >= MAXIMUM_ACTIVE_RUNS) return
+            if (waiting++ >= MAXIMUM_WAITING_RUNS || active++ >= limit) return
             start(entry)
         }
     }
@@ -190,7 +198,7 @@
         // requests of all nodes by due time, so a few of each node suffice.
         const val MAXIMUM_WAITING_RUNS = 4
 
-        // Bounds memory. Exceeds the number of worker slots that one node can use.
+        // Of all services together. Bounds memory. Exceeds the number of worker slots that one node can use.
         const val MAXIMUM_ACTIVE_RUNS = 96
 
         // Allows for differences between the clocks of the nodes.
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -33,6 +33,7 @@
     private val proposal = state.proposal
     private val output = ItemOutput(item.progress)
     private var internalErrors = 0
+    private var failedWorker: String? = null
     private var lastSaveMillis = forwarding.clock.millis()
     private var savedLength = 0
 
@@ -74,24 +75,31 @@
     var isWaiting = false
         private set
 
+    /** Monotonic time in milliseconds from which the item may be run again after no worker has taken it. */
+    var retryMillis = Long.MIN_VALUE
+        private set
+
     /**
-     * Runs the item until it has a result. Cancellation also cancels the request at the worker.
+     * Runs the item until it has a result or no worker takes it. Cancellation also cancels the request at the worker.
      *
      * @param onPreempt called when the run must give up its slot
      */
     suspend fun run(onPreempt: () -> Unit) {
         isWaiting = true
-        var failedWorker: String? = null
         while (!isFinished) {
             if (remainingMillis() <= 0) return recordResult(isComplete = false, "time is up")
             val session = newSession()
             isWaiting = true
-            val request = dispatchRequest(failedWorker, onPreempt)
+            val request = dispatchRequest(onPreempt)
             failedWorker = null
             val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
             isWaiting = false
             when (result) {
-                is AttemptResult.NotRun, AttemptResult.Quarantined -> delay(RETRY_MILLIS)
+                is AttemptResult.NotRun, AttemptResult.Quarantined -> {
+                    retryMillis = forwarding.clock.millis() + RETRY_MILLIS
+                    return
+                }
+
                 is AttemptResult.MayHaveRun -> logger.debug {
                     "batch: item ${item.proposed.id} may have run: ${session.trace}"
                 }
@@ -259,7 +267,7 @@
     private val serviceChoice: Double
         get() = Math.floorMod(key.hashCode(), SERVICE_CHOICES) / SERVICE_CHOICES.toDouble()
 
-    private fun dispatchRequest(failedWorker: String?, onPreempt: () -> Unit) = DispatchRequest(
+    private fun dispatchRequest(onPreempt: () -> Unit) = DispatchRequest(
         service,
         BATCH_PRIORITY,
         WORKER_WAIT_MILLIS,
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -169,6 +169,24 @@
             }
         }
 
+        test("items of a service without workers do not stop those of another service") {
+            withFleet { fleet ->
+                fleet.addRoute("/dead/", "dead")
+                fleet.publishConfiguration()
+                val node = fleet.start("a")
+                val many = List(LIMIT_ITEMS) { "item-$it" }.joinToString("\n")
+                eventually(5.seconds) {
+                    val response = fleet.sendRequest(node.callersAddress, HttpMethod.POST, "/dead/d", many)
+                    response.statusCode() shouldBe 202
+                }
+                // Longer than all of these items need to be tried once.
+                delay(STARVATION_MILLIS)
+                fleet.startWorker("w", itemResponse)
+                fleet.submit(node, "first") shouldBe 202
+                eventually(5.seconds) { fleet.results(node) shouldBe "first true one|two" }
+            }
+        }
+
         test("an item is not given up early because the time of day of its node jumps ahead") {
             withFleet { fleet ->
                 fleet.publishConfiguration()
@@ -219,6 +237,8 @@
         // Items whose tokens reach the limit of the batch route.
         const val LIMIT_ITEMS = 100
 
+        const val STARVATION_MILLIS = 6_000L
+
         // Longer than the pause of a node after a read that returned records.
         const val READ_PAUSE_MILLIS = 600L
     }
