Give up the response of an item when its memory has been revoked

Events that an item keeps count in ResponseMemory, but a stream of complete events went on after its allocation had been revoked. Found when reading the change again.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -64,9 +64,10 @@
             exchange.hold(keptBytes + splitter.pendingBytes)
         return when {
             maximumBytes != null && keptBytes > maximumBytes -> EventStreamPart.Invalid("over $maximumBytes bytes")
-            events.isNotEmpty() -> onEvents(events)
+            // Events that are not kept free their memory when they are delivered.
+            events.isNotEmpty() && (isWithinLimit || maximumBytes == null) -> onEvents(events)
             isWithinLimit -> null
-            else -> EventStreamPart.BrokenOff("an event has no end after ${splitter.pendingBytes} bytes", false)
+            else -> EventStreamPart.BrokenOff("no memory for ${keptBytes + splitter.pendingBytes} bytes", false)
         }
     }
 
