Drop tokens above the share when more nodes join

Cause: a node that starts before it has read the members takes the whole limit for its own. When it learned of the others it kept the tokens, because they were dropped only for a lower rate or burst.

Both cases of TokenBucketShareTest failed before the change and pass after it. Shares below one token remain open.

Change: tokens above the share are dropped when the number of nodes grows, and limits are divided among 100 nodes as long as the members have not been read.

--- a/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
@@ -27,10 +27,10 @@
         return tokens
     }
 
-    /** Changes the limits. If the rate or the burst is lowered, tokens above this node's share are dropped. */
+    /** Changes the limits. If the share of this node becomes smaller, tokens above it are dropped. */
     fun update(ratePerSecond: Double, burst: Double, nodes: Int, nowMillis: Long) {
         refill(nowMillis)
-        val isLower = ratePerSecond < this.ratePerSecond || burst < this.burst
+        val isLower = ratePerSecond < this.ratePerSecond || burst < this.burst || nodes > this.nodes
         this.ratePerSecond = ratePerSecond
         this.burst = burst
         this.nodes = nodes
--- a/core/src/test/kotlin/org/poplarshift/core/allowance/TokenBucketShareTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/allowance/TokenBucketShareTest.kt
@@ -49,7 +49,25 @@
             bucket.tokens(10_000) shouldBe 5.0
         }
 
+        listOf(11, 91).forEach { nodes ->
+            test("$nodes nodes that learn of each other after their start hold no more than the burst") {
+                val buckets = List(nodes) { TokenBucketShare(RATE, BURST, nodes = 1, nowMillis = 0) }
+                var known = 1
+                for (now in 0L..3_000L step 250) {
+                    known = minOf(nodes, known * 3)
+                    buckets.forEach { it.update(RATE, BURST, known, now) }
+                }
+                buckets.sumOf { it.tokens(3_000) } shouldBeLessThanOrEqual BURST + ROUNDING
+            }
+        }
+
         test("a restarted process has no more tokens than its share refills during the restart") {
             TokenBucketShare(ratePerSecond = 40.0, burst = 400.0, nodes = 10, nowMillis = 0).tokens(0) shouldBe 2.0
         }
-    })
+    }) {
+    private companion object {
+        const val RATE = 146.0
+        const val BURST = 146.0
+        const val ROUNDING = 0.001
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -53,7 +53,7 @@
 ) {
     private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
-        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.size) })
+        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
@@ -72,7 +72,7 @@
     )
     private val directory: SchedulerDirectory = SchedulerDirectory(ownMember, members)
     private val tokenSource = PeerTokenSource(peerClient, members)
-    private val rateLimiter: RateLimiter = RateLimiter(scope, clock, tokenSource) { members.size }
+    private val rateLimiter: RateLimiter = RateLimiter(scope, clock, tokenSource) { members.assumedSize }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
     private val schedulerHost = SchedulerHost(scope, clock, ownMember, directory, peerClient, reachability)
     private val dispatcher = FleetDispatcher(
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -45,6 +45,10 @@
     val size: Int
         get() = entries.size + if (self.name in entries) 0 else 1
 
+    /** Number of nodes among which limits are divided: a large number as long as the members have not been read. */
+    val assumedSize: Int
+        get() = if (caughtUpMillis == null) UNREAD_SIZE else size
+
     /** The other nodes of the fleet. */
     val peers: List<FleetMember>
         get() = entries.values.map { it.member }.filter { it.name != self.name }
@@ -89,6 +93,9 @@
         /** The partition of the topic that holds the records. */
         const val PARTITION = 0
 
+        /** More nodes than most fleets have, so that a node without knowledge of the others uses little of a limit. */
+        const val UNREAD_SIZE = 100
+
         // Longer than the usual time for which a single node or zone is cut off from the log while it continues to serve.
         const val EXPIRY_MILLIS = 60_000L
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
@@ -55,6 +55,14 @@
             }
         }
 
+        test("a node that has not read the members yet does not take itself for the only one") {
+            val fixture = Fixture()
+            fixture.members.assumedSize shouldBe FleetMembers.UNREAD_SIZE
+            listOf("a", "b").forEach { fixture.renew(it) }
+            fixture.members.onCaughtUp()
+            fixture.members.assumedSize shouldBe 2
+        }
+
         test("a node that has left is no member any more") {
             val fixture = Fixture()
             listOf("a", "b").forEach { fixture.renew(it) }
