Drop data without an event id when a run of an item is broken off

Callers saw: a result that is complete but begins with data of a faulty worker.

Cause: a run is resumed after the last event with an id, or started from the beginning if there was none. Data of later events without an id stayed in the output, and so did in saved progress.

Evidence: the new case of ServingNodeTest got 'junk|one|two' instead of 'one|two' before the change.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemOutput.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemOutput.kt
@@ -3,41 +3,54 @@
 import org.poplarshift.core.submission.ItemProgress
 import org.poplarshift.serving.forward.StreamEvent
 
-/** The data of all events that an item has received so far, joined by line feeds. */
+/**
+ * The data of all events that an item has received so far, joined by line feeds.
+ *
+ * A run is resumed after the last event that has an id. Later events without an id are sent again and must not be kept.
+ */
 class ItemOutput(progress: ItemProgress?) {
-    /** A state of the output to which [restore] returns. */
-    class Mark internal constructor(internal val length: Int, internal val hasData: Boolean, internal val event: Long?)
+    /** A state of the output after which a run can be resumed. */
+    class ResumePoint internal constructor(
+        internal val length: Int,
+        internal val hasData: Boolean,
+        internal val event: Long?,
+    )
 
     private val text = StringBuilder(progress?.output?.decodeToString().orEmpty())
     private var hasData = progress != null
 
-    /** Id of the last event in the output, or null if no event has been received. */
-    var lastEvent: Long? = progress?.lastEvent
+    /** The state after the last event that has an id. */
+    var resumePoint = ResumePoint(text.length, hasData, progress?.lastEvent)
         private set
 
-    /** Number of characters. */
-    val length: Int
-        get() = text.length
+    /** Id of the last event that has one, or null. */
+    val lastEvent: Long?
+        get() = resumePoint.event
+
+    /** Number of characters up to [resumePoint]. */
+    val resumableLength: Int
+        get() = resumePoint.length
 
     /** Adds [event] to the end of the output. */
     fun append(event: StreamEvent) {
-        event.id?.let { lastEvent = it }
-        val data = event.data ?: return
-        if (hasData) text.append('\n')
-        text.append(data)
-        hasData = true
+        event.data?.let { data ->
+            if (hasData) text.append('\n')
+            text.append(data)
+            hasData = true
+        }
+        event.id?.let { resumePoint = ResumePoint(text.length, hasData, it) }
     }
 
-    /** Returns the current state. */
-    fun mark() = Mark(length, hasData, lastEvent)
-
-    /** Removes all events that were added after [mark]. */
-    fun restore(mark: Mark) {
-        text.setLength(mark.length)
-        hasData = mark.hasData
-        lastEvent = mark.event
+    /** Removes all events that were added after [point]. */
+    fun restore(point: ResumePoint = resumePoint) {
+        text.setLength(point.length)
+        hasData = point.hasData
+        resumePoint = point
     }
 
-    /** Returns the output as UTF-8. */
+    /** Returns the whole output as UTF-8. */
     fun encode(): ByteArray = text.toString().encodeToByteArray()
+
+    /** Returns the output up to [resumePoint] as UTF-8. */
+    fun encodeResumable(): ByteArray = text.substring(0, resumableLength).encodeToByteArray()
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -114,9 +114,9 @@
     /** Saves the output so far in the log, so that another node can resume after the last event. */
     suspend fun saveProgress() {
         val last = output.lastEvent ?: return
-        if (isFinished || output.length < MINIMUM_UNSAVED_LENGTH) return
+        if (isFinished || output.resumableLength < MINIMUM_UNSAVED_LENGTH) return
         val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
-        val result = partition.write(record, output.encode())
+        val result = partition.write(record, output.encodeResumable())
         logger.atInfo {
             message = "batch: progress of an item saved"
             payload = mapOf(
@@ -130,6 +130,7 @@
 
     private suspend fun handleResponse(response: AttemptResult.Responded, session: AttemptSession): Boolean {
         val attempt = response.attempt
+        lastSaveMillis = forwarding.clock.millis()
         try {
             return when (val status = response.head.status) {
                 OK -> collectOutput(attempt, session)
@@ -152,6 +153,8 @@
             }
         } finally {
             attempt.close()
+            // An incomplete run is resumed after the last event that has an id.
+            output.restore()
         }
     }
 
@@ -163,7 +166,7 @@
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
         val reader = EventStreamReader(attempt.exchange, forwarding.clock, output.lastEvent, MAXIMUM_OUTPUT_BYTES)
-        val before = output.mark()
+        val before = output.resumePoint
         while (true) {
             when (val part = reader.next(minOf(IDLE_TIMEOUT_MILLIS, remainingMillis()))) {
                 is EventStreamPart.Events -> {
@@ -212,12 +215,16 @@
     // A process that is killed would otherwise lose all output of its runs.
     private fun saveProgressPeriodically() {
         val now = forwarding.clock.millis()
-        if (now - lastSaveMillis < SAVE_INTERVAL_MILLIS || output.length - savedLength < MINIMUM_UNSAVED_LENGTH) return
+        if (now - lastSaveMillis < SAVE_INTERVAL_MILLIS ||
+            output.resumableLength - savedLength < MINIMUM_UNSAVED_LENGTH
+        ) {
+            return
+        }
         val last = output.lastEvent ?: return
         lastSaveMillis = now
-        savedLength = output.length
+        savedLength = output.resumableLength
         val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
-        partition.writeInBackground(record, output.encode())
+        partition.writeInBackground(record, output.encodeResumable())
     }
 
     private suspend fun recordResult(isComplete: Boolean, reason: String) {
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -158,6 +158,19 @@
             }
         }
 
+        test("data without an event id is not part of a result when the item runs again from its beginning") {
+            withFleet { fleet ->
+                val junk = "data: junk\n\n"
+                val chunk = Integer.toHexString(junk.length) + "\r\n" + junk + "\r\n"
+                fleet.startWorker("w", head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "CLOSE", itemResponse)
+                fleet.publishConfiguration()
+                val node = fleet.start("a")
+                fleet.awaitReady(node)
+                eventually(5.seconds) { fleet.submit(node, "first") shouldBe 202 }
+                eventually(10.seconds) { fleet.results(node) shouldBe "first true one|two" }
+            }
+        }
+
         test("items that were accepted before their route was moved to another service run there") {
             withFleet { fleet ->
                 fleet.publishConfiguration()
