Add a soak that injects faults into real processes of the deployed program

The nodes run as processes against a store, workers and callers of this repository, which misbehave at the level of bytes. Faults come from outside and overlap: signals, faults of the store towards single nodes, workers that crash, leave, repeat or cut their responses, changes of keys, load. An independent ledger compares what callers were told with what workers ran. The seed determines the faults, not the exact times.

Not covered yet: one-way cuts and delays between nodes, clocks, the limit of attempts, leaving workers, bodies of items.

--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/Call.kt
@@ -0,0 +1,19 @@
+package org.poplarshift.standins.caller
+
+/**
+ * A request of a caller.
+ *
+ * @property waitMillis time in milliseconds for which a read of results may wait, or null
+ * @property resumeAfter last event that the caller has, or null
+ */
+class Call(
+    val id: String,
+    val method: String,
+    val uri: String,
+    val host: String,
+    val key: String,
+    val body: String = "",
+    val deadlineMillis: Long = 5_000,
+    val waitMillis: Long? = null,
+    val resumeAfter: Int? = null,
+)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
@@ -0,0 +1,81 @@
+package org.poplarshift.standins.vm
+
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.poplarshift.standins.http.monotonicMillis
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+/** The process of a node, started and stopped as the users' platform does it. */
+class VmProcess(private val settings: VmSettings, private val programFile: File) {
+    private val settingsFile = File(settings.directory, "${settings.name}.json").apply { writeText(settingsText()) }
+    private val logFile = File(settings.directory, "${settings.name}.log")
+    private var process: Process? = null
+
+    /** Time of the last start, in monotonic milliseconds. */
+    var startedMillis = Long.MIN_VALUE
+        private set
+
+    val isAlive: Boolean
+        get() = process?.isAlive == true
+
+    /** Exit code of the last process, or null while it runs. */
+    val exitCode: Int?
+        get() = process?.takeUnless { it.isAlive }?.exitValue()
+
+    /** Starts the process. Its log is appended to that of the one before. */
+    fun start() {
+        val builder = ProcessBuilder(COMMAND + listOf("-jar", programFile.path, "serve"))
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
+        builder.environment()["POPLARSHIFT_BOOT"] = settingsFile.path
+        process = builder.start()
+        startedMillis = monotonicMillis()
+    }
+
+    /** Sends the signal [name], such as `TERM`. */
+    fun signal(name: String) {
+        val current = process?.takeIf { it.isAlive } ?: return
+        ProcessBuilder("kill", "-$name", "${current.pid()}").start().waitFor(SIGNAL_SECONDS, TimeUnit.SECONDS)
+    }
+
+    /** Sends SIGKILL and waits for the end of the process. */
+    fun kill() {
+        process?.destroyForcibly()?.waitFor(SIGNAL_SECONDS, TimeUnit.SECONDS)
+    }
+
+    private fun settingsText(): String = buildJsonObject {
+        put("name", settings.name)
+        put("zone", settings.zone)
+        put("host", settings.host)
+        put("processorShare", 1.0)
+        put("processorSpeed", 1.0)
+        put("callers", "${settings.host}:${settings.callersPort}")
+        put("readiness", "${settings.host}:${settings.readinessPort}")
+        put("firstFreePort", settings.firstPort + 2)
+        put("retentionSeconds", 120)
+        put("shutdownSeconds", 8)
+        putJsonObject("log") {
+            put("address", settings.storeAddress)
+            put("recordBytes", 262_144)
+            put("callBytes", 2_097_152)
+            put("partitions", 8)
+            put("shortestMembershipMillis", 1_000)
+        }
+    }.toString()
+
+    private companion object {
+        const val SIGNAL_SECONDS = 5L
+
+        // The options of deploy/system.toml that matter for memory and threads.
+        val COMMAND = listOf(
+            File(System.getProperty("java.home"), "bin/java").path,
+            "-Xmx96m",
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Dvertx.disableDnsResolver=true",
+        )
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmSettings.kt
@@ -0,0 +1,26 @@
+package org.poplarshift.standins.vm
+
+import java.io.File
+
+/**
+ * A VM of the users' platform.
+ *
+ * @property host loopback address of the VM
+ * @property firstPort the first of four ports: callers, readiness, nodes, metrics
+ * @property storeAddress address at which the VM reaches the store
+ * @property directory where settings and logs are written
+ */
+data class VmSettings(
+    val name: String,
+    val zone: String,
+    val host: String,
+    val firstPort: Int,
+    val storeAddress: String,
+    val directory: File,
+) {
+    val callersPort: Int
+        get() = firstPort
+
+    val readinessPort: Int
+        get() = firstPort + 1
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseContent.kt
@@ -0,0 +1,27 @@
+package org.poplarshift.standins.worker
+
+/** The responses of workers. They follow from the id of the request, so that a response to another one is recognized. */
+object ResponseContent {
+    private const val PLAIN_REPETITIONS = 30
+    private const val MINIMUM_EVENTS = 3
+    private const val EVENT_VARIATION = 20
+
+    /** Body of a response that is not a stream. */
+    fun plain(requestId: String): String = "response to $requestId;".repeat(PLAIN_REPETITIONS)
+
+    /** Number of events of a stream. */
+    fun eventCount(requestId: String): Int = MINIMUM_EVENTS + Math.floorMod(requestId.hashCode(), EVENT_VARIATION)
+
+    /** Data of the event with [number], counted from 1. */
+    fun eventData(requestId: String, number: Int): String = "text $number of $requestId"
+
+    /** Bytes of the event with [number]. */
+    fun event(requestId: String, number: Int): String = "id: $number\ndata: ${eventData(requestId, number)}\n\n"
+
+    /** Output of an item: the data of all events. */
+    fun output(requestId: String): String = (1..eventCount(requestId)).joinToString("\n") { eventData(requestId, it) }
+
+    /** Bytes of the events after [after]. */
+    fun eventsAfter(requestId: String, after: Int): String =
+        (after + 1..eventCount(requestId)).joinToString("") { event(requestId, it) }
+}
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
@@ -0,0 +1,100 @@
+package org.poplarshift.verification.soak
+
+import org.poplarshift.standins.caller.CallResult
+import org.poplarshift.standins.worker.ResponseContent
+import org.poplarshift.standins.worker.WorkerRun
+
+/** Compares what callers of online requests received with what workers ran. */
+class CallChecks(private val ledger: SoakLedger, private val disturbances: Disturbances) {
+    /** Checks all calls that have ended. */
+    fun check() = ledger.calls.forEach { call -> call.result?.let { check(call, it) } }
+
+    private fun check(call: SentCall, result: CallResult) {
+        if (!call.kind.isIdempotent) checkRuns(call, result)
+        val status = result.status ?: return
+        when {
+            status in SUCCESSES -> checkSuccess(call, result)
+            status in IMPROPER && call.runs.none { it.status == status } -> checkDenied(call, status)
+            result.stamp != null && runOf(call, result)?.status != status ->
+                report(Promise.OWN_RESPONSE, "status $status is not that of the run", call)
+        }
+    }
+
+    private fun checkRuns(call: SentCall, result: CallResult) {
+        if (call.runs.size > 1) report(Promise.RUNS_ONCE, "${call.runs.size} runs", call)
+        if (call.runs.isNotEmpty() && result.isComplete && result.status in REFUSALS) {
+            report(Promise.TRUE_REFUSAL, "refused with ${result.status} though it ran", call)
+        }
+    }
+
+    private fun checkSuccess(call: SentCall, result: CallResult) {
+        val run = runOf(call, result)
+        if (run == null || run.status != result.status) {
+            return report(Promise.OWN_RESPONSE, "a success that is no run's, stamp ${result.stamp}", call)
+        }
+        if (call.kind.isStream) {
+            checkStream(call, result)
+        } else if (result.isComplete && result.body != ResponseContent.plain(call.call.id)) {
+            report(Promise.OWN_RESPONSE, "another body: ${result.body.take(EXCERPT)}", call)
+        }
+    }
+
+    private fun checkStream(call: SentCall, result: CallResult) {
+        val whole = ResponseContent.eventsAfter(call.call.id, after = 0)
+        when {
+            !whole.startsWith(result.body) ->
+                report(Promise.STREAM_ORDER, "other events: ${result.body.takeLast(EXCERPT)}", call)
+
+            result.isComplete && result.body != whole ->
+                report(Promise.STREAM_ORDER, "ended as complete after ${result.body.takeLast(EXCERPT)}", call)
+        }
+    }
+
+    // A withdrawn key is rejected, and one that was given just now may not be known yet.
+    private fun checkDenied(call: SentCall, status: Int) {
+        if (call.call.key !in LASTING_KEYS) return
+        report(Promise.NOT_DENIED, "rejected with $status", call)
+    }
+
+    /** Checks that nothing was run with a withdrawn key, and that planned stops cut off no request. */
+    fun checkTimes(withdrawnMillis: Map<String, Long>, stops: List<PlannedStop>) {
+        for (call in ledger.calls) {
+            val withdrawn = withdrawnMillis[call.call.key] ?: continue
+            val isLate = call.sentMillis > withdrawn + REVOCATION_MILLIS &&
+                disturbances.isInTouch(call.node, withdrawn, call.sentMillis)
+            if (isLate && call.runs.isNotEmpty()) report(Promise.WITHDRAWN_KEY, "withdrawn at $withdrawn", call)
+        }
+        stops.forEach { checkStop(it) }
+    }
+
+    private fun checkStop(stop: PlannedStop) {
+        for (call in ledger.calls.filter { it.node == stop.node && it.sentMillis in stop.fromMillis..stop.toMillis }) {
+            val result = call.result ?: continue
+            val isCut = !result.isComplete && result.endMillis <= stop.toMillis + EXIT_MILLIS
+            val isWorkersDoing = call.runs.any { !it.isComplete } || call.runs.isEmpty()
+            if (isCut && !isWorkersDoing && disturbances.isCalm(stop.node, call.sentMillis, stop.toMillis)) {
+                report(Promise.PLANNED_STOP, "cut off while ${stop.node} stopped", call)
+            }
+        }
+    }
+
+    private fun runOf(call: SentCall, result: CallResult): WorkerRun? = call.runs.find { it.stamp == result.stamp }
+
+    private fun report(promise: Promise, detail: String, call: SentCall) =
+        ledger.report(promise, "$detail: ${call.describe()}")
+
+    private companion object {
+        val SUCCESSES = 200..299
+        val IMPROPER = setOf(400, 401, 403, 404, 413, 431)
+        val REFUSALS = setOf(408, 421, 429, 503)
+        val LASTING_KEYS = setOf(SoakOrganisations.LASTING_KEY, SoakOrganisations.LIMITED_KEY)
+        const val EXCERPT = 80
+        const val EXIT_MILLIS = 500L
+
+        // The time within which a change of keys is in force at nodes that are undisturbed.
+        const val REVOCATION_MILLIS = 5_000L
+    }
+}
+
+/** The time from SIGTERM of [node] to the end of its process, in monotonic milliseconds. */
+data class PlannedStop(val node: String, val fromMillis: Long, val toMillis: Long)
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
@@ -0,0 +1,78 @@
+package org.poplarshift.verification.soak
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.poplarshift.standins.caller.Call
+import org.poplarshift.standins.caller.CallerClient
+import kotlin.coroutines.coroutineContext
+import kotlin.random.Random
+
+/** Callers of online requests. Each keeps its node and its connections until the process is gone. */
+class CallerLoad(
+    private val scope: CoroutineScope,
+    private val random: Random,
+    private val fleet: SoakFleet,
+    private val client: CallerClient,
+) {
+    private var sent = 0
+
+    /** Factor by which the organisation with a limit exceeds its usual traffic. */
+    var limitedFactor = 1
+
+    /** Whether requests are sent. */
+    var isRunning = true
+
+    /** Sends requests of all kinds until cancelled or until [isRunning] is false. */
+    suspend fun run() {
+        repeat(CALLERS) { scope.launch { runCaller() } }
+        while (coroutineContext.isActive && isRunning) {
+            repeat(limitedFactor) { scope.launch { send(pickNode(), SoakOrganisations.LIMITED_KEY) } }
+            delay(LIMITED_INTERVAL_MILLIS)
+        }
+    }
+
+    private suspend fun runCaller() {
+        var node = pickNode()
+        while (isRunning) {
+            // Callers stay at a node that is stopping, as long as its process lives.
+            if (!node.process.isAlive || random.nextInt(CALLS_PER_NODE) == 0) node = pickNode()
+            val isNewestKey = random.nextInt(NEWEST_KEY_SHARE) == 0
+            send(node, if (isNewestKey) fleet.organisations.newestKey else SoakOrganisations.LASTING_KEY)
+            delay(random.nextLong(1, MAXIMUM_PAUSE_MILLIS))
+        }
+    }
+
+    private fun pickNode(): SoakNode =
+        fleet.nodes.filter { it.isReady }.randomOrNull(random) ?: fleet.nodes.random(random)
+
+    private suspend fun send(node: SoakNode, key: String) {
+        val kind = CallKind.entries.random(random)
+        val id = "c${sent++}-${random.nextInt(Int.MAX_VALUE)}"
+        val hasBody = random.nextBoolean()
+        val call = Call(
+            id = id,
+            method = if (hasBody) "POST" else "GET",
+            uri = "${kind.prefix}$id?x=1",
+            host = SoakOrganisations.HOST,
+            key = key,
+            body = if (hasBody) "body of $id" else "",
+            deadlineMillis = DEADLINE_MILLIS,
+        )
+        val organisation =
+            if (key == SoakOrganisations.LIMITED_KEY) SoakOrganisations.LIMITED else SoakOrganisations.FREE
+        val sentCall = SentCall(call, kind, organisation, node.name, SoakFleet.now())
+        fleet.ledger.onSent(sentCall)
+        sentCall.result = client.send(call, node.settings.host, node.settings.callersPort)
+    }
+
+    private companion object {
+        const val CALLERS = 40
+        const val CALLS_PER_NODE = 40
+        const val NEWEST_KEY_SHARE = 4
+        const val MAXIMUM_PAUSE_MILLIS = 600L
+        const val LIMITED_INTERVAL_MILLIS = 150L
+        const val DEADLINE_MILLIS = 4_000L
+    }
+}
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -0,0 +1,101 @@
+package org.poplarshift.verification.soak
+
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.poplarshift.standins.caller.CallerClient
+import java.io.File
+import kotlin.random.Random
+
+/**
+ * Runs nodes as processes, injects faults from outside and compares what callers were told with what workers ran.
+ *
+ * The seed determines the sequence of the faults. Times differ between runs with the same seed.
+ */
+class Soak(private val settings: SoakSettings) {
+    private val vertx = Vertx.vertx()
+    private val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher())
+    private val ledger = SoakLedger()
+    private val fleet = SoakFleet(vertx, settings, ledger)
+    private val client = CallerClient(vertx)
+    private val random = Random(settings.seed)
+    private val callers = CallerLoad(scope, Random(random.nextInt()), fleet, client)
+    private val submissions = SubmissionLoad(scope, Random(random.nextInt()), fleet, client)
+    private val injector = FaultInjector(scope, Random(random.nextInt()), fleet, callers, submissions)
+
+    /** Runs the soak and returns its report, which is also written to the directory of the settings. */
+    suspend fun run(): SoakReport = try {
+        scope.async { runOnEventLoop() }.await()
+    } finally {
+        fleet.stop()
+        scope.cancel()
+        vertx.close().coAwait()
+    }
+
+    private suspend fun runOnEventLoop(): SoakReport {
+        fleet.start()
+        scope.launch { fleet.maintain() }
+        scope.launch { callers.run() }
+        scope.launch { submissions.run() }
+        injectFaults()
+        settle()
+        val checks = CallChecks(ledger, fleet.disturbances)
+        checks.check()
+        checks.checkTimes(fleet.organisations.withdrawnMillis, injector.stops)
+        checkRate()
+        SubmissionChecks(fleet, submissions).check()
+        return createReport().also { File(settings.directory, "report.txt").writeText(it.toString()) }
+    }
+
+    private suspend fun injectFaults() {
+        val plan = FaultPlan(random, settings.nodes)
+        val endMillis = SoakFleet.now() + settings.seconds * MILLIS_PER_SECOND
+        while (SoakFleet.now() < endMillis) {
+            delay(plan.nextPauseMillis())
+            injector.inject(plan.next())
+        }
+    }
+
+    /** Waits until the faults have ended and the items have results. */
+    private suspend fun settle() {
+        delay(LONGEST_FAULT_MILLIS)
+        callers.isRunning = false
+        submissions.isRunning = false
+        delay(LONGEST_CALL_MILLIS)
+        val checks = SubmissionChecks(fleet, submissions)
+        val endMillis = SoakFleet.now() + FINISH_MILLIS
+        while (SoakFleet.now() < endMillis && !checks.areComplete()) delay(POLL_MILLIS)
+    }
+
+    private fun checkRate() {
+        val limited = ledger.calls.filter { it.organisation == SoakOrganisations.LIMITED }
+        RateCheck(SoakOrganisations.LIMITED_RATE, SoakOrganisations.LIMITED_BURST).excess(limited)?.let {
+            ledger.report(Promise.RATE_LIMIT, "$it runs within 5 s")
+        }
+    }
+
+    private fun createReport() = SoakReport(
+        settings = settings,
+        faults = injector.history.toList(),
+        calls = ledger.calls.size,
+        served = ledger.calls.count { it.result?.status == OK && it.result?.isComplete == true },
+        submissions = ledger.submissions.size,
+        accepted = ledger.submissions.count { it.acceptedMillis != null },
+        violations = ledger.violations.distinct(),
+    )
+
+    private companion object {
+        const val OK = 200
+        const val MILLIS_PER_SECOND = 1_000L
+        const val LONGEST_FAULT_MILLIS = 12_000L
+        const val LONGEST_CALL_MILLIS = 6_000L
+        const val FINISH_MILLIS = 30_000L
+        const val POLL_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
@@ -0,0 +1,151 @@
+package org.poplarshift.verification.soak
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.vertx.core.Vertx
+import io.vertx.core.VertxException
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.standins.caller.CallerUris
+import org.poplarshift.standins.store.OperatorRecords
+import org.poplarshift.standins.store.StoreStandIn
+import org.poplarshift.standins.vm.VmProcess
+import org.poplarshift.standins.vm.VmSettings
+import java.io.IOException
+import java.net.ServerSocket
+import kotlin.random.Random
+
+/** The nodes as processes, with the store and the workers in this process. Used on one event loop. */
+class SoakFleet(private val vertx: Vertx, private val settings: SoakSettings, val ledger: SoakLedger) {
+    private val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(READINESS_MILLIS.toInt()))
+    private var isStopping = false
+    val store = StoreStandIn(vertx, Random(settings.seed))
+    val workers = SoakWorkers(vertx, Random(settings.seed + 1), store, ledger)
+    val organisations = SoakOrganisations()
+    val disturbances = Disturbances()
+    val nodes = ArrayList<SoakNode>()
+
+    /** Starts everything and waits until the nodes are ready. */
+    suspend fun start() {
+        writeConfiguration()
+        repeat(ENGINES) { workers.start(SoakOrganisations.ENGINE_SERVICE) }
+        repeat(PLAIN_WORKERS) { workers.start(SoakOrganisations.PLAIN_SERVICE) }
+        workers.renewEntries()
+        settings.directory.mkdirs()
+        repeat(settings.nodes) { nodes += createNode(it) }
+        nodes.forEach { it.process.start() }
+        withTimeoutOrNull(START_MILLIS) {
+            while (nodes.any { !it.isReady }) {
+                checkReadiness()
+                delay(READINESS_MILLIS)
+            }
+        } ?: error("nodes not ready: ${nodes.filter { !it.isReady }.map { it.name }}; see ${settings.directory}")
+    }
+
+    /** Writes the next version of the configuration. */
+    fun writeConfiguration() = store.put(
+        OperatorRecords.CONFIGURATION_TOPIC,
+        OperatorRecords.CONFIGURATION_KEY,
+        organisations.nextConfiguration(),
+    )
+
+    /** Renews the entries of workers, starts processes that have ended and asks the nodes for readiness. */
+    suspend fun maintain() {
+        var round = 0
+        while (!isStopping) {
+            delay(READINESS_MILLIS)
+            if (round++ % RENEWAL_ROUNDS == 0) workers.renewEntries()
+            nodes.filter { !it.process.isAlive && !it.isHeldDown }.forEach { restart(it) }
+            checkReadiness()
+        }
+    }
+
+    /** Kills all processes. */
+    fun stop() {
+        isStopping = true
+        nodes.forEach { it.process.kill() }
+    }
+
+    private fun restart(node: SoakNode) {
+        val end = disturbances.begin(node.name, now())
+        if (!node.isEndExpected) {
+            ledger.report(
+                Promise.KEEPS_RUNNING,
+                "${node.name} ended with ${node.process.exitCode}",
+            )
+        }
+        node.isEndExpected = false
+        node.terminatedMillis = null
+        node.process.start()
+        end(now())
+    }
+
+    private suspend fun checkReadiness() = nodes.forEach { it.isReady = it.process.isAlive && isReady(it) }
+
+    private suspend fun isReady(node: SoakNode): Boolean = withTimeoutOrNull(READINESS_MILLIS) {
+        try {
+            val options = RequestOptions().setMethod(HttpMethod.GET).setHost(node.settings.host)
+                .setPort(node.settings.readinessPort).setURI(CallerUris.READINESS)
+            client.request(options).compose { it.send() }.coAwait().statusCode() == OK
+        } catch (exception: IOException) {
+            logger.debug { "${node.name} is not ready: ${exception.message}" }
+            false
+        } catch (exception: VertxException) {
+            logger.debug { "${node.name} is not ready: ${exception.message}" }
+            false
+        }
+    } ?: false
+
+    private suspend fun createNode(index: Int): SoakNode {
+        val host = "127.0.0.1"
+        val name = "node-$index"
+        val vm = VmSettings(
+            name = name,
+            zone = SoakWorkers.ZONES[index % SoakWorkers.ZONES.size],
+            host = host,
+            firstPort = freePorts(),
+            storeAddress = "$host:${store.listen(name, host)}",
+            directory = settings.directory,
+        )
+        return SoakNode(vm, VmProcess(vm, settings.program))
+    }
+
+    // Below the range from which the system takes the ports of outgoing connections. Soaks that run at the same time must
+    // not take the ports of a process that is down for a moment.
+    private fun freePorts(): Int {
+        val used = nodes.map { it.settings.firstPort }
+        return generateSequence(FIRST_PORT + (ProcessHandle.current().pid() % PORT_RANGES).toInt() * PORTS_PER_SOAK) {
+            it +
+                PORTS_PER_NODE
+        }.first { first ->
+            first !in used && (first until first + PORTS_PER_NODE).all { isFree(it) }
+        }
+    }
+
+    private fun isFree(port: Int): Boolean = try {
+        ServerSocket(port).close()
+        true
+    } catch (_: IOException) {
+        false
+    }
+
+    companion object {
+        private val logger = KotlinLogging.logger {}
+        private const val ENGINES = 5
+        private const val PLAIN_WORKERS = 3
+        private const val START_MILLIS = 30_000L
+        private const val READINESS_MILLIS = 300L
+        private const val RENEWAL_ROUNDS = 4
+        private const val FIRST_PORT = 16_000
+        private const val PORT_RANGES = 40
+        private const val PORTS_PER_SOAK = 400
+        private const val PORTS_PER_NODE = 4
+        private const val OK = 200
+
+        /** Monotonic time in milliseconds. */
+        fun now(): Long = System.nanoTime() / 1_000_000
+    }
+}
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
@@ -0,0 +1,92 @@
+package org.poplarshift.verification.soak
+
+import io.vertx.core.Vertx
+import org.poplarshift.standins.store.OperatorRecords
+import org.poplarshift.standins.store.StoreStandIn
+import org.poplarshift.standins.worker.RegisteredWorker
+import org.poplarshift.standins.worker.ResponseFault
+import kotlin.random.Random
+
+/** The workers of all services, which renew their entries in the store. Used on one event loop. */
+class SoakWorkers(
+    private val vertx: Vertx,
+    private val random: Random,
+    private val store: StoreStandIn,
+    private val ledger: SoakLedger,
+) {
+    private val members = ArrayList<Member>()
+    private var started = 0
+    private var sequence = 0
+
+    /** Response faults that are in effect, each with the share of the requests that it affects. */
+    val responseFaults = ArrayList<Pair<ResponseFault, Double>>()
+
+    /** The workers that run. */
+    val running: List<RegisteredWorker>
+        get() = members.filter { it.isRunning }.map { it.worker }
+
+    /** Starts a worker of [service]. */
+    suspend fun start(service: String): RegisteredWorker {
+        val id = "i-${started++}"
+        val isEngine = service == SoakOrganisations.ENGINE_SERVICE
+        val worker = RegisteredWorker(vertx, id, isEngine, SLOTS, { chooseFault() }, ledger::onRun)
+        worker.listen(HOST)
+        members += Member(worker, service, ZONES[started % ZONES.size])
+        return worker
+    }
+
+    /** Renews the entries of all running workers. */
+    fun renewEntries() {
+        sequence++
+        members.filter { it.isRunning }.forEach { writeEntry(it) }
+    }
+
+    /** Ends [worker] without notice. Its entry is removed as if it had lapsed. */
+    suspend fun crash(worker: RegisteredWorker) {
+        member(worker).isRunning = false
+        worker.crash()
+    }
+
+    /** Removes the entry of a crashed worker, as the platform does some time later. */
+    fun removeEntry(worker: RegisteredWorker) = store.put(OperatorRecords.WORKER_TOPIC, worker.id, "")
+
+    /** Writes that [worker] leaves. It goes on serving until it is crashed. */
+    fun drain(worker: RegisteredWorker) {
+        worker.isLeaving = true
+        member(worker).isDraining = true
+        writeEntry(member(worker))
+    }
+
+    /** Service of [worker]. */
+    fun serviceOf(worker: RegisteredWorker): String = member(worker).service
+
+    private fun member(worker: RegisteredWorker): Member = members.first { it.worker === worker }
+
+    private fun writeEntry(member: Member) {
+        val address = "$HOST:${member.worker.port}"
+        val entry =
+            OperatorRecords.worker(member.service, address, member.zone, SLOTS, member.isDraining, sequence)
+        store.put(OperatorRecords.WORKER_TOPIC, member.worker.id, entry)
+    }
+
+    private fun chooseFault(): ResponseFault {
+        var drawn = random.nextDouble()
+        for ((fault, share) in responseFaults) {
+            if (drawn < share) return fault
+            drawn -= share
+        }
+        return ResponseFault.None
+    }
+
+    private class Member(val worker: RegisteredWorker, val service: String, val zone: String) {
+        var isRunning = true
+        var isDraining = false
+    }
+
+    companion object {
+        /** Availability zones of nodes and workers. */
+        val ZONES = listOf("one", "two", "three")
+        private const val HOST = "127.0.0.1"
+        private const val SLOTS = 8
+    }
+}
--- /dev/null
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
@@ -0,0 +1,46 @@
+package org.poplarshift.verification.soak
+
+/** A broken promise: the [promise] and what was seen. */
+data class Violation(val promise: Promise, val detail: String)
+
+/** What callers and workers may rely on. */
+enum class Promise {
+    /** A response is the whole response of the worker to this request. */
+    OWN_RESPONSE,
+
+    /** A request that isn't idempotent runs at most once. */
+    RUNS_ONCE,
+
+    /** A refusal that says "not run" is true. */
+    TRUE_REFUSAL,
+
+    /** Workers run only what callers have sent, for the right organisation and unchanged. */
+    AS_SENT,
+
+    /** Proper requests aren't rejected as improper. */
+    NOT_DENIED,
+
+    /** A stream has all events once and in order. */
+    STREAM_ORDER,
+
+    /** No organisation gets more than its rate and burst. */
+    RATE_LIMIT,
+
+    /** A withdrawn key stops working. */
+    WITHDRAWN_KEY,
+
+    /** A leaving worker gets no new requests. */
+    DRAINED_WORKER,
+
+    /** A process ends only when it is killed or asked to end. */
+    KEEPS_RUNNING,
+
+    /** A planned stop cuts off no request and ends in time. */
+    PLANNED_STOP,
+
+    /** An accepted submission stays readable, with complete results at fixed positions. */
+    ACCEPTED_SUBMISSION,
+
+    /** An ended submission runs nothing more. */
+    ENDED_SUBMISSION,
+}
