--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -20,7 +20,6 @@
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
-import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
@@ -43,8 +42,6 @@
     var settingsFile: Path? = null
 
     override fun call(): Int {
-        // The default action would end the program while it starts. The JVM lets nothing replace SIG_IGN.
-        Signal.handle(Signal("HUP")) {}
         val file = settingsFile
         if (file == null) {
             System.err.println("poplarshift-node: no settings file given")
