Count and log responses that do not belong to the waiting request

Nothing showed whether a response named its request: a response to another request was counted like a lost connection, and one without an id left no trace at all.

Each response without the id of the waiting request now has a log line with request, worker, connection and what was found, and worker_responses_unusable_total tells these from lost connections and silent workers. No decision changes. OnlineForwarderTest passes (mvn -pl serving -am verify -Dtest=OnlineForwarderTest).

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -26,6 +26,7 @@
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
 import org.poplarshift.serving.observe.NodeGauges
+import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerLogRelay
 import org.poplarshift.serving.peer.PeerReachability
@@ -87,8 +88,15 @@
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock)
     private val prober = WorkerProber(scope, loadBalancer, connections)
     private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name, wallClockMillis)
-    private val forwarding =
-        ForwardingContext(dispatcher, connections, prober, ports.workerProtocol, clock, crashTracker)
+    private val forwarding = ForwardingContext(
+        dispatcher,
+        connections,
+        prober,
+        ports.workerProtocol,
+        clock,
+        crashTracker,
+        UnusableResponseRecorder(metrics),
+    )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
     private val store =
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -142,7 +142,7 @@
                 forwarding.prober.markUnreachable(target)
                 return notRunAt(target, "connect_failed")
             }
-            val exchange = WorkerExchange(connection, forwarding.protocol, forwarding.responseMemory)
+            val exchange = WorkerExchange(connection, forwarding)
             isInFlight = true
             val exchangeResult = exchange.send(
                 outgoingRequest(target, resumeAfter),
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.serving.forward
 
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 
 /** Dependencies shared by all classes that send requests to workers. */
@@ -11,6 +12,7 @@
     val protocol: WorkerProtocol,
     val clock: MonotonicClock,
     val crashTracker: CrashTracker,
+    val unusableResponses: UnusableResponseRecorder,
     val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
 ) {
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -101,7 +101,7 @@
             return null
         }
         connectionsOpened++
-        return WorkerConnection(worker.id, worker.address, connection)
+        return WorkerConnection(worker.id, worker.address, connectionsOpened, connection)
     }
 
     private fun connectOptions(worker: FleetWorker): HttpConnectOptions? = try {
@@ -129,8 +129,8 @@
     }
 }
 
-/** A connection to the worker with the id [worker] at [address]. */
-class WorkerConnection(val worker: String, val address: String, val http: HttpClientConnection) {
+/** A connection to the worker with the id [worker] at [address]. [number] is unique among the connections of a node. */
+class WorkerConnection(val worker: String, val address: String, val number: Long, val http: HttpClientConnection) {
     /** Whether either side has closed the connection. */
     var isClosed = false
         private set
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -30,11 +30,8 @@
 }
 
 /** One HTTP request and its response on one connection. */
-class WorkerExchange(
-    private val connection: WorkerConnection,
-    private val protocol: WorkerProtocol,
-    private val responseMemory: ResponseMemory,
-) {
+class WorkerExchange(private val connection: WorkerConnection, private val forwarding: ForwardingContext) {
+    private val recorder = forwarding.unusableResponses
     private var allocation: ResponseMemory.Allocation? = null
     private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
     private var response: HttpClientResponse? = null
@@ -59,7 +56,7 @@
 
     /** Records that the received and not yet forwarded bytes are [bytes]. Returns whether more may be received. */
     fun hold(bytes: Int): Boolean {
-        val allocated = allocation ?: responseMemory.allocate().also { allocation = it }
+        val allocated = allocation ?: forwarding.responseMemory.allocate().also { allocation = it }
         return allocated.resize(bytes.toLong())
     }
 
@@ -71,14 +68,20 @@
     /** Sends [request] and waits up to [timeoutMillis] for the response head. */
     suspend fun send(request: OutgoingRequest, timeoutMillis: Long): ExchangeResult {
         val received = try {
-            withTimeoutOrNull(timeoutMillis) { sendAndAwaitHead(request) } ?: return ExchangeResult.TimedOut
+            withTimeoutOrNull(timeoutMillis) { sendAndAwaitHead(request) }
         } catch (exception: CancellationException) {
             throw exception
         } catch (exception: Exception) {
+            recorder.onNoResponse("connection_lost_before_head")
             return ExchangeResult.ConnectionLost(exception.message ?: exception.javaClass.simpleName)
         }
+        if (received == null) {
+            recorder.onNoResponse("silent_before_head")
+            return ExchangeResult.TimedOut
+        }
         response = received
-        val head = protocol.readResponseHead(received.statusCode(), received.headers())
+        val head = forwarding.protocol.readResponseHead(received.statusCode(), received.headers())
+        if (head.requestId != request.id) recordForeign(request, head)
         // A worker may respond to a request twice. The second response is then received in place of the next one's.
         if (head.requestId != null && head.requestId != request.id) return ExchangeResult.WrongResponse
         responseHead = head
@@ -90,6 +93,7 @@
         response?.fetch(1)
         val part = withTimeoutOrNull(timeoutMillis) { parts.receive() } ?: return ResponsePart.TimedOut
         if (part == ResponsePart.End) isComplete = true
+        if (part is ResponsePart.ConnectionLost) recorder.onNoResponse("connection_lost_in_body")
         return part
     }
 
@@ -118,6 +122,19 @@
         return BodyResult.Incomplete("body of over $maximumBytes bytes")
     }
 
+    private fun recordForeign(request: OutgoingRequest, head: ResponseHead) {
+        val reason = if (head.requestId == null) "no_request_id" else "other_request_id"
+        val found = "status ${head.status}, request id ${head.requestId ?: "missing"}"
+        recorder.onForeignResponse(
+            request.id,
+            connection.worker,
+            connection.address,
+            connection.number,
+            reason,
+            found,
+        )
+    }
+
     private suspend fun sendAndAwaitHead(request: OutgoingRequest): HttpClientResponse {
         val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
         val pending = connection.http.request(options).coAwait()
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -23,6 +24,7 @@
 import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.ScriptedWorker
+import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.quarantine.RequestFingerprint
 import org.poplarshift.serving.quarantine.WorkerRun
@@ -273,8 +275,15 @@
                     crashTracker.onConnectionLost(WorkerRun(RequestFingerprint.of(null, "/", body), it))
                 }
                 val dispatcher = FakeDispatcher(loadBalancer)
-                val forwarding =
-                    ForwardingContext(dispatcher, connections, prober, PlainWorkerProtocol, clock, crashTracker)
+                val forwarding = ForwardingContext(
+                    dispatcher,
+                    connections,
+                    prober,
+                    PlainWorkerProtocol,
+                    clock,
+                    crashTracker,
+                    UnusableResponseRecorder(SimpleMeterRegistry()),
+                )
                 val route = IngressRoute(
                     name = "route",
                     host = "host",
