Close a connection to a worker that has received bytes without a request

Callers got the status of one response with the headers and the body of another, runs of unsafe requests at a second worker, and another caller's text in the result of an item. The client of Vert.x reports whole messages only: the beginning of a head after a complete response stays in its decoder and is completed by the next response, whose id then names the request. "HTTP/1.1 200 OK, Stamp, X: " joins the worker's 500 to a success, the same with 503 and Not-Run joins a success to a refusal that is sent to another worker. The check of the id can't find this.

Connections to workers now use the codec of Netty below that client. Bytes are decoded only while a request waits. The last byte of each received segment is decoded by itself, so that the end of a response before it shows bytes that belong to no request. Such a connection is closed, logged and counted as bytes_without_request; the worker's other connections stay. Interim responses other than 100 and 103 were taken for final ones and are now ignored; a status 101 is no response. A reset is seen before the decoder ends a response without a length or chunks.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -85,7 +85,8 @@
         reachability,
         WebSocketSchedulerConnector(ownMember, peerClient, schedulerHost),
     )
-    private val connections = WorkerConnectionPool(vertx, settings.localHost, clock)
+    private val unusableResponses = UnusableResponseRecorder(metrics)
+    private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
     private val prober = WorkerProber(scope, loadBalancer, connections)
     private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name, wallClockMillis)
     private val forwarding = ForwardingContext(
@@ -95,7 +96,7 @@
         ports.workerProtocol,
         clock,
         crashTracker,
-        UnusableResponseRecorder(metrics),
+        unusableResponses,
     )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -163,7 +163,7 @@
 
     private fun ExchangeResult.slotOutcome(): SlotOutcome = when (this) {
         is ExchangeResult.ConnectionLost, ExchangeResult.TimedOut -> SlotOutcome.UNREACHABLE
-        ExchangeResult.WrongResponse -> SlotOutcome.USED
+        is ExchangeResult.ForeignResponse -> SlotOutcome.USED
         is ExchangeResult.Response -> when {
             !head.hasNotRun -> SlotOutcome.USED
             head.status == HTTP_UNAVAILABLE -> SlotOutcome.FULL
@@ -183,9 +183,9 @@
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
-        ExchangeResult.WrongResponse -> {
+        is ExchangeResult.ForeignResponse -> {
             slot.target.onConnectionLost()
-            mayHaveRunAt(slot.target, "answer to another request", isTimeout = false)
+            mayHaveRunAt(slot.target, result.identity.reason, isTimeout = false)
         }
 
         ExchangeResult.TimedOut -> {
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -0,0 +1,145 @@
+package org.poplarshift.serving.forward
+
+import io.netty.buffer.ByteBufUtil
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.LastHttpContent
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.internal.net.NetSocketInternal
+
+/**
+ * A connection to the worker with the id [worker] at [address], used for one request at a time.
+ *
+ * Bytes that arrive while no request waits belong to no request. The connection is then closed, because the bytes after
+ * them could be taken for a part of the next response.
+ *
+ * @property number unique among the connections of a node
+ * @param onForeignBytes called when the connection is closed because of bytes that belong to no request
+ */
+class WorkerConnection(
+    val worker: String,
+    val address: String,
+    val number: Long,
+    private val socket: NetSocketInternal,
+    private val onForeignBytes: (connection: WorkerConnection, found: String) -> Unit,
+) {
+    private var receiver: ResponseReceiver? = null
+    private var isInterim = false
+
+    /** Id of the latest request, or null before the first one. */
+    var lastRequest: String? = null
+        private set
+
+    /** Whether either side has closed the connection. */
+    var isClosed = false
+        private set
+
+    /** Whether the connection is in the pool and available for another request. */
+    var isIdle = false
+        internal set
+
+    /** Monotonic time in milliseconds until which the idle connection may be reused. */
+    var reusableUntilMillis = 0L
+
+    init {
+        val context = socket.channelHandlerContext()
+        val decoding = HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setMaxChunkSize(MAXIMUM_PART_BYTES)
+        val segments = ResponseSegmentHandler(
+            isAwaited = { receiver != null },
+            onForeignBytes = { closeForeign("$it bytes") },
+        )
+        context.pipeline()
+            .addBefore(context.name(), "segments", segments)
+            .addBefore(context.name(), "codec", HttpClientCodec(decoding, false, false))
+            .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::onLost))
+        // Failures are reported by the handler of responses.
+        socket.exceptionHandler { }
+        socket.closeHandler { isClosed = true }
+    }
+
+    /** Sends [request]; its response and the loss of the connection are passed to [receiver]. */
+    fun send(request: OutgoingRequest, receiver: ResponseReceiver) {
+        lastRequest = request.id
+        if (isClosed) return receiver.onLost(CLOSED)
+        val message = try {
+            request.toHttp(address)
+        } catch (exception: IllegalArgumentException) {
+            return receiver.onLost("the request can't be sent: ${exception.message}")
+        }
+        this.receiver = receiver
+        socket.writeMessage(message).onFailure { onLost(it.message ?: it.javaClass.simpleName) }
+    }
+
+    /** Stops or continues reading, so that a response is not received faster than it is forwarded. */
+    fun setReading(isReading: Boolean) {
+        socket.channelHandlerContext().channel().config().isAutoRead = isReading
+    }
+
+    /** Closes the connection immediately. */
+    fun close() {
+        receiver = null
+        isClosed = true
+        socket.close()
+    }
+
+    private fun onMessage(message: HttpObject) {
+        val receiver = receiver ?: return
+        if (message.decoderResult().isFailure) {
+            val cause = message.decoderResult().cause()
+            return onLost("malformed response: ${cause.message ?: cause.javaClass.simpleName}")
+        }
+        if (message is HttpResponse) {
+            isInterim = message.status().code() in INTERIM_STATUSES
+            if (!isInterim) receiver.onHead(message)
+        }
+        if (message is HttpContent && !isInterim) onContent(receiver, message)
+    }
+
+    private fun onContent(receiver: ResponseReceiver, content: HttpContent) {
+        if (content.content().isReadable) receiver.onBody(Buffer.buffer(ByteBufUtil.getBytes(content.content())))
+        if (content !is LastHttpContent) return
+        this.receiver = null
+        setReading(true)
+        receiver.onEnd()
+    }
+
+    private fun onLost(reason: String) {
+        val lost = receiver
+        close()
+        lost?.onLost(reason)
+    }
+
+    private fun closeForeign(found: String) {
+        if (isClosed) return
+        close()
+        onForeignBytes(this, found)
+    }
+
+    internal companion object {
+        /** Reason for the loss of a connection that the worker has closed. */
+        const val CLOSED = "Connection was closed"
+        private const val MAXIMUM_HEADER_BYTES = 65_536
+        private const val MAXIMUM_PART_BYTES = 65_536
+
+        // A status 101 would end HTTP on the connection, which no request asks for.
+        private val INTERIM_STATUSES = setOf(100) + (102..199)
+    }
+}
+
+/** Receives the response to one request. */
+interface ResponseReceiver {
+    /** Called for the head of the final response. */
+    fun onHead(response: HttpResponse)
+
+    /** Called for each part of the body. */
+    fun onBody(bytes: Buffer)
+
+    /** Called when the response is complete. */
+    fun onEnd()
+
+    /** Called when the connection was lost or the response can't be parsed. */
+    fun onLost(reason: String)
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -2,15 +2,16 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
-import io.vertx.core.http.HttpClientConnection
-import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpConnectOptions
+import io.vertx.core.internal.net.NetSocketInternal
+import io.vertx.core.net.NetClientOptions
+import io.vertx.core.net.SocketAddress
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.http.SocketAddresses
+import org.poplarshift.serving.observe.UnusableResponseRecorder
 
 /**
  * A pool of connections to workers, each used for one request at a time.
@@ -18,15 +19,17 @@
  * A connection is reused only after a complete response to the right request, and only within the worker's keep-alive
  * time.
  */
-class WorkerConnectionPool(vertx: Vertx, localHost: String, private val clock: MonotonicClock) {
+class WorkerConnectionPool(
+    vertx: Vertx,
+    localHost: String,
+    private val clock: MonotonicClock,
+    private val recorder: UnusableResponseRecorder,
+) {
     private val idle = HashMap<String, ArrayDeque<WorkerConnection>>()
-    private val client = vertx.createHttpClient(
-        HttpClientOptions()
-            .setLocalAddress(localHost)
-            .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
-            .setTcpNoDelay(true)
-            .setKeepAliveTimeout(0)
-            .setDecompressionSupported(false),
+    private val client = vertx.createNetClient(
+        NetClientOptions().setLocalAddress(
+            localHost,
+        ).setTcpNoDelay(true).setConnectTimeout(CONNECT_TIMEOUT_MILLIS.toInt()),
     )
 
     /** Number of connections opened since the node started. */
@@ -85,8 +88,9 @@
     }
 
     private suspend fun connect(worker: FleetWorker): WorkerConnection? {
-        val options = connectOptions(worker) ?: return null
-        val pending = client.connect(options)
+        val address = socketAddress(worker) ?: return null
+        // The connection must handle what it receives from the event on that reports that it is open.
+        val pending = client.connect(address).map { open(worker, it as NetSocketInternal) }
         val connection = try {
             withTimeoutOrNull(CONNECT_TIMEOUT_MILLIS) { pending.coAwait() }
         } catch (exception: CancellationException) {
@@ -100,13 +104,16 @@
             pending.onSuccess { it.close() }
             return null
         }
+        return connection
+    }
+
+    private fun open(worker: FleetWorker, socket: NetSocketInternal): WorkerConnection {
         connectionsOpened++
-        return WorkerConnection(worker.id, worker.address, connectionsOpened, connection)
+        return WorkerConnection(worker.id, worker.address, connectionsOpened, socket, recorder::onForeignBytes)
     }
 
-    private fun connectOptions(worker: FleetWorker): HttpConnectOptions? = try {
-        val socket = SocketAddresses.parse(worker.address)
-        HttpConnectOptions().setHost(socket.host()).setPort(socket.port()).setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+    private fun socketAddress(worker: FleetWorker): SocketAddress? = try {
+        SocketAddresses.parse(worker.address)
     } catch (exception: IllegalArgumentException) {
         logger.warn { "forward: ${worker.id} has the invalid address ${worker.address}: ${exception.message}" }
         null
@@ -125,31 +132,5 @@
         // A request that is in transit when the worker closes the idle connection may be lost.
         const val CLOSE_MARGIN_MILLIS = 400L
         const val CLOSE_MARGIN_DIVISOR = 5
-        const val MAXIMUM_HEADER_BYTES = 65_536
-    }
-}
-
-/** A connection to the worker with the id [worker] at [address]. [number] is unique among the connections of a node. */
-class WorkerConnection(val worker: String, val address: String, val number: Long, val http: HttpClientConnection) {
-    /** Whether either side has closed the connection. */
-    var isClosed = false
-        private set
-
-    /** Whether the connection is in the pool and available for another request. */
-    var isIdle = false
-        internal set
-
-    /** Monotonic time in milliseconds until which the idle connection may be reused. */
-    var reusableUntilMillis = 0L
-
-    init {
-        http.closeHandler { isClosed = true }
-        http.exceptionHandler { isClosed = true }
-    }
-
-    /** Closes the connection immediately. */
-    fun close() {
-        isClosed = true
-        http.close()
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -1,19 +1,14 @@
 package org.poplarshift.serving.forward
 
-import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpClientResponse
-import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.RequestOptions
-import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** An HTTP request to one worker. */
-class OutgoingRequest(val id: String, val method: HttpMethod, val uri: String, val headers: MultiMap, val body: Buffer)
-
 /** The result of sending a request and waiting for the response head. */
 sealed interface ExchangeResult {
     /** The response head was received. */
@@ -22,8 +17,8 @@
     /** The connection was lost, or the response could not be parsed. */
     data class ConnectionLost(val reason: String) : ExchangeResult
 
-    /** The response belongs to another request. */
-    data object WrongResponse : ExchangeResult
+    /** The response does not belong to the request. */
+    data class ForeignResponse(val identity: ResponseIdentity.Foreign) : ExchangeResult
 
     /** No response head was received within the timeout. */
     data object TimedOut : ExchangeResult
@@ -33,22 +28,20 @@
 class WorkerExchange(private val connection: WorkerConnection, private val forwarding: ForwardingContext) {
     private val recorder = forwarding.unusableResponses
     private var allocation: ResponseMemory.Allocation? = null
+    private val result = CompletableDeferred<ExchangeResult>()
     private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
-    private var response: HttpClientResponse? = null
+    private var unreadBytes = 0
     private var isComplete = false
+    private var isKeptAlive = false
     private var responseHead: ResponseHead? = null
 
     /** Whether the connection can be used for another request. */
     val isReusable: Boolean
-        get() = isComplete && responseHead?.closesConnection == false && !endsWithConnection
+        get() = isComplete && isKeptAlive && responseHead?.closesConnection == false && !endsWithConnection
 
     /** Whether the response has neither a length nor chunks, so that the end of the connection ends it. */
-    val endsWithConnection: Boolean
-        get() {
-            val headers = response?.headers() ?: return true
-            val isChunked = headers["Transfer-Encoding"]?.contains("chunked", ignoreCase = true) == true
-            return headers["Content-Length"] == null && !isChunked
-        }
+    var endsWithConnection = true
+        private set
 
     /** The worker's keep-alive time in milliseconds, or null when it does not state one. */
     val keepAliveMillis: Long?
@@ -67,33 +60,26 @@
 
     /** Sends [request] and waits up to [timeoutMillis] for the response head. */
     suspend fun send(request: OutgoingRequest, timeoutMillis: Long): ExchangeResult {
-        val received = try {
-            withTimeoutOrNull(timeoutMillis) { sendAndAwaitHead(request) }
-        } catch (exception: CancellationException) {
-            throw exception
-        } catch (exception: Exception) {
-            recorder.onNoResponse("connection_lost_before_head")
-            return ExchangeResult.ConnectionLost(exception.message ?: exception.javaClass.simpleName)
-        }
-        if (received == null) {
-            recorder.onNoResponse("silent_before_head")
-            return ExchangeResult.TimedOut
+        connection.send(request, Receiver(request.id))
+        val received = withTimeoutOrNull(timeoutMillis) { result.await() } ?: ExchangeResult.TimedOut
+        when (received) {
+            is ExchangeResult.Response -> responseHead = received.head
+            is ExchangeResult.ForeignResponse -> recorder.onForeignResponse(connection, received.identity)
+            is ExchangeResult.ConnectionLost -> recorder.onNoResponse("connection_lost_before_head")
+            ExchangeResult.TimedOut -> recorder.onNoResponse("silent_before_head")
         }
-        response = received
-        val head = forwarding.protocol.readResponseHead(received.statusCode(), received.headers())
-        if (head.requestId != request.id) recordForeign(request, head)
-        // A worker may respond to a request twice. The second response is then received in place of the next one's.
-        if (head.requestId != null && head.requestId != request.id) return ExchangeResult.WrongResponse
-        responseHead = head
-        return ExchangeResult.Response(head, received.headers())
+        return received
     }
 
     /** Returns the next part of the body; waits up to [timeoutMillis]. */
     suspend fun next(timeoutMillis: Long): ResponsePart {
-        response?.fetch(1)
         val part = withTimeoutOrNull(timeoutMillis) { parts.receive() } ?: return ResponsePart.TimedOut
-        if (part == ResponsePart.End) isComplete = true
-        if (part is ResponsePart.ConnectionLost) recorder.onNoResponse("connection_lost_in_body")
+        when (part) {
+            is ResponsePart.Bytes -> onRead(part)
+            is ResponsePart.ConnectionLost -> recorder.onNoResponse("connection_lost_in_body")
+            ResponsePart.End -> isComplete = true
+            ResponsePart.TimedOut -> Unit
+        }
         return part
     }
 
@@ -122,38 +108,48 @@
         return BodyResult.Incomplete("body of over $maximumBytes bytes")
     }
 
-    private fun recordForeign(request: OutgoingRequest, head: ResponseHead) {
-        val reason = if (head.requestId == null) "no_request_id" else "other_request_id"
-        val found = "status ${head.status}, request id ${head.requestId ?: "missing"}"
-        recorder.onForeignResponse(
-            request.id,
-            connection.worker,
-            connection.address,
-            connection.number,
-            reason,
-            found,
-        )
+    private fun onRead(part: ResponsePart.Bytes) {
+        val before = unreadBytes
+        unreadBytes -= part.bytes.length()
+        if (before > MAXIMUM_UNREAD_BYTES && unreadBytes <= MAXIMUM_UNREAD_BYTES) connection.setReading(true)
     }
 
-    private suspend fun sendAndAwaitHead(request: OutgoingRequest): HttpClientResponse {
-        val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
-        val pending = connection.http.request(options).coAwait()
-        pending.exceptionHandler { logger.debug { "forward: request ${request.id} failed: ${it.message}" } }
-        val sent = if (request.body.length() == 0) pending.send() else pending.send(request.body)
-        // The response must be paused within the event that delivers it, because the coroutine resumes only in a later
-        // event.
-        return sent.onSuccess { subscribe(it) }.coAwait()
-    }
+    private inner class Receiver(private val requestId: String) : ResponseReceiver {
+        override fun onHead(response: HttpResponse) {
+            val headers = response.headers().toMultiMap()
+            isKeptAlive = HttpUtil.isKeepAlive(response)
+            endsWithConnection = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
+            val identity = ResponseIdentity.of(requestId, response.status().code(), headers, forwarding.protocol)
+            result.complete(
+                when (identity) {
+                    is ResponseIdentity.Own -> ExchangeResult.Response(identity.head, headers)
+                    is ResponseIdentity.Foreign -> ExchangeResult.ForeignResponse(identity)
+                },
+            )
+        }
+
+        override fun onBody(bytes: Buffer) {
+            unreadBytes += bytes.length()
+            if (unreadBytes > MAXIMUM_UNREAD_BYTES) connection.setReading(false)
+            parts.trySend(ResponsePart.Bytes(bytes))
+        }
+
+        override fun onEnd() {
+            parts.trySend(ResponsePart.End)
+        }
+
+        override fun onLost(reason: String) {
+            result.complete(ExchangeResult.ConnectionLost(reason))
+            parts.trySend(ResponsePart.ConnectionLost(reason))
+        }
 
-    private fun subscribe(received: HttpClientResponse) {
-        received.pause()
-        received.handler { parts.trySend(ResponsePart.Bytes(it)) }
-        received.endHandler { parts.trySend(ResponsePart.End) }
-        received.exceptionHandler { parts.trySend(ResponsePart.ConnectionLost(it.message ?: it.javaClass.simpleName)) }
+        private fun HttpHeaders.toMultiMap(): MultiMap =
+            MultiMap.caseInsensitiveMultiMap().also { copy -> forEach { (name, value) -> copy.add(name, value) } }
     }
 
     private companion object {
-        val logger = KotlinLogging.logger {}
+        // Enough to keep a fast connection busy while a part is forwarded.
+        const val MAXIMUM_UNREAD_BYTES = 65_536
     }
 }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -15,7 +15,10 @@
      */
     fun sharedPromptParts(headers: MultiMap): List<String>
 
-    /** Parses the status and the headers of a response. */
+    /** Returns all values of the header that states the id of the request that a response belongs to. */
+    fun responseRequestIds(headers: MultiMap): List<String>
+
+    /** Parses the status and the headers of a response that has been identified, see [ResponseIdentity]. */
     fun readResponseHead(status: Int, headers: MultiMap): ResponseHead
 
     /** Returns those response headers that are forwarded to the caller. */
@@ -41,7 +44,6 @@
 /**
  * The status and the parsed headers of a worker's response.
  *
- * @property requestId id of the request that the response belongs to, or null when the worker does not state it
  * @property hasNotRun whether the worker states that it did not run the request
  * @property requestsAtWorker number of running and waiting requests at the worker, or null
  * @property requestsPerSecond requests per second that the worker accepts from all nodes together, or null when it does
@@ -53,7 +55,6 @@
  */
 data class ResponseHead(
     val status: Int,
-    val requestId: String?,
     val hasNotRun: Boolean,
     val requestsAtWorker: Int?,
     val requestsPerSecond: Double?,
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/UnusableResponseRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/UnusableResponseRecorder.kt
@@ -2,6 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
+import org.poplarshift.serving.forward.ResponseIdentity
+import org.poplarshift.serving.forward.WorkerConnection
 
 /**
  * Counts the responses of workers that can't be used, by reason, and logs those that belong to no waiting request.
@@ -12,28 +14,22 @@
     /** Records that the connection to a worker was lost or silent before the response was complete. */
     fun onNoResponse(reason: String) = count(reason)
 
-    /**
-     * Records bytes on a connection that do not belong to the request that waits on it.
-     *
-     * @param reason short name for the counter
-     * @param found what the worker has sent instead
-     */
-    fun onForeignResponse(
-        request: String?,
-        worker: String,
-        address: String,
-        connection: Long,
-        reason: String,
-        found: String,
-    ) {
+    /** Records a response on [connection] that does not belong to the request that waits on it. */
+    fun onForeignResponse(connection: WorkerConnection, response: ResponseIdentity.Foreign) =
+        record(connection, response.reason, response.found)
+
+    /** Records that [connection] is closed because it has received bytes while no request waited on it. */
+    fun onForeignBytes(connection: WorkerConnection, found: String) = record(connection, "bytes_without_request", found)
+
+    private fun record(connection: WorkerConnection, reason: String, found: String) {
         count(reason)
         logger.atWarn {
             message = "forward: response does not belong to the waiting request"
             payload = mapOf(
-                "request" to request,
-                "worker" to worker,
-                "address" to address,
-                "connection" to connection,
+                "request" to connection.lastRequest,
+                "worker" to connection.worker,
+                "address" to connection.address,
+                "connection" to connection.number,
                 "reason" to reason,
                 "found" to found.take(MAXIMUM_FOUND_LENGTH),
             )
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -268,7 +268,8 @@
                 // The first worker is in the zone of the node and therefore preferred.
                 val loadBalancer = LoadBalancer("here") { 0.0 }.apply { update(entries) }
                 val clock = MonotonicClock.SYSTEM
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock)
+                val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
+                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
                 val prober = WorkerProber(scope, loadBalancer, connections)
                 val crashTracker = CrashTracker(scope, clock, FakeLog(), "members", "node")
                 case.crashedWorkers.forEach {
@@ -282,7 +283,7 @@
                     PlainWorkerProtocol,
                     clock,
                     crashTracker,
-                    UnusableResponseRecorder(SimpleMeterRegistry()),
+                    recorder,
                 )
                 val route = IngressRoute(
                     name = "route",
