Use a response of a worker only if it names the waiting request

Callers got another caller's response or failure, items another item's text, and after an earlier refusal that a worker wrote once more, requests that must run once ran at a second worker.

ResponseIdentity is now the one place that decides: the id must be there, exactly once, and be the request's. Only then is the head parsed, so that no other code can use the status, load, rate limit, leaving mark, receipt or times of a response that was not identified. An interim response that names another request counts the same. It holds for all requests over the pool.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -6,14 +6,14 @@
  * Whether a response belongs to the request that waits on its connection.
  *
  * A worker may write a response twice, or bytes of an earlier response, at the point where the next response is due. Only
- * the id tells whose response it is. The head of a response with another id is not parsed, so that nothing of it can be
- * used: the request may have run.
+ * the id tells whose response it is. It must be present exactly once and be that of the request. The head of any other
+ * response is not parsed, so that nothing of it can be used: the request may have run.
  */
 sealed interface ResponseIdentity {
     /** The response belongs to the request. */
     class Own(val head: ResponseHead) : ResponseIdentity
 
-    /** The response belongs to another request. */
+    /** The response belongs to another request, or it does not show that it belongs to this one. */
     data class Foreign(val reason: String, val found: String) : ResponseIdentity
 
     companion object {
@@ -24,10 +24,19 @@
             val ids = protocol.responseRequestIds(headers)
             val reason = when {
                 status < FIRST_FINAL_STATUS -> "interim_response"
-                ids.isNotEmpty() && ids.first() != requestId -> "other_request_id"
+                ids.isEmpty() -> "no_request_id"
+                ids.size > 1 -> "several_request_ids"
+                ids.single() != requestId -> "other_request_id"
                 else -> return Own(protocol.readResponseHead(status, headers))
             }
             return Foreign(reason, "status $status, request ids $ids")
         }
+
+        /** Identifies an interim response, which is ignored unless it names another request; returns null then. */
+        fun ofInterim(requestId: String, status: Int, headers: MultiMap, protocol: WorkerProtocol): Foreign? {
+            val ids = protocol.responseRequestIds(headers)
+            if (ids.all { it == requestId }) return null
+            return Foreign("other_request_id", "status $status, request ids $ids")
+        }
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -93,7 +93,7 @@
         }
         if (message is HttpResponse) {
             isInterim = message.status().code() in INTERIM_STATUSES
-            if (!isInterim) receiver.onHead(message)
+            if (isInterim) receiver.onInterim(message) else receiver.onHead(message)
         }
         if (message is HttpContent && !isInterim) onContent(receiver, message)
     }
@@ -131,6 +131,9 @@
 
 /** Receives the response to one request. */
 interface ResponseReceiver {
+    /** Called for each interim response. */
+    fun onInterim(response: HttpResponse)
+
     /** Called for the head of the final response. */
     fun onHead(response: HttpResponse)
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -115,6 +115,12 @@
     }
 
     private inner class Receiver(private val requestId: String) : ResponseReceiver {
+        override fun onInterim(response: HttpResponse) {
+            val status = response.status().code()
+            ResponseIdentity.ofInterim(requestId, status, response.headers().toMultiMap(), forwarding.protocol)
+                ?.let { result.complete(ExchangeResult.ForeignResponse(it)) }
+        }
+
         override fun onHead(response: HttpResponse) {
             val headers = response.headers().toMultiMap()
             isKeptAlive = HttpUtil.isKeepAlive(response)
