Don't take a response of another type for the rest of a stream

A response that states a content type other than text/event-stream is not read as a stream of events. An empty event stream still completes a stream whose last event had been received.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -33,6 +33,7 @@
     /** Returns the next events or the end of the stream; waits up to [timeoutMillis] for the stream to continue. */
     suspend fun next(timeoutMillis: Long): EventStreamPart {
         failure?.let { return it }
+        if (exchange.isOtherThanEvents) return EventStreamPart.Invalid("the response is no event stream")
         val now = clock.millis()
         val remainingMillis = (stalledSinceMillis ?: now) + timeoutMillis - now
         val part = withTimeoutOrNull(remainingMillis) { next() } ?: return EventStreamPart.TimedOut
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -43,6 +43,10 @@
     var endsWithConnection = true
         private set
 
+    /** Whether the response states a content type other than that of a stream of events. */
+    var isOtherThanEvents = false
+        private set
+
     /** The worker's keep-alive time in milliseconds, or null when it does not state one. */
     val keepAliveMillis: Long?
         get() = responseHead?.keepAliveMillis
@@ -123,6 +127,7 @@
 
         override fun onHead(response: HttpResponse) {
             val headers = response.headers().toMultiMap()
+            isOtherThanEvents = HttpUtil.getMimeType(response)?.contentEquals(EVENT_STREAM, ignoreCase = true) == false
             isKeptAlive = HttpUtil.isKeepAlive(response)
             endsWithConnection = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
             val identity = ResponseIdentity.of(requestId, response.status().code(), headers, forwarding.protocol)
@@ -154,6 +159,8 @@
     }
 
     private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+
         // Enough to keep a fast connection busy while a part is forwarded.
         const val MAXIMUM_UNREAD_BYTES = 65_536
     }
