--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -104,7 +104,7 @@
             pending.onSuccess { it.close() }
             return null
         }
-        return connection
+        return connection.takeUnless { it.isClosed }
     }
 
     private fun open(worker: FleetWorker, socket: NetSocketInternal): WorkerConnection {
