--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -23,6 +24,7 @@
 import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.ScriptedWorker
+import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.quarantine.RequestFingerprint
 import org.poplarshift.serving.quarantine.WorkerRun
@@ -266,15 +268,23 @@
                 // The first worker is in the zone of the node and therefore preferred.
                 val loadBalancer = LoadBalancer("here") { 0.0 }.apply { update(entries) }
                 val clock = MonotonicClock.SYSTEM
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock)
+                val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
+                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
                 val prober = WorkerProber(scope, loadBalancer, connections)
                 val crashTracker = CrashTracker(scope, clock, FakeLog(), "members", "node")
                 case.crashedWorkers.forEach {
                     crashTracker.onConnectionLost(WorkerRun(RequestFingerprint.of(null, "/", body), it))
                 }
                 val dispatcher = FakeDispatcher(loadBalancer)
-                val forwarding =
-                    ForwardingContext(dispatcher, connections, prober, PlainWorkerProtocol, clock, crashTracker)
+                val forwarding = ForwardingContext(
+                    dispatcher,
+                    connections,
+                    prober,
+                    PlainWorkerProtocol,
+                    clock,
+                    crashTracker,
+                    recorder,
+                )
                 val route = IngressRoute(
                     name = "route",
                     host = "host",
