Don't use a head that the beginning of another one has joined

Callers got a success where the worker had answered with an error, or a refusal for a request that ran. The beginning of a head that a worker writes late, after the next request has been sent, is completed by the head of that request's response: the status, and what else the beginning holds, are the earlier response's, the id is the right one.

A head with a second status line, in its reason phrase or in the name or value of a header, is now no response to the request ('joined_heads').

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -8,6 +8,9 @@
  * A worker may write a response twice, or bytes of an earlier response, at the point where the next response is due. Only
  * the id tells whose response it is. It must be present exactly once and be that of the request. The head of any other
  * response is not parsed, so that nothing of it can be used: the request may have run.
+ *
+ * The beginning of a head that was broken off joins the head that follows it. The status is then that of the one and the
+ * id that of the other, so a head must not contain a second status line.
  */
 sealed interface ResponseIdentity {
     /** The response belongs to the request. */
@@ -18,12 +21,20 @@
 
     companion object {
         private const val FIRST_FINAL_STATUS = 200
+        private const val STATUS_LINE_START = "HTTP/1."
 
-        /** Identifies the response with [status] and [headers], received while [requestId] waits. */
-        fun of(requestId: String, status: Int, headers: MultiMap, protocol: WorkerProtocol): ResponseIdentity {
+        /** Identifies the response with [status], [reasonPhrase] and [headers], received while [requestId] waits. */
+        fun of(
+            requestId: String,
+            status: Int,
+            reasonPhrase: String,
+            headers: MultiMap,
+            protocol: WorkerProtocol,
+        ): ResponseIdentity {
             val ids = protocol.responseRequestIds(headers)
             val reason = when {
                 status < FIRST_FINAL_STATUS -> "interim_response"
+                hasSecondStatusLine(reasonPhrase, headers) -> "joined_heads"
                 ids.isEmpty() -> "no_request_id"
                 ids.size > 1 -> "several_request_ids"
                 ids.single() != requestId -> "other_request_id"
@@ -33,10 +44,24 @@
         }
 
         /** Identifies an interim response, which is ignored unless it names another request; returns null then. */
-        fun ofInterim(requestId: String, status: Int, headers: MultiMap, protocol: WorkerProtocol): Foreign? {
+        fun ofInterim(
+            requestId: String,
+            status: Int,
+            reasonPhrase: String,
+            headers: MultiMap,
+            protocol: WorkerProtocol,
+        ): Foreign? {
             val ids = protocol.responseRequestIds(headers)
-            if (ids.all { it == requestId }) return null
-            return Foreign("other_request_id", "status $status, request ids $ids")
+            val reason = when {
+                hasSecondStatusLine(reasonPhrase, headers) -> "joined_heads"
+                ids.any { it != requestId } -> "other_request_id"
+                else -> return null
+            }
+            return Foreign(reason, "status $status, request ids $ids")
         }
+
+        private fun hasSecondStatusLine(reasonPhrase: String, headers: MultiMap): Boolean =
+            STATUS_LINE_START in reasonPhrase ||
+                headers.any { (name, value) -> STATUS_LINE_START in name || STATUS_LINE_START in value }
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -120,8 +120,9 @@
 
     private inner class Receiver(private val requestId: String) : ResponseReceiver {
         override fun onInterim(response: HttpResponse) {
-            val status = response.status().code()
-            ResponseIdentity.ofInterim(requestId, status, response.headers().toMultiMap(), forwarding.protocol)
+            val headers = response.headers().toMultiMap()
+            val status = response.status()
+            ResponseIdentity.ofInterim(requestId, status.code(), status.reasonPhrase(), headers, forwarding.protocol)
                 ?.let { result.complete(ExchangeResult.ForeignResponse(it)) }
         }
 
@@ -130,7 +131,9 @@
             isOtherThanEvents = HttpUtil.getMimeType(response)?.contentEquals(EVENT_STREAM, ignoreCase = true) == false
             isKeptAlive = HttpUtil.isKeepAlive(response)
             endsWithConnection = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
-            val identity = ResponseIdentity.of(requestId, response.status().code(), headers, forwarding.protocol)
+            val status = response.status()
+            val identity =
+                ResponseIdentity.of(requestId, status.code(), status.reasonPhrase(), headers, forwarding.protocol)
             result.complete(
                 when (identity) {
                     is ResponseIdentity.Own -> ExchangeResult.Response(identity.head, headers)
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/ResponseIdentityTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/ResponseIdentityTest.kt
@@ -27,10 +27,41 @@
 class ResponseIdentityTest :
     FunSpec({
         fun write(text: String): List<RawStep> = listOf(Write(text))
-        fun beforeOwn(request: RawRequest, text: String) = listOf(Write(text), Pause(30), Write(sound(request)))
+        fun beforeOwn(request: RawRequest, text: String, own: String = sound(request)) =
+            listOf(Write(text), Pause(30), Write(own))
         fun idLines(request: RawRequest, lines: String) = write(withIdLines(sound(request), lines))
 
         val interimHead = "HTTP/1.1 103 Early Hints\r\n"
+
+        // The beginning of a head joins the head that follows it, whose id then names the request.
+        val joined = listOf(
+            "HTT",
+            "HTTP/1.1 ",
+            "HTTP/1.1 20",
+            "HTTP/1.1 200",
+            "HTTP/1.1 200 ",
+            "HTTP/1.1 200 O",
+            "HTTP/1.1 200 OK\r",
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.1 200 OK\r\nStam",
+            "HTTP/1.1 200 OK\r\nStamp:",
+            "HTTP/1.1 200 OK\r\nStamp: 1\r",
+            "HTTP/1.1 200 OK\r\nStamp: 1\r\n",
+            "HTTP/1.1 200 OK\r\nStamp: 1\r\nX-Other: ",
+            "HTTP/1.1 200 OK\r\nContent-Length: 1",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y",
+        ).map { beginning ->
+            Case("'${beginning.replace("\r", "CR").replace("\n", "LF")}' before an error") { request, _ ->
+                beforeOwn(request, beginning, own = error(request, 500))
+            }
+        } + listOf(
+            Case("the beginning of a refusal before the response") { request, _ ->
+                beforeOwn(request, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nX: ")
+            },
+            Case("the beginning of an interim response before the response") { request, _ ->
+                beforeOwn(request, "HTTP/1.1 102 Processing\r\nX: ")
+            },
+        )
         val unnamed = listOf(
             Case("an earlier response without an id") { request, earlier ->
                 beforeOwn(request, withIdLines(sound(earlier), ""))
@@ -129,7 +160,7 @@
 
         beforeSpec {
             var number = 0
-            for (case in unnamed + named + failed) {
+            for (case in unnamed + joined + named + failed) {
                 for (kind in RequestKind.entries) {
                     services[case to kind] = fleet.add("c${number++}", kind) { case.respond(it) }
                 }
@@ -153,7 +184,7 @@
         }
 
         for (kind in RequestKind.entries) {
-            unnamed.forEach { case ->
+            (unnamed + joined).forEach { case ->
                 test("${case.name} is no response to a request of the kind $kind") {
                     callAll(case, kind) { id ->
                         val response = fleet.call(this, id)
