--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
@@ -69,7 +69,7 @@
     }
 
     private fun serve(connection: WorkerConnection, request: ReceivedRequest) {
-        connection.writeRepeated()
+        connection.writePending()
         val requestId = request.headers[PlatformHeaders.REQUEST_ID]
         val expected = request.headers[PlatformHeaders.EXPECTED_WORKER]
         val fault = chooseFault(request)
@@ -78,7 +78,7 @@
             expected != null && expected != id -> connection.write(refusal(MISDIRECTED, requestId))
             running >= slots || fault == ResponseFault.Refusal -> {
                 connection.write(refusal(UNAVAILABLE, requestId))
-                if (fault is ResponseFault.Repeated) connection.repeat(fault, refusal(UNAVAILABLE, null))
+                if (fault is ResponseFault.Repeated) connection.writeAt(fault.moment, refusal(UNAVAILABLE, null))
             }
 
             else -> run(connection, request, requestId, fault)
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseFault.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseFault.kt
@@ -26,7 +26,10 @@
     /** Writes the complete response once more, with or without the id of its request. */
     data class Repeated(val moment: Moment, val hasId: Boolean) : ResponseFault
 
-    /** When a repeated response is written. */
+    /** Writes the beginning of another head after the complete response. */
+    data class Fragment(val moment: Moment) : ResponseFault
+
+    /** When bytes after the response are written. */
     enum class Moment {
         /** With the last bytes of the response. */
         AT_ONCE,
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RunResponse.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RunResponse.kt
@@ -24,7 +24,7 @@
 
     private fun start() {
         when (fault) {
-            ResponseFault.None, ResponseFault.Refusal, is ResponseFault.Repeated ->
+            ResponseFault.None, ResponseFault.Refusal, is ResponseFault.Repeated, is ResponseFault.Fragment ->
                 if (isEngine) sendStream() else sendPlain()
 
             is ResponseFault.Failure -> {
@@ -92,22 +92,27 @@
     }
 
     private fun finish(response: String) {
-        if (fault !is ResponseFault.Repeated) {
-            connection.write(response)
-            return onEnd()
-        }
-        val copy = if (isEngine) {
-            head(OK, idOfCopy(fault), STREAM_HEADERS + stampHeader) + chunk(body()) + LAST_CHUNK
-        } else {
-            plainResponse(idOfCopy(fault))
+        when (fault) {
+            is ResponseFault.Repeated -> finish(response, fault.moment, copy(fault))
+            is ResponseFault.Fragment -> finish(response, fault.moment, "HTTP/1.1 200 OK\r\n${stampHeader}X-Other: ")
+            else -> connection.write(response)
         }
-        if (fault.moment == ResponseFault.Moment.AT_ONCE) {
-            connection.write(response + copy)
+        onEnd()
+    }
+
+    private fun finish(response: String, moment: ResponseFault.Moment, following: String) {
+        if (moment == ResponseFault.Moment.AT_ONCE) {
+            connection.write(response + following)
         } else {
             connection.write(response)
-            after(IDLE_MILLIS) { connection.repeat(fault, copy) }
+            after(IDLE_MILLIS) { connection.writeAt(moment, following) }
         }
-        onEnd()
+    }
+
+    private fun copy(repeated: ResponseFault.Repeated): String = if (isEngine) {
+        head(OK, idOfCopy(repeated), STREAM_HEADERS + stampHeader) + chunk(body()) + LAST_CHUNK
+    } else {
+        plainResponse(idOfCopy(repeated))
     }
 
     private fun idOfCopy(repeated: ResponseFault.Repeated): String? = run.requestId.takeIf { repeated.hasId }
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerConnection.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerConnection.kt
@@ -4,9 +4,9 @@
 import io.vertx.core.internal.net.NetSocketInternal
 import io.vertx.core.net.NetSocket
 
-/** A connection to a worker, which may write a response once more. */
+/** A connection to a worker, which may write bytes that belong to no request. */
 internal class WorkerConnection(private val socket: NetSocket) {
-    private var repeated: String? = null
+    private var pending: String? = null
 
     /** Whether the connection has not been closed. */
     var isOpen = true
@@ -16,18 +16,18 @@
         if (isOpen) socket.write(text)
     }
 
-    /** Writes [response] once more at the moment that [fault] states. */
-    fun repeat(fault: ResponseFault.Repeated, response: String) {
-        when (fault.moment) {
-            ResponseFault.Moment.AT_ONCE, ResponseFault.Moment.IDLE -> write(response)
-            ResponseFault.Moment.NEXT_REQUEST -> repeated = response
+    /** Writes [bytes], which belong to no request, at [moment]. */
+    fun writeAt(moment: ResponseFault.Moment, bytes: String) {
+        when (moment) {
+            ResponseFault.Moment.AT_ONCE, ResponseFault.Moment.IDLE -> write(bytes)
+            ResponseFault.Moment.NEXT_REQUEST -> pending = bytes
         }
     }
 
-    /** Writes the response that is due when the next request has been received. */
-    fun writeRepeated() {
-        repeated?.let { write(it) }
-        repeated = null
+    /** Writes the bytes that are due when the next request has been received. */
+    fun writePending() {
+        pending?.let { write(it) }
+        pending = null
     }
 
     /** Closes the connection; with [isReset] without waiting for bytes that have not been sent. */
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultPlan.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultPlan.kt
@@ -47,6 +47,7 @@
         3 -> ResponseFault.Silence
         4, 5 -> ResponseFault.Cut(isInHead = random.nextBoolean(), isReset = random.nextBoolean())
         6 -> ResponseFault.Unframed
+        7 -> ResponseFault.Fragment(ResponseFault.Moment.entries.random(random))
         else -> ResponseFault.Repeated(ResponseFault.Moment.entries.random(random), hasId = random.nextBoolean())
     }
 
