--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakLedger.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakLedger.kt
@@ -49,8 +49,10 @@
     private fun onRun(call: SentCall, run: WorkerRun) {
         call.runs += run
         val request = run.request
-        val isAsSent = request.method == call.call.method && request.uri == call.call.uri &&
-            request.body.decodeToString() == call.call.body && run.organisation == call.organisation &&
+        val isAsSent = request.method == call.call.method &&
+            request.uri == call.call.uri &&
+            request.body.decodeToString() == call.call.body &&
+            run.organisation == call.organisation &&
             call.call.key !in request.headers.entries().map { it.value }
         if (!isAsSent) report(Promise.AS_SENT, "changed: ${request.method} ${request.uri} of ${call.describe()}")
     }
