Continue a page of results at the position that was asked for

Callers that asked for a position after the last result that a node knew received a page whose next position was smaller than theirs, as if results that another node had listed did not exist. The cause: the position was limited to the number of known results before the page was built. The page is now empty and continues at the position asked for, as the protocol states, and the node logs the difference, which a ledger that lacks results would show.

SubmissionService takes a CallerSink, so that a test can record its response.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -12,6 +12,7 @@
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.forward.AttemptPlan
 import org.poplarshift.serving.forward.AttemptSession
+import org.poplarshift.serving.forward.CallerSink
 import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.forward.OnlineCall
 import org.poplarshift.serving.forward.OnlineForwarder
@@ -165,7 +166,7 @@
         private const val GATEWAY_TIMEOUT = 504
 
         /** Sends a complete response with [status] and [body]. */
-        fun respond(sink: HttpCallerSink, status: Int, body: Buffer, contentType: String?) {
+        fun respond(sink: CallerSink, status: Int, body: Buffer, contentType: String?) {
             val headers = MultiMap.caseInsensitiveMultiMap()
             contentType?.let { headers.add("Content-Type", it) }
             sink.respond(status, headers, body)
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.submission
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.buffer.Buffer
 import kotlinx.coroutines.delay
 import org.poplarshift.core.ingress.IngressOrganisation
@@ -10,10 +11,10 @@
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.core.submission.SubmissionState
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.forward.CallerSink
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerOperation
 import org.poplarshift.serving.ingress.CallerProtocol
-import org.poplarshift.serving.ingress.HttpCallerSink
 import org.poplarshift.serving.ingress.IncomingCall
 import org.poplarshift.serving.ingress.Refusal
 import org.poplarshift.serving.ingress.SubmittedItem
@@ -36,7 +37,7 @@
         route: IngressRoute,
         organisation: IngressOrganisation?,
         incoming: IncomingCall,
-        sink: HttpCallerSink,
+        sink: CallerSink,
         record: CallRecord,
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
@@ -63,7 +64,7 @@
     suspend fun read(
         operation: CallerOperation.ReadResults,
         organisation: IngressOrganisation?,
-        sink: HttpCallerSink,
+        sink: CallerSink,
         record: CallRecord,
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
@@ -96,7 +97,7 @@
     suspend fun readItem(
         operation: CallerOperation.ReadItem,
         organisation: IngressOrganisation?,
-        sink: HttpCallerSink,
+        sink: CallerSink,
         record: CallRecord,
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
@@ -112,7 +113,7 @@
     suspend fun end(
         operation: CallerOperation.EndSubmission,
         organisation: IngressOrganisation?,
-        sink: HttpCallerSink,
+        sink: CallerSink,
         record: CallRecord,
     ): Refusal? {
         val owner = organisation?.name.orEmpty()
@@ -146,7 +147,7 @@
         partition: SubmissionPartition,
         id: String,
         owner: String,
-        sink: HttpCallerSink,
+        sink: CallerSink,
         record: CallRecord,
     ): Refusal? {
         if (!partition.isCurrent(MAXIMUM_READ_AGE_MILLIS) && !partition.catchUp()) return Refusal.NOT_CAUGHT_UP
@@ -195,30 +196,31 @@
     private fun handleDuplicate(
         existing: SubmissionState,
         owner: String,
-        sink: HttpCallerSink,
+        sink: CallerSink,
         record: CallRecord,
     ): Refusal? {
         if (existing.proposal.organisation != owner) return Refusal.BAD_REQUEST
         return sendAccepted(sink, record)
     }
 
-    private fun handleEffect(effect: LedgerEffect, sink: HttpCallerSink, record: CallRecord): Refusal? = when (effect) {
+    private fun handleEffect(effect: LedgerEffect, sink: CallerSink, record: CallRecord): Refusal? = when (effect) {
         is LedgerEffect.Accepted, LedgerEffect.Duplicate -> sendAccepted(sink, record)
         LedgerEffect.Rejected -> Refusal.WAITING_TOKENS
         else -> Refusal.BAD_REQUEST
     }
 
-    private fun sendAccepted(sink: HttpCallerSink, record: CallRecord): Refusal? {
+    private fun sendAccepted(sink: CallerSink, record: CallRecord): Refusal? {
         record.end("accepted")
         CallHandlers.respond(sink, ACCEPTED, Buffer.buffer(), contentType = null)
         return null
     }
 
-    private fun sendResults(state: SubmissionState, after: Int, sink: HttpCallerSink) {
-        val from = after.coerceIn(0, state.results.size)
+    private fun sendResults(state: SubmissionState, after: Int, sink: CallerSink) {
+        val from = maxOf(after, 0)
+        if (from > state.results.size) reportLackingResults(state, from)
         val page = ArrayList<ItemResult>()
         var bytes = 0
-        for (result in state.results.subList(from, state.results.size)) {
+        for (result in state.results.drop(from)) {
             if (page.isNotEmpty() && bytes + result.output.size > MAXIMUM_PAGE_BYTES) break
             page += result
             bytes += result.output.size
@@ -227,7 +229,20 @@
         CallHandlers.respond(sink, OK, body, "application/json")
     }
 
+    // The caller continues at the position that it asked for. A smaller one would take back results that another node
+    // may have shown it.
+    private fun reportLackingResults(state: SubmissionState, from: Int) = logger.atInfo {
+        message = "submission: a caller has asked for a position after the last result that this node knows"
+        payload = mapOf(
+            "submission" to state.proposal.submission,
+            "position" to from,
+            "results" to state.results.size,
+            "items" to state.items.size,
+        )
+    }
+
     private companion object {
+        val logger = KotlinLogging.logger {}
         const val OK = 200
         const val ACCEPTED = 202
 
