Bring the pages of the newest records to one time before they are delivered

A follower starts from pages of the newest record of each key. Records that were removed or replaced between two pages were missing although records that precede their removal were delivered. A ledger that is built from such a start can accept a proposal that all other nodes have rejected, because the records that made them reject it were on a later page.

After the last page, the follower reads the records between the smallest and the largest end that the pages state, applies them to the records of the pages and continues after them. An append is never split by an end, so that a removal is seen as a whole or not at all. If these records can't be read, the follower starts again.

TopicFollowerTest changes the log after the first of two pages, in five ways.

--- a/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
@@ -117,24 +117,28 @@
     }
 
     private suspend fun readNewest(): Boolean {
-        val sentMillis = clock.millis()
-        val records = ArrayList<LogRecord>()
-        var end = NOT_STARTED
+        var sentMillis: Long
+        val newest = HashMap<String, LogRecord>()
+        var firstEnd = Long.MAX_VALUE
+        var lastEnd = 0L
         var after: String? = null
         do {
+            sentMillis = clock.millis()
             val page = when (val result = log.newest(topic, partition, after)) {
                 is NewestResult.Page -> result
                 is NewestResult.Unavailable -> return reportFailure(result.reason)
             }
-            // The pages are not a consistent snapshot. Records appended after the first page was created are skipped
-            // here and read from the log afterwards.
-            if (end == NOT_STARTED) end = page.end
-            records += page.records.filter { it.offset < end }
+            firstEnd = minOf(firstEnd, page.end)
+            lastEnd = maxOf(lastEnd, page.end)
+            page.records.forEach { newest[it.key] = it }
             after = page.records.lastOrNull()?.key
         } while (page.hasMore && after != null)
+        val end = when (val result = applyChanges(newest, firstEnd, lastEnd)) {
+            is PagingResult.Consistent -> result.end
+            is PagingResult.Failed -> return reportFailure(result.reason)
+        }
         receiver.onRestart()
-        records.sortBy { it.offset }
-        records.forEach { deliver(it) }
+        newest.values.sortedBy { it.offset }.forEach { deliver(it) }
         next = end
         upToDateMillis = sentMillis
         receiver.onCaughtUp()
@@ -142,6 +146,31 @@
         return true
     }
 
+    /**
+     * Applies the records from offset [from] to [until] to the records [newest], which come from several pages.
+     *
+     * The pages are not a consistent snapshot: a key that was removed or replaced between two of them may be missing
+     * although records that precede its removal are there. The ends of the pages enclose all such changes.
+     */
+    private suspend fun applyChanges(newest: HashMap<String, LogRecord>, from: Long, until: Long): PagingResult {
+        var position = from
+        while (position < until) {
+            val result = when (val result = log.read(topic, partition, position, waitMillis = 0)) {
+                is ReadResult.Records -> result
+                is ReadResult.Trimmed -> return PagingResult.Failed("changes before ${result.first} were deleted")
+                is ReadResult.Unavailable -> return PagingResult.Failed(result.reason)
+            }
+            if (result.next <= position) return PagingResult.Failed("a read ends at $position, before the pages")
+            for (record in result.records) {
+                val known = newest[record.key]
+                if (known != null && known.offset > record.offset) continue
+                if (record.value.isEmpty()) newest.remove(record.key) else newest[record.key] = record
+            }
+            position = result.next
+        }
+        return PagingResult.Consistent(position)
+    }
+
     private suspend fun readNext(): Boolean {
         // After an outage, a waiting read would delay the detection of the recovery, because it may hang for its whole
         // wait time.
@@ -227,6 +256,15 @@
         return false
     }
 
+    /** The outcome of bringing the pages of the newest records to one time. */
+    private sealed interface PagingResult {
+        /** The records are those of the time at which the partition ended at [end]. */
+        data class Consistent(val end: Long) : PagingResult
+
+        /** The changes between the pages can't be read. */
+        data class Failed(val reason: String) : PagingResult
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
         const val NOT_STARTED = -1L
--- a/serving/src/test/kotlin/org/poplarshift/serving/log/TopicFollowerTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/log/TopicFollowerTest.kt
@@ -3,8 +3,10 @@
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.supervisorScope
 import org.poplarshift.core.submission.KeyedValue
@@ -88,6 +90,64 @@
             }
         }
 
+        data class PagingCase(val name: String, val changes: List<Pair<String, String>>, val expected: List<String>)
+        listOf(
+            PagingCase(
+                "keys of both pages are removed",
+                changes = listOf("a" to "", "c" to ""),
+                expected = listOf("2", "4"),
+            ),
+            PagingCase(
+                "keys of both pages are replaced",
+                changes = listOf("a" to "5", "c" to "6"),
+                expected = listOf("2", "4", "5", "6"),
+            ),
+            PagingCase(
+                "a key of the second page is moved to the first one",
+                changes = listOf("c" to "", "aa" to "5"),
+                expected = listOf("1", "2", "4", "5"),
+            ),
+            PagingCase(
+                "a key is added and removed",
+                changes = listOf("e" to "5", "e" to ""),
+                expected = listOf("1", "2", "3", "4"),
+            ),
+            PagingCase(
+                "a key is removed and added",
+                changes = listOf("a" to "", "a" to "5"),
+                expected = listOf("2", "3", "4", "5"),
+            ),
+        ).forEach { case ->
+            // Guards against a start from records that were never in the log at the same time.
+            test("the first records are those of one time although the log changes between two pages: ${case.name}") {
+                val log = FakeLog()
+                listOf("a" to "1", "b" to "2", "c" to "3", "d" to "4").forEach { (key, value) -> log.put(key, value) }
+                val changes = case.changes.map { (key, value) -> KeyedValue(key, value.encodeToByteArray()) }
+                val changingLog = object : PartitionedLog by log {
+                    override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult =
+                        log.newest(topic, partition, afterKey).also {
+                            if (afterKey == null) log.append("t", 0, changes)
+                        }
+                }
+                val received = ReceivedRecords()
+                val firstRecords = CompletableDeferred<List<String>>()
+                val receiver = object : RecordReceiver by received {
+                    override fun onCaughtUp() {
+                        firstRecords.complete(received.values.toList())
+                    }
+                }
+                val follower = TopicFollower(changingLog, MonotonicClock.SYSTEM, "t", 0, receiver, waitMillis = 50)
+                coroutineScope {
+                    launch { follower.run() }
+                    firstRecords.await() shouldBe case.expected
+                    follower.position shouldBe 6
+                    delay(100)
+                    received.values shouldBe case.expected
+                    coroutineContext.cancelChildren()
+                }
+            }
+        }
+
         test("no record is lost or repeated after an outage of the log") {
             val log = FakeLog()
             log.put("a", "1")
