Don't send an item again on the connection of its previous run

All runs of a batch item have the item's id. A worker that writes its response once more, at the point where the next response is due, answers the next run of the same item on that connection: the id is right. Callers saw an item given up ("dead letter") after fewer errors than the route allows, because the copy of an error counted as another failed run, and a run counted as refused that the worker was executing.

The pool now closes an idle connection instead of using it for the request that it carried last. A copy that arrives later is found by the id of another request, or as bytes without a request. Online requests never go to the same worker twice, so nothing changes for them.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -136,7 +136,7 @@
         var outcome = SlotOutcome.USED
         var connection: WorkerConnection? = null
         try {
-            connection = forwarding.connections.acquire(target.worker)
+            connection = forwarding.connections.acquire(target.worker, plan.id)
             if (connection == null) {
                 outcome = SlotOutcome.UNREACHABLE
                 forwarding.prober.markUnreachable(target)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -36,8 +36,16 @@
     var connectionsOpened = 0L
         private set
 
-    /** Returns an idle or a new connection to [worker], or null when connecting fails. */
-    suspend fun acquire(worker: FleetWorker): WorkerConnection? = takeIdle(worker) ?: connect(worker)
+    /**
+     * Returns an idle or a new connection to [worker], or null when connecting fails.
+     *
+     * A connection is not used for the same request twice in succession, because a late copy of the first response has the
+     * id that identifies the second one.
+     *
+     * @param requestId id of the request to send, or null if none is sent
+     */
+    suspend fun acquire(worker: FleetWorker, requestId: String? = null): WorkerConnection? =
+        takeIdle(worker, requestId) ?: connect(worker)
 
     /**
      * Returns [connection] to the pool, or closes it when it can't be reused safely.
@@ -73,12 +81,12 @@
         }
     }
 
-    private fun takeIdle(worker: FleetWorker): WorkerConnection? {
+    private fun takeIdle(worker: FleetWorker, requestId: String?): WorkerConnection? {
         val queue = idle[worker.id] ?: return null
         val now = clock.millis()
         while (queue.isNotEmpty()) {
             val connection = queue.removeLast()
-            if (!connection.isClosed && connection.reusableUntilMillis > now && connection.address == worker.address) {
+            if (connection.isUsableFor(worker, requestId, now)) {
                 connection.isIdle = false
                 return connection
             }
@@ -87,6 +95,12 @@
         return null
     }
 
+    private fun WorkerConnection.isUsableFor(worker: FleetWorker, requestId: String?, nowMillis: Long): Boolean =
+        !isClosed &&
+            reusableUntilMillis > nowMillis &&
+            address == worker.address &&
+            (requestId == null || lastRequest != requestId)
+
     private suspend fun connect(worker: FleetWorker): WorkerConnection? {
         val address = socketAddress(worker) ?: return null
         // The connection must handle what it receives from the event on that reports that it is open.
