Share item runs between services and organisations by deficit round robin

The limit of 96 item runs of a node was divided by the number of services that have items at the moment, and runs in progress kept their places: a second service that got items took the node to 144 runs at its workers. Within a service items were ordered by due time only, so that one organisation's items went before those of all others that came later: 84 of its 100 items had results before the four items of another organisation (both figures from BatchRunnerTest on the previous code).

RunShares decides which items start, without I/O. The runs in all never exceed the limit, including those that are being cancelled, because a run counts until its job has ended. The next run goes to the service, and within it to the organisation, that holds the fewest places, in turns among equal ones. Places are counted while they are held: counting starts would give a service with long runs most of them. An item of a service without workers stays in the queue, and an item goes back there after each attempt without a result, instead of waiting for the next worker inside its run. An item whose time is up needs no worker and is still given up.

RunSharesTest shows in virtual time one dead service of seven (holds none, the others 16 each), one with long runs (13 or 14 like the others, also when it held all 96 before), a full one, services that get items one after another, and an organisation with 90% of the items (the other 40 items are done in 6 s at 20 slots).

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -59,6 +59,9 @@
     /** Number of requests of this node that wait for a slot. */
     val waiting: Int
 
+    /** Whether [service] has a worker that accepts requests, with or without free slots. */
+    fun hasWorker(service: String): Boolean
+
     /** Reserves a slot at a worker; waits up to [DispatchRequest.waitMillis] when all workers are full. */
     suspend fun acquire(request: DispatchRequest): DispatchResult
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -47,6 +47,8 @@
         return "workers=${available.size},slots=${available.sumOf { it.worker.slots }},own=$own,waiting=$waiting"
     }
 
+    override fun hasWorker(service: String): Boolean = workers.hasWorker(service, excluded = emptySet())
+
     override suspend fun acquire(request: DispatchRequest): DispatchResult {
         val deadlineMillis = clock.millis() + request.waitMillis
         val excluded = HashSet(request.excludedWorkers)
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
-import org.poplarshift.core.dispatch.BatchOrdering
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.submission.ItemShares
 import org.poplarshift.serving.MonotonicClock
@@ -34,12 +33,16 @@
 ) {
     private class Entry(val run: ItemRun, val share: Int) {
         var job: Job? = null
+
+        /** The service that the current or latest run counts for. That of the item may change meanwhile. */
+        var runService: String? = null
         val isActive: Boolean
             get() = job?.isActive == true
     }
 
     private val clock: MonotonicClock = forwarding.clock
     private val entries = LinkedHashMap<String, Entry>()
+    private val runShares = RunShares(MAXIMUM_ACTIVE_RUNS, MAXIMUM_WAITING_RUNS)
     private val startMillisByShare = HashMap<Int, Long>()
     private var seenRevision = -1L
     private var isAssignmentChanged = false
@@ -133,8 +136,7 @@
         updateEntries()
         // If no node can reach the log, no other node can take over the shares, so this node continues to run them.
         if (clock.millis() - lastJoinMillis > MEMBERSHIP_MILLIS && isLogReachable()) return
-        val services = entries.values.groupBy { it.run.service }.values
-        services.forEach { startRuns(it, maxOf(1, MAXIMUM_ACTIVE_RUNS / services.size)) }
+        startRuns()
     }
 
     private fun updateEntries() {
@@ -161,26 +163,26 @@
         }
     }
 
-    /**
-     * Starts runs of one service while few of them wait for a slot, the most important ones first.
-     *
-     * @param limit maximum number of runs of the service, so that one service does not use up what others need
-     */
-    private fun startRuns(candidates: List<Entry>, limit: Int) {
+    private fun startRuns() {
         val now = clock.millis()
-        var waiting = candidates.count { it.isActive && it.run.isWaiting }
-        var active = candidates.count { it.isActive }
-        val idle = candidates.filter {
+        val idle = entries.values.filter {
             !it.isActive && now >= maxOf(it.run.retryMillis, startMillisByShare[it.share] ?: Long.MAX_VALUE)
         }
-        for (entry in BatchOrdering.sort(idle) { it.run.untilDueMillis }) {
-            if (waiting++ >= MAXIMUM_WAITING_RUNS || active++ >= limit) return
-            start(entry)
-        }
+        if (idle.isEmpty()) return
+        val waiting = entries.values.filter { it.isActive && it.run.isWaiting }.groupingBy { it.runService }.eachCount()
+        val started = runShares.start(
+            queued = idle.map { QueuedItem(it, it.run.account, it.run.untilDueMillis, it.run.isTimeUp) },
+            waitingRuns = { waiting[it] ?: 0 },
+            hasWorker = { forwarding.dispatcher.hasWorker(it) },
+        )
+        started.forEach { start(it.item, it.account) }
     }
 
-    private fun start(entry: Entry) {
-        entry.job = scope.launch { entry.run.run(onPreempt = { entry.job?.cancel() }) }
+    private fun start(entry: Entry, account: RunAccount) {
+        entry.runService = account.service
+        val job = scope.launch { entry.run.run(onPreempt = { entry.job?.cancel() }) }
+        entry.job = job
+        job.invokeOnCompletion { runShares.onEnded(account) }
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -21,7 +21,7 @@
 import org.poplarshift.serving.forward.EventStreamReader
 import org.poplarshift.serving.forward.ForwardingContext
 
-/** Runs one item until it has a result. An interrupted run is resumed after the last event that was received. */
+/** Runs one item, as often as it takes to get a result. An interrupted run is resumed after the last event that was received. */
 class ItemRun(
     private val partition: SubmissionPartition,
     state: SubmissionState,
@@ -71,43 +71,46 @@
             return chosenService
         }
 
+    /** The service and the organisation that a run of the item counts for. */
+    val account: RunAccount
+        get() = RunAccount(service, proposal.organisation)
+
+    /** Whether the item is given up instead of being run. */
+    val isTimeUp: Boolean
+        get() = remainingMillis() <= 0
+
     /** Whether the run has not received a response from a worker yet. */
     var isWaiting = false
         private set
 
-    /** Monotonic time in milliseconds from which the item may be run again after no worker has taken it. */
+    /** Monotonic time in milliseconds from which the item may be run again after no worker has run it. */
     var retryMillis = Long.MIN_VALUE
         private set
 
     /**
-     * Runs the item until it has a result or no worker takes it. Cancellation also cancels the request at the worker.
+     * Sends the item to a worker once, unless its time is up. Cancellation also cancels the request at the worker.
+     *
+     * Without a result the item goes back into the queue of its service, so that it holds no run without a worker.
      *
      * @param onPreempt called when the run must give up its slot
      */
     suspend fun run(onPreempt: () -> Unit) {
+        if (isFinished) return
         isWaiting = true
-        while (!isFinished) {
-            if (remainingMillis() <= 0) return recordResult(isComplete = false, "time is up")
-            val session = newSession()
-            isWaiting = true
-            val request = dispatchRequest(onPreempt)
-            failedWorker = null
-            val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
-            isWaiting = false
-            when (result) {
-                is AttemptResult.NotRun, AttemptResult.Quarantined -> {
-                    retryMillis = forwarding.clock.millis() + RETRY_MILLIS
-                    return
-                }
-
-                is AttemptResult.MayHaveRun -> logger.debug {
-                    "batch: item ${item.proposed.id} may have run: ${session.trace}"
-                }
-                is AttemptResult.Responded -> {
-                    if (handleResponse(result, session)) return
-                    failedWorker = result.attempt.target.worker.id
-                }
+        if (isTimeUp) return recordResult(isComplete = false, "time is up")
+        val session = newSession()
+        val request = dispatchRequest(onPreempt)
+        failedWorker = null
+        val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
+        isWaiting = false
+        when (result) {
+            is AttemptResult.NotRun, AttemptResult.Quarantined -> retryLater()
+            is AttemptResult.MayHaveRun -> logger.debug {
+                "batch: item ${item.proposed.id} may have run: ${session.trace}"
             }
+
+            is AttemptResult.Responded ->
+                if (!handleResponse(result, session)) failedWorker = result.attempt.target.worker.id
         }
     }
 
@@ -147,7 +150,7 @@
                         recordResult(isComplete = false, "worker_$status")
                         return true
                     }
-                    delay(RETRY_MILLIS)
+                    retryLater()
                     false
                 }
             }
@@ -158,6 +161,10 @@
         }
     }
 
+    private fun retryLater() {
+        retryMillis = forwarding.clock.millis() + RETRY_MILLIS
+    }
+
     private suspend fun discardBody(attempt: Attempt) {
         val body = attempt.exchange.readAll(ERROR_BODY_TIMEOUT_MILLIS, MAXIMUM_ERROR_BODY_BYTES)
         if (body is BodyResult.Incomplete) logger.debug { "batch: body of an error response not read: ${body.reason}" }
