Remove submissions and rejected proposals only when their deletion is read from the log

A node that removed expired submissions changed its ledger before it wrote the deletions and forgot the keys of the rejected proposals at the same moment. When the log refused the append, this node no longer knew submissions that all other nodes still served. The rejected proposals were never deleted by this node, so that a node that started later, without the submissions because of which they had been rejected, accepted them: it had another set of submissions than the others and put the results and the tokens of a repeated submission into the wrong one.

SubmissionLedger.keysToRemove now only lists the keys, and onKeyDeleted, called for each deletion in the order of the log, changes the ledger. Rejected keys, and keys of a removed submission that were not part of the deletion, are kept until their deletion has been read. A removal that fails is repeated by the next one.

SubmissionPartitionTest "a removal that the log refuses changes nothing, and the next one includes the rejected proposals" failed before: the submission was gone while its records were in the log. The test of the keys that remove returned is replaced by one that also checks that nothing changes before the deletions are read.

--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
@@ -10,7 +10,11 @@
 class SubmissionLedger {
     private val submissionsById = LinkedHashMap<String, SubmissionState>()
     private val waitingTokens = HashMap<Pair<String, String>, Long>()
-    private val rejectedKeys = ArrayList<String>()
+    private val submissionsByFirstKey = HashMap<String, String>()
+
+    // Keys of records that are in the log and belong to no submission. A key is kept until its deletion has been read,
+    // because the deletion may fail.
+    private val obsoleteKeys = LinkedHashSet<String>()
 
     /** Accepted submissions in the order in which they were accepted. */
     val submissions: Collection<SubmissionState>
@@ -40,21 +44,27 @@
     }
 
     /**
-     * Removes the submissions [ids] and returns the keys to delete from the log.
+     * Returns the keys to delete from the log in order to remove the submissions [ids].
      *
-     * The keys include those of all rejected proposals. A node that later reads the log without the submissions that
-     * precede a rejected proposal would otherwise accept that proposal.
+     * The ledger changes only when the deletions are read back, see [onKeyDeleted], so that it changes at the same
+     * offset at all nodes. The keys include those of all rejected proposals. A node that later reads the log without
+     * the submissions that precede a rejected proposal would otherwise accept that proposal.
      */
-    fun remove(ids: Collection<String>): List<String> {
-        val keys = ArrayList(rejectedKeys)
-        rejectedKeys.clear()
-        for (id in ids) {
-            val removed = submissionsById.remove(id) ?: continue
-            keys += removed.keys
-            val open = removed.items.filter { !it.hasResult && !removed.isEnded }.sumOf { it.proposed.tokens }
-            releaseTokens(removed, open)
-        }
-        return keys
+    fun keysToRemove(ids: Collection<String>): List<String> =
+        obsoleteKeys.toList() + ids.mapNotNull { submissionsById[it] }.flatMap { it.keys }
+
+    /**
+     * Applies the deletion of [key] from the log.
+     *
+     * The deletion of the first key of a submission removes the submission, which is then returned.
+     */
+    fun onKeyDeleted(key: String): SubmissionState? {
+        obsoleteKeys -= key
+        val removed = submissionsByFirstKey.remove(key)?.let { submissionsById.remove(it) } ?: return null
+        obsoleteKeys += removed.keys.filter { it != key }
+        val open = removed.items.filter { !it.hasResult && !removed.isEnded }.sumOf { it.proposed.tokens }
+        releaseTokens(removed, open)
+        return removed
     }
 
     private fun propose(record: SubmissionRecord.Proposed, content: ByteArray, keys: List<String>): LedgerEffect {
@@ -71,12 +81,13 @@
         }
         val tokens = record.items.sumOf { it.tokens }
         if (!fits(record.organisation, record.route, tokens, record.waitingTokensLimit)) {
-            rejectedKeys += keys
+            obsoleteKeys += keys
             return LedgerEffect.Rejected
         }
         val state = SubmissionState(record, content)
         state.keys += keys
         submissionsById[record.submission] = state
+        submissionsByFirstKey[keys.first()] = record.submission
         waitingTokens.merge(record.organisation to record.route, tokens, Long::plus)
         return LedgerEffect.Accepted(state)
     }
--- a/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
@@ -93,13 +93,92 @@
             saveProgress(9) shouldBe LedgerEffect.Duplicate
         }
 
-        test("removing a submission returns its keys and those of previously rejected proposals") {
+        // Guards against a ledger that changes before the deletions are in the log, and against forgotten rejected keys.
+        test("a submission and rejected proposals are kept until the deletion of their keys has been read") {
             val ledger = SubmissionLedger()
             ledger.propose(proposal("a", limit = 20))
             ledger.propose(proposal("b", limit = 20))
             ledger.result("a", "1", "x")
-            ledger.remove(listOf("a")).toSet() shouldBe setOf("a", "b", "a/1")
+            repeat(2) {
+                ledger.keysToRemove(listOf("a")).toSet() shouldBe setOf("a", "b", "a/1")
+                ledger.find("a")?.results?.size shouldBe 1
+                ledger.waitingTokens("org", "route") shouldBe 10
+            }
+            ledger.onKeyDeleted("b") shouldBe null
+            ledger.keysToRemove(listOf("a")).toSet() shouldBe setOf("a", "a/1")
+            ledger.onKeyDeleted("a")?.proposal?.submission shouldBe "a"
+            ledger.find("a") shouldBe null
             ledger.waitingTokens("org", "route") shouldBe 0
+            ledger.keysToRemove(emptyList()) shouldBe listOf("a/1")
+            ledger.onKeyDeleted("a/1") shouldBe null
+            ledger.keysToRemove(emptyList()) shouldBe emptyList()
+        }
+
+        (1L..50L).forEach { seed ->
+            // Guards against results and decisions that depend on when a node has started to read the log.
+            test("a ledger that starts from the newest records agrees with one that has read all, seed $seed") {
+                val random = Random(seed)
+                class Stored(val key: String, val record: SubmissionRecord?)
+
+                val log = ArrayList<Stored>()
+                fun SubmissionLedger.read(offset: Int) {
+                    val stored = log[offset]
+                    when (val record = stored.record) {
+                        null -> onKeyDeleted(stored.key)
+                        else -> apply(record, ByteArray(4) { offset.toByte() }, listOf(stored.key))
+                    }
+                }
+
+                fun SubmissionLedger.state() = submissions.map { state ->
+                    Triple(
+                        state.proposal.submission,
+                        state.isEnded,
+                        state.results.map {
+                            it.item to it.output.toList()
+                        },
+                    )
+                }
+
+                fun startFromNewest() = SubmissionLedger().also { ledger ->
+                    val newest = log.indices.associateBy { log[it].key }.values.sorted()
+                    newest.filter { log[it].record != null }.forEach { ledger.read(it) }
+                }
+                val live = SubmissionLedger()
+                var liveEnd = 0
+                val remover = SubmissionLedger()
+                var removerEnd = 0
+                var proposed = 0
+                repeat(300) {
+                    // Records of a submission that may be removed are no longer written.
+                    val recent = live.submissions.toList().takeLast(3).map { it.proposal.submission }
+                    val submission = recent.randomOrNull(random) ?: "s0"
+                    when (random.nextInt(8)) {
+                        0, 1 -> log += Stored("k${log.size}", proposal("s${proposed++ / 2}", limit = 60))
+                        2 -> log += Stored("k${log.size}", SubmissionRecord.Ended(submission))
+                        3 -> log += Stored("k${log.size}", SubmissionRecord.Progress(submission, "1", it.toLong()))
+                        4, 5, 6 -> {
+                            val item = "${1 + random.nextInt(2)}"
+                            log +=
+                                Stored("k${log.size}", SubmissionRecord.Result(submission, item, random.nextBoolean()))
+                        }
+
+                        else -> {
+                            val expired = remover.submissions.filter { state -> state.isEnded || state.isComplete }
+                                .map { state -> state.proposal.submission }
+                                .filter { id -> id !in recent }
+                            val keys = remover.keysToRemove(expired)
+                            val isRefused = random.nextInt(3) == 0
+                            if (expired.isNotEmpty() && !isRefused) log += keys.map { key -> Stored(key, null) }
+                        }
+                    }
+                    while (liveEnd < log.size) live.read(liveEnd++)
+                    if (random.nextBoolean()) while (removerEnd < log.size) remover.read(removerEnd++)
+                    val started = startFromNewest()
+                    started.state() shouldBe live.state()
+                    started.waitingTokens("org", "route") shouldBe live.waitingTokens("org", "route")
+                }
+                (log.count { stored -> stored.record == null } > 0) shouldBe true
+            }
         }
 
         (1L..50L).forEach { seed ->
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -83,7 +83,9 @@
                 .map { it.proposal.submission }
             if (expired.isNotEmpty()) {
                 val result = partition.remove(expired)
-                logger.info { "batch: removed ${expired.size} submissions of partition ${partition.number}: $result" }
+                logger.info {
+                    "batch: removal of ${expired.size} submissions of partition ${partition.number}: $result"
+                }
             }
         }
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -44,7 +44,6 @@
     private val pendingWrites = HashMap<String, CompletableDeferred<LedgerEffect>>()
     private var assembler = RecordAssembler()
     private var changed = CompletableDeferred<Unit>()
-    private var submissionsByKey = HashMap<String, String>()
     private var firstReadMillis = HashMap<String, Long>()
     private var firstReadMillisBeforeRestart = HashMap<String, Long>()
     private var caughtUpMillis = Long.MIN_VALUE / 2
@@ -64,7 +63,6 @@
         revision++
         ledger = SubmissionLedger()
         assembler = RecordAssembler()
-        submissionsByKey = HashMap()
         firstReadMillisBeforeRestart = firstReadMillis
         firstReadMillis = HashMap()
     }
@@ -72,10 +70,7 @@
     override fun onRecord(record: LogRecord) {
         revision++
         if (record.value.isEmpty()) {
-            submissionsByKey.remove(record.key)?.let {
-                ledger.remove(listOf(it))
-                firstReadMillis.remove(it)
-            }
+            ledger.onKeyDeleted(record.key)?.let { firstReadMillis.remove(it.proposal.submission) }
             return
         }
         val assembled = try {
@@ -191,19 +186,15 @@
         }
     }
 
-    /** Removes the submissions [ids] from the ledger and their records from the log. */
-    suspend fun remove(ids: List<String>): AppendResult {
-        val keys = ledger.remove(ids)
-        firstReadMillis.keys.removeAll(ids.toSet())
-        return log.append(topic, number, keys.map { KeyedValue(it, ByteArray(0)) })
-    }
+    /** Removes the records of the submissions [ids] from the log. The ledger follows when the deletions are read. */
+    suspend fun remove(ids: List<String>): AppendResult =
+        log.append(topic, number, ledger.keysToRemove(ids).map { KeyedValue(it, ByteArray(0)) })
 
     private fun apply(assembled: AssembledRecord) {
         val record = assembled.decoded.record
         val effect = ledger.apply(record, assembled.decoded.content, assembled.keys)
         if (effect is LedgerEffect.Accepted) {
             val id = record.submission
-            submissionsByKey[assembled.keys.first()] = id
             firstReadMillis[id] = firstReadMillisBeforeRestart.remove(id) ?: clock.millis()
         }
         pendingWrites.remove(assembled.id)?.complete(effect)
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.submission
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -15,7 +16,9 @@
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.log.AppendResult
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /** Guards against the loss of acknowledged submissions and against refused submissions that are stored. */
@@ -103,6 +106,26 @@
             }
         }
 
+        // Guards against nodes that disagree on what is removed because one of them does not wait for the log.
+        test("a removal that the log refuses changes nothing, and the next one includes the rejected proposals") {
+            val log = FakeLog()
+            fun limited(id: String) = proposal.copy(submission = id, waitingTokensLimit = 10)
+            withPartition(log) { partition ->
+                partition.write(limited("accepted"), ByteArray(5_000))
+                    .shouldBeInstanceOf<WriteResult.Applied>().effect.shouldBeInstanceOf<LedgerEffect.Accepted>()
+                partition.write(limited("rejected"), ByteArray(5_000)) shouldBe
+                    WriteResult.Applied(LedgerEffect.Rejected)
+                partition.write(SubmissionRecord.Result("accepted", "1", isComplete = true), ByteArray(1))
+                log.isDown = true
+                partition.remove(listOf("accepted")).shouldBeInstanceOf<AppendResult.Refused>()
+                partition.ledger.find("accepted")?.results?.size shouldBe 1
+                log.isDown = false
+                partition.remove(listOf("accepted")).shouldBeInstanceOf<AppendResult.Appended>()
+                eventually(5.seconds) { partition.ledger.find("accepted") shouldBe null }
+            }
+            withPartition(log) { other -> other.ledger.submissions.map { it.proposal.submission } shouldBe emptyList() }
+        }
+
         listOf(50L, 400L, 1_000L).forEach { delayMillis ->
             test("the ledger is not up to date because a read returns old records after $delayMillis ms") {
                 val log = FakeLog()
