Don't count bytes that are no response as a crash of the worker

A head or a chunk that can't be parsed was reported like a lost connection, so the request got a strike as one that crashes workers. After three faulty workers callers of the same path and body were refused with 503 for two minutes, though no worker had crashed: bytes that belong to no request decided about a request.

Such a response is now an outcome of its own. The worker counts as unreachable as before and the request goes on elsewhere if it may be repeated, but it gets no strike. It is logged with the request and counted as `malformed_response` instead of as a lost connection.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -162,7 +162,8 @@
     }
 
     private fun ExchangeResult.slotOutcome(): SlotOutcome = when (this) {
-        is ExchangeResult.ConnectionLost, ExchangeResult.TimedOut -> SlotOutcome.UNREACHABLE
+        is ExchangeResult.ConnectionLost, is ExchangeResult.MalformedResponse, ExchangeResult.TimedOut ->
+            SlotOutcome.UNREACHABLE
         is ExchangeResult.ForeignResponse -> SlotOutcome.USED
         is ExchangeResult.Response -> when {
             !head.hasNotRun -> SlotOutcome.USED
@@ -183,6 +184,12 @@
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
+        // Not counted as a crash of the worker, which is still there.
+        is ExchangeResult.MalformedResponse -> {
+            slot.target.onConnectionLost()
+            mayHaveRunAt(slot.target, result.reason, isTimeout = false)
+        }
+
         is ExchangeResult.ForeignResponse -> {
             slot.target.onConnectionLost()
             mayHaveRunAt(slot.target, result.identity.reason, isTimeout = false)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamPart.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamPart.kt
@@ -11,7 +11,7 @@
     /**
      * The worker has broken the stream off.
      *
-     * @property isConnectionLost whether the connection to the worker was closed as well
+     * @property isConnectionLost whether the connection to the worker was lost as well
      */
     data class BrokenOff(val reason: String, val isConnectionLost: Boolean) : EventStreamPart
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -48,6 +48,7 @@
             when (val part = exchange.next(Long.MAX_VALUE)) {
                 is ResponsePart.Bytes -> onBytes(part.bytes)?.let { return it }
                 is ResponsePart.ConnectionLost -> return EventStreamPart.BrokenOff(part.reason, isConnectionLost = true)
+                is ResponsePart.Malformed -> return EventStreamPart.BrokenOff(part.reason, isConnectionLost = false)
                 ResponsePart.TimedOut -> return EventStreamPart.TimedOut
                 ResponsePart.End -> {
                     isEnded = true
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponsePart.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponsePart.kt
@@ -13,6 +13,9 @@
     /** The connection was lost before the body was complete. */
     data class ConnectionLost(val reason: String) : ResponsePart
 
+    /** The worker has sent bytes that can't belong to the body. */
+    data class Malformed(val reason: String) : ResponsePart
+
     /** Nothing was received within the timeout. */
     data object TimedOut : ResponsePart
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -89,7 +89,8 @@
         val receiver = receiver ?: return
         if (message.decoderResult().isFailure) {
             val cause = message.decoderResult().cause()
-            return onLost("malformed response: ${cause.message ?: cause.javaClass.simpleName}")
+            close()
+            return receiver.onMalformed("malformed response: ${cause.message ?: cause.javaClass.simpleName}")
         }
         if (message is HttpResponse) {
             isInterim = message.status().code() in INTERIM_STATUSES
@@ -143,6 +144,9 @@
     /** Called when the response is complete. */
     fun onEnd()
 
-    /** Called when the connection was lost or the response can't be parsed. */
+    /** Called when the response can't be parsed. The connection is closed. */
+    fun onMalformed(reason: String)
+
+    /** Called when the connection was lost. */
     fun onLost(reason: String)
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -14,9 +14,12 @@
     /** The response head was received. */
     class Response(val head: ResponseHead, val headers: MultiMap) : ExchangeResult
 
-    /** The connection was lost, or the response could not be parsed. */
+    /** The connection was lost. */
     data class ConnectionLost(val reason: String) : ExchangeResult
 
+    /** The worker has sent bytes that are no response. */
+    data class MalformedResponse(val reason: String) : ExchangeResult
+
     /** The response does not belong to the request. */
     data class ForeignResponse(val identity: ResponseIdentity.Foreign) : ExchangeResult
 
@@ -69,6 +72,7 @@
         when (received) {
             is ExchangeResult.Response -> responseHead = received.head
             is ExchangeResult.ForeignResponse -> recorder.onForeignResponse(connection, received.identity)
+            is ExchangeResult.MalformedResponse -> recorder.onMalformedResponse(connection, received.reason)
             is ExchangeResult.ConnectionLost -> recorder.onNoResponse("connection_lost_before_head")
             ExchangeResult.TimedOut -> recorder.onNoResponse("silent_before_head")
         }
@@ -81,6 +85,7 @@
         when (part) {
             is ResponsePart.Bytes -> onRead(part)
             is ResponsePart.ConnectionLost -> recorder.onNoResponse("connection_lost_in_body")
+            is ResponsePart.Malformed -> recorder.onMalformedResponse(connection, part.reason)
             ResponsePart.End -> isComplete = true
             ResponsePart.TimedOut -> Unit
         }
@@ -106,6 +111,7 @@
 
                 ResponsePart.End -> return BodyResult.Complete(body)
                 is ResponsePart.ConnectionLost -> return BodyResult.Incomplete(part.reason, isConnectionLost = true)
+                is ResponsePart.Malformed -> return BodyResult.Incomplete(part.reason)
                 ResponsePart.TimedOut -> return BodyResult.Incomplete("silent within the body")
             }
         }
@@ -152,6 +158,11 @@
             parts.trySend(ResponsePart.End)
         }
 
+        override fun onMalformed(reason: String) {
+            result.complete(ExchangeResult.MalformedResponse(reason))
+            parts.trySend(ResponsePart.Malformed(reason))
+        }
+
         override fun onLost(reason: String) {
             result.complete(ExchangeResult.ConnectionLost(reason))
             parts.trySend(ResponsePart.ConnectionLost(reason))
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/UnusableResponseRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/UnusableResponseRecorder.kt
@@ -18,6 +18,10 @@
     fun onForeignResponse(connection: WorkerConnection, response: ResponseIdentity.Foreign) =
         record(connection, response.reason, response.found)
 
+    /** Records that [connection] is closed because it has received bytes that are no response. */
+    fun onMalformedResponse(connection: WorkerConnection, found: String) =
+        record(connection, "malformed_response", found)
+
     /** Records that [connection] is closed because it has received bytes while no request waited on it. */
     fun onForeignBytes(connection: WorkerConnection, found: String) = record(connection, "bytes_without_request", found)
 
