Read a slow log again until the ledger is young enough to respond from

A page of results could lack a result that another node had listed more than a second before. A node that has nothing to return reads the log first, but it took any read as sufficient: with a log that responds after 0.9 s, the ledger is 0.9 s old at the response, and older if the follower then has to repeat its waiting read. A read that took even longer held the call for as long, because only the wait for the follower was limited.

catchUp now reads again until the ledger is at most 0.7 s old, for at most 1.3 s in all, and otherwise fails, so that the caller receives a 503. The bound leaves 0.3 s of the second within which all nodes must list a result.

SubmissionPartitionTest plays four logs. Three cases failed before: after a first read of 0.9 s the ledger was too old, with reads of 0.8 s catching up succeeded, and a read of 3 s was awaited to its end. All four pass now, as do the tests of the submission package and ServingNodeTest.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -116,23 +116,34 @@
     /**
      * Reads all records that are in the log at the time of the call.
      *
-     * Returns false if the first pass is not complete, the log is unavailable or the read takes too long.
+     * A read of a slow log returns records that are old already. The log is therefore read again until the ledger is
+     * young enough to respond from. Returns false if the first pass is not complete, the log is unavailable or the
+     * reads take too long.
      */
     suspend fun catchUp(): Boolean {
-        if (!follower.isStarted) return false
+        val endMillis = clock.millis() + CATCH_UP_TIMEOUT_MILLIS
+        while (follower.isStarted && clock.millis() < endMillis) {
+            if (!catchUpOnce(endMillis)) return false
+            if (isCurrent(MAXIMUM_CAUGHT_UP_AGE_MILLIS)) return true
+        }
+        return false
+    }
+
+    private suspend fun catchUpOnce(endMillis: Long): Boolean {
         val sentMillis = clock.millis()
-        val result = log.read(topic, number, follower.position, waitMillis = 0)
+        val result = withTimeoutOrNull(endMillis - sentMillis) {
+            log.read(topic, number, follower.position, waitMillis = 0)
+        }
         if (result !is ReadResult.Records) return false
-        if (!awaitPosition(result.end, FIRST_CATCH_UP_TIMEOUT_MILLIS)) {
+        if (!awaitPosition(result.end, minOf(endMillis, clock.millis() + FIRST_CATCH_UP_TIMEOUT_MILLIS))) {
             follower.restartRead()
-            if (!awaitPosition(result.end, CATCH_UP_TIMEOUT_MILLIS)) return false
+            if (!awaitPosition(result.end, endMillis)) return false
         }
         caughtUpMillis = maxOf(caughtUpMillis, sentMillis)
         return true
     }
 
-    private suspend fun awaitPosition(end: Long, timeoutMillis: Long): Boolean {
-        val endMillis = clock.millis() + timeoutMillis
+    private suspend fun awaitPosition(end: Long, endMillis: Long): Boolean {
         while (follower.position < end) {
             val remainingMillis = endMillis - clock.millis()
             if (remainingMillis <= 0) return false
@@ -225,7 +236,13 @@
 
         // Batches several records per read. Stays well below the time within which nodes must learn of a change.
         const val READ_PAUSE_MILLIS = 400L
-        const val CATCH_UP_TIMEOUT_MILLIS = 800L
+
+        // Callers time out after 1.5 s. The rest is left for the response.
+        const val CATCH_UP_TIMEOUT_MILLIS = 1_300L
+
+        // A result that one node has listed must be listed at all nodes a second later. The rest is left for the
+        // response.
+        const val MAXIMUM_CAUGHT_UP_AGE_MILLIS = 700L
 
         // Several times the usual duration of a read. A waiting read that has not returned the records by then has
         // missed them.
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -17,6 +17,8 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.log.AppendResult
+import org.poplarshift.serving.log.PartitionedLog
+import org.poplarshift.serving.log.ReadResult
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -39,7 +41,7 @@
             items = listOf(ProposedItem("1", "/1", emptyMap(), tokens = 10, bodyBytes = 5_000)),
         )
 
-        suspend fun withPartition(log: FakeLog, use: suspend CoroutineScope.(SubmissionPartition) -> Unit) =
+        suspend fun withPartition(log: PartitionedLog, use: suspend CoroutineScope.(SubmissionPartition) -> Unit) =
             coroutineScope {
                 val partition = SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this) { "id${ids++}" }
                 launch { partition.follower.run() }
@@ -155,6 +157,43 @@
             }
         }
 
+        data class CatchUpCase(val name: String, val delaysMillis: List<Long>, val isExpectedToSucceed: Boolean)
+        listOf(
+            CatchUpCase("all reads are fast", listOf(10), isExpectedToSucceed = true),
+            CatchUpCase("the first read is slow", listOf(900, 10), isExpectedToSucceed = true),
+            CatchUpCase("all reads are slow", listOf(800), isExpectedToSucceed = false),
+            CatchUpCase(
+                "a read takes longer than the time for catching up",
+                listOf(3_000),
+                isExpectedToSucceed = false,
+            ),
+        ).forEach { case ->
+            // Guards against a response from records that were old when the read that returned them ended.
+            test("a ledger that has caught up is never older than a response may be: ${case.name}") {
+                val log = FakeLog()
+                var delays = listOf<Long>()
+                val slowLog = object : PartitionedLog by log {
+                    override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult {
+                        val result = log.read(topic, partition, from, waitMillis)
+                        if (waitMillis == 0L && delays.isNotEmpty()) {
+                            delay(delays.first())
+                            delays = delays.drop(1).ifEmpty { delays }
+                        }
+                        return result
+                    }
+                }
+                withPartition(slowLog) { partition ->
+                    delay(MAXIMUM_AGE_MILLIS + 100)
+                    delays = case.delaysMillis
+                    val started = TimeSource.Monotonic.markNow()
+                    val isCaughtUp = partition.catchUp()
+                    (started.elapsedNow() < MAXIMUM_CATCH_UP_MILLIS.milliseconds) shouldBe true
+                    isCaughtUp shouldBe case.isExpectedToSucceed
+                    if (isCaughtUp) partition.isCurrent(MAXIMUM_CAUGHT_UP_AGE_MILLIS) shouldBe true
+                }
+            }
+        }
+
         test("catching up fails while the log is unavailable") {
             val log = FakeLog()
             withPartition(log) { partition ->
@@ -168,5 +207,11 @@
         // The pause of a partition after a read that returned records.
         const val READ_PAUSE_MILLIS = 400L
         const val MAXIMUM_AGE_MILLIS = 300L
+
+        // A result must be listed at all nodes one second after it was read. The rest is left for the response.
+        const val MAXIMUM_CAUGHT_UP_AGE_MILLIS = 750L
+
+        // Callers time out after 1.5 s.
+        const val MAXIMUM_CATCH_UP_MILLIS = 1_450L
     }
 }
