Don't relay the head of a second response as an event

A stream with neither length nor chunks ends with its connection. When a worker wrote another response behind the events, callers received its head as an event ("HTTP/1.1 500 Error" and its header lines) in the middle of the stream, and the body in the next event or as a stream that breaks off inside an event. The splitter passes on any lines up to a blank one.

An event that begins with a status line now ends the stream as broken off. The events before it are those of the identified response, so a stream that may be resumed goes on at another worker after them; any other one is aborted.

A body of another kind with neither length nor chunks can't be told from one with a second response behind it.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -86,6 +86,11 @@
     val isEmpty: Boolean
         get() = id == null && data == null
 
+    /** Whether the event is the head of another response, which a worker has written after a stream without a length. */
+    val isResponseHead: Boolean
+        get() = bytes.length() >= ResponseIdentity.STATUS_LINE_START.length &&
+            bytes.getString(0, ResponseIdentity.STATUS_LINE_START.length) == ResponseIdentity.STATUS_LINE_START
+
     companion object {
         /** Parses the id and data fields of one event. */
         fun parse(bytes: Buffer): StreamEvent {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -73,21 +73,33 @@
         }
     }
 
-    /** Returns the events up to the first one that is out of order. The next call then returns the failure. */
+    /** Returns the events up to the first one that does not continue the stream. The next call then returns the failure. */
     private fun onEvents(events: List<StreamEvent>): EventStreamPart {
         for ((index, event) in events.withIndex()) {
-            val id = event.id ?: continue
-            val previous = lastEventId
-            if (previous != null && id <= previous) {
-                val invalid = EventStreamPart.Invalid("event $id after event $previous").also { failure = it }
-                return if (index == 0) invalid else EventStreamPart.Events(events.take(index))
+            val failure = failureAt(event)
+            if (failure != null) {
+                this.failure = failure
+                return if (index == 0) failure else EventStreamPart.Events(events.take(index))
             }
-            lastEventId = id
+            event.id?.let { lastEventId = it }
         }
         hasEvents = true
         return EventStreamPart.Events(events)
     }
 
+    private fun failureAt(event: StreamEvent): EventStreamPart? {
+        val previous = lastEventId
+        return when {
+            event.isResponseHead ->
+                EventStreamPart.BrokenOff("another response inside the stream", isConnectionLost = false)
+
+            event.id != null && previous != null && event.id <= previous ->
+                EventStreamPart.Invalid("event ${event.id} after event $previous")
+
+            else -> null
+        }
+    }
+
     private fun end(): EventStreamPart = when {
         splitter.hasPartial ->
             EventStreamPart.BrokenOff("the stream ended inside an event", exchange.endsWithConnection)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -21,7 +21,9 @@
 
     companion object {
         private const val FIRST_FINAL_STATUS = 200
-        private const val STATUS_LINE_START = "HTTP/1."
+
+        /** The text that every status line begins with. */
+        const val STATUS_LINE_START = "HTTP/1."
 
         /** Identifies the response with [status], [reasonPhrase] and [headers], received while [requestId] waits. */
         fun of(
