Probe workers with new connections only

A probe took a connection from the pool if one was idle and returned it with the default keep-alive time instead of the worker's, so that it could be used for another 3.6 s after the worker had closed it: a request sent on it is lost. It also made the worker reachable without having tried to connect, although the prober says that it uses new connections because open ones still look usable.

The pool now has a separate call that opens a connection, and only requests take idle ones; a request must therefore state its id.

WorkerProberTest fails without the change (reusable until 1348792 instead of 1346586 ms) and passes with it.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -42,11 +42,18 @@
      * A connection is not used for the same request twice in succession, because a late copy of the first response has the
      * id that identifies the second one.
      *
-     * @param requestId id of the request to send, or null if none is sent
+     * @param requestId id of the request to send
      */
-    suspend fun acquire(worker: FleetWorker, requestId: String? = null): WorkerConnection? =
+    suspend fun acquire(worker: FleetWorker, requestId: String): WorkerConnection? =
         takeIdle(worker, requestId) ?: connect(worker)
 
+    /** Opens a connection to [worker] for a later request. Returns whether that succeeds. */
+    suspend fun open(worker: FleetWorker): Boolean {
+        val connection = connect(worker) ?: return false
+        release(connection, keepAliveMillis = null)
+        return true
+    }
+
     /**
      * Returns [connection] to the pool, or closes it when it can't be reused safely.
      *
@@ -81,7 +88,7 @@
         }
     }
 
-    private fun takeIdle(worker: FleetWorker, requestId: String?): WorkerConnection? {
+    private fun takeIdle(worker: FleetWorker, requestId: String): WorkerConnection? {
         val queue = idle[worker.id] ?: return null
         val now = clock.millis()
         while (queue.isNotEmpty()) {
@@ -95,16 +102,16 @@
         return null
     }
 
-    private fun WorkerConnection.isUsableFor(worker: FleetWorker, requestId: String?, nowMillis: Long): Boolean =
+    private fun WorkerConnection.isUsableFor(worker: FleetWorker, requestId: String, nowMillis: Long): Boolean =
         !isClosed &&
             reusableUntilMillis > nowMillis &&
             address == worker.address &&
-            (requestId == null || lastRequest != requestId)
+            lastRequest != requestId
 
     private suspend fun connect(worker: FleetWorker): WorkerConnection? {
         val address = socketAddress(worker) ?: return null
         // The connection must handle what it receives from the event on that reports that it is open.
-        val pending = client.connect(address).map { open(worker, it as NetSocketInternal) }
+        val pending = client.connect(address).map { newConnection(worker, it as NetSocketInternal) }
         val connection = try {
             withTimeoutOrNull(CONNECT_TIMEOUT_MILLIS) { pending.coAwait() }
         } catch (exception: CancellationException) {
@@ -121,7 +128,7 @@
         return connection.takeUnless { it.isClosed }
     }
 
-    private fun open(worker: FleetWorker, socket: NetSocketInternal): WorkerConnection {
+    private fun newConnection(worker: FleetWorker, socket: NetSocketInternal): WorkerConnection {
         connectionsOpened++
         return WorkerConnection(worker.id, worker.address, connectionsOpened, socket, recorder::onForeignBytes)
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
@@ -46,9 +46,7 @@
             var delayMillis = INITIAL_PROBE_DELAY_MILLIS
             delay(delayMillis)
             while (loadBalancer.workerStates.any { it === target }) {
-                val connection = connections.acquire(target.worker)
-                if (connection != null) {
-                    connections.release(connection, keepAliveMillis = null)
+                if (connections.open(target.worker)) {
                     target.onReachable()
                     logger.info { "forward: worker $id can be reached again" }
                     return
