Share a worker's word that it leaves with schedulers and other nodes

A node that had read `Server-Leaving` sent the worker nothing more, but the other nodes went on: 7 requests at a leaving worker instead of one when a second node of the same zone sent 12, and 6 when it was in another zone (LeavingWorkerTest on the previous code). The word was kept in the state of the worker at the node that had read it, and no message carried it.

A node tells the scheduler of the worker's zone, at once and when it connects (NodeMessage.Leaving, Hello.leaving). The scheduler tells all nodes that are connected or connect later (SchedulerMessage.Leaving), and its announcements to the other zones carry its leaving workers, because nodes choose workers of all zones when they choose alone. LoadBalancer keeps the word by incarnation (id and start time), also of workers that it has not read from the registry yet, until the registry has a later incarnation; a worker that has returned gets requests again. At most 256 are kept.

A node of an earlier release closes a connection on which it gets the new message or field, as with any unknown message; they are sent only while a worker leaves.

LeavingWorkerTest (12 cases), SlotSchedulerTest and the other tests of core.dispatch that use the load balancer, FleetDispatcherTest, RateLimitedWorkerTest, the tests of the forward package except the pool, memory and event splitter, ServingNodeTest and ShutdownTest pass.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/FleetWorker.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/FleetWorker.kt
@@ -16,4 +16,8 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedMillis: Long,
-)
+) {
+    /** The worker from its last start on. */
+    val incarnation: WorkerIncarnation
+        get() = WorkerIncarnation(id, startedMillis)
+}
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -16,6 +16,7 @@
     private val random: () -> Double = Math::random,
 ) {
     private val statesById = HashMap<String, WorkerState>()
+    private val leaving = LinkedHashSet<WorkerIncarnation>()
     private var statesByService = mapOf<String, List<WorkerState>>()
 
     /** All registered workers, including draining ones. */
@@ -29,14 +30,38 @@
         for (worker in workers) {
             val existing = statesById[worker.id]
             if (existing == null || existing.worker.startedMillis != worker.startedMillis) {
-                statesById[worker.id] = WorkerState(worker, rateShare)
+                statesById[worker.id] = newState(worker)
             } else {
                 existing.worker = worker
             }
         }
+        leaving.removeIf { incarnation ->
+            val registered = statesById[incarnation.worker]?.worker
+            registered != null && registered.startedMillis > incarnation.startedMillis
+        }
         statesByService = statesById.values.groupBy { it.worker.service }
     }
 
+    /**
+     * Records that [incarnation] leaves, whether it is registered yet or not. Returns whether this was not known before.
+     *
+     * The registry may be read later or earlier here than where the worker has stated this.
+     */
+    fun markLeaving(incarnation: WorkerIncarnation): Boolean {
+        if (!leaving.add(incarnation)) return false
+        if (leaving.size > MAXIMUM_LEAVING_WORKERS) leaving.remove(leaving.first())
+        statesById[incarnation.worker]?.takeIf { it.worker.incarnation == incarnation }?.onLeaving()
+        return true
+    }
+
+    /** All workers that have stated that they leave, registered or not, except those that are known to have restarted. */
+    val leavingWorkers: Set<WorkerIncarnation>
+        get() = leaving
+
+    /** The registered workers of [service] that leave. */
+    fun leaving(service: String): List<WorkerIncarnation> =
+        statesByService[service].orEmpty().filter { it.isLeaving }.map { it.worker.incarnation }
+
     /** Returns the state of the registered worker [id], or null. */
     fun state(id: String): WorkerState? = statesById[id]
 
@@ -78,6 +103,12 @@
         return remaining > 0 && remaining * 2 >= all.size
     }
 
+    private fun newState(worker: FleetWorker): WorkerState {
+        val state = WorkerState(worker, rateShare)
+        if (worker.incarnation in leaving) state.onLeaving()
+        return state
+    }
+
     private fun score(state: WorkerState, nowMillis: Long): Double {
         val zonePenalty = if (state.worker.zone == ownZone) 0.0 else CROSS_ZONE_PENALTY
         return (state.load(nowMillis) + zonePenalty + random() * TIE_BREAK_RANGE) / maxOf(1, state.worker.slots)
@@ -90,6 +121,9 @@
     }
 
     private companion object {
+        // Bounds memory. Far more than the workers that leave before the registry says so.
+        const val MAXIMUM_LEAVING_WORKERS = 256
+
         // In shares of a worker's slots.
         const val RATE_LIMIT_PENALTY = 0.5
 
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
@@ -7,13 +7,17 @@
 @Serializable
 sealed interface NodeMessage {
     /**
-     * The first message on a connection: the slots that the node uses, whoever granted them, and the rate limits in
-     * requests per second that workers have stated to it, by the ids of the workers.
+     * The first message on a connection: the slots that the node uses, whoever granted them, the rate limits in
+     * requests per second that workers have stated to it, by the ids of the workers, and the workers that leave.
      */
     @Serializable
     @SerialName("hello")
-    data class Hello(val node: String, val leases: List<HeldSlot>, val rateLimits: Map<String, Double> = emptyMap()) :
-        NodeMessage
+    data class Hello(
+        val node: String,
+        val leases: List<HeldSlot>,
+        val rateLimits: Map<String, Double> = emptyMap(),
+        val leaving: List<WorkerIncarnation> = emptyList(),
+    ) : NodeMessage
 
     /** Asks for a slot. See [SlotRequest]. */
     @Serializable
@@ -37,6 +41,11 @@
     @SerialName("rateLimit")
     data class RateLimit(val worker: String, val requestsPerSecond: Double? = null) : NodeMessage
 
+    /** [worker] has stated to the node that it leaves. */
+    @Serializable
+    @SerialName("leaving")
+    data class Leaving(val worker: WorkerIncarnation) : NodeMessage
+
     /** Keeps the slots of the node from expiring. */
     @Serializable
     @SerialName("alive")
@@ -91,6 +100,11 @@
     @SerialName("preempted")
     data class Preempted(val number: Long) : SchedulerMessage
 
+    /** [workers] have stated to some node that they leave. */
+    @Serializable
+    @SerialName("leaving")
+    data class Leaving(val workers: List<WorkerIncarnation>) : SchedulerMessage
+
     /** States that the scheduler is alive while requests of the node wait. */
     @Serializable
     @SerialName("alive")
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
@@ -12,7 +12,7 @@
  * @param reports decides which workers receive no requests, or null if the owner of [workers] does
  */
 class SlotScheduler(
-    service: String,
+    private val service: String,
     private val workers: LoadBalancer,
     private val capacities: ZoneCapacities,
     private val reports: WorkerReports? = WorkerReports(),
@@ -50,6 +50,9 @@
         hello.rateLimits.forEach { (worker, limit) ->
             workers.state(worker)?.takeIf { it.requestsPerSecond == null }?.onRateLimit(limit, nowMillis)
         }
+        onLeaving(hello.leaving)
+        val unknown = workers.leavingWorkers - hello.leaving.toSet()
+        if (unknown.isNotEmpty()) send(node, SchedulerMessage.Leaving(unknown.toList()))
     }
 
     /** Handles the loss of [connection]. The slots of the node stay in use until they expire. */
@@ -67,10 +70,21 @@
             is NodeMessage.Acquire -> onAcquire(node, message, nowMillis)
             is NodeMessage.Release -> onRelease(SlotKey(node, message.number), message.outcome, nowMillis)
             is NodeMessage.RateLimit -> workers.state(message.worker)?.onRateLimit(message.requestsPerSecond, nowMillis)
+            is NodeMessage.Leaving -> onLeaving(listOf(message.worker))
             is NodeMessage.Hello, NodeMessage.Alive -> Unit
         }
     }
 
+    /** The registered workers of this zone that leave. */
+    val leaving: List<WorkerIncarnation>
+        get() = workers.leaving(service)
+
+    /** Records that [stated] leave, in this zone or another one, and tells all connected nodes what they don't know. */
+    fun onLeaving(stated: Collection<WorkerIncarnation>) {
+        val added = stated.filter { workers.markLeaving(it) }
+        if (added.isNotEmpty()) sessions.keys.toList().forEach { send(it, SchedulerMessage.Leaving(added)) }
+    }
+
     /** Applies changes of the workers and of other zones. Called in regular intervals and after such changes. */
     fun update(nowMillis: Long) {
         expireNodes(nowMillis)
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -30,7 +30,7 @@
     var isSuspect = false
         private set
 
-    /** Whether the worker has stated in a response that it leaves. Holds until the worker has restarted. */
+    /** Whether the worker has stated to this or another node that it leaves. Holds until the worker has restarted. */
     var isLeaving = false
         private set
 
@@ -71,11 +71,9 @@
         pacer = requestsPerSecond?.let { RequestPacer(it, rateShare, nowMillis) }
     }
 
-    /** Records that the worker states in a response that it leaves. Returns whether this was not known before. */
-    fun onLeaving(): Boolean {
-        if (isLeaving) return false
+    /** Records that the worker has stated in a response that it leaves. */
+    fun onLeaving() {
         isLeaving = true
-        return true
     }
 
     /** Number of requests that may be sent at once: free slots, and no more than the worker's rate limit allows. */
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
@@ -66,6 +66,43 @@
             connection.received.last() shouldBe SchedulerMessage.Granted(8, "w0")
         }
 
+        // A worker's word was known only to the node that had read it.
+        test("a worker that leaves is told to all nodes, also to those that connect later, until it has restarted") {
+            val fixture = Fixture(workers = 2)
+            val leaving = WorkerIncarnation("w0", startedMillis = 1)
+            val told = SchedulerMessage.Leaving(listOf(leaving))
+            val first = fixture.connect("a")
+            val second = fixture.connect("b")
+            repeat(2) { fixture.scheduler.onMessage("a", NodeMessage.Leaving(leaving), nowMillis = 0) }
+            val third = fixture.connect("c")
+            listOf(first, second, third).forEach { it.received shouldBe listOf(told) }
+            fixture.acquire("b", 1)
+            second.received.last() shouldBe SchedulerMessage.Granted(1, "w1")
+            val workers = fixture.balancer.workers
+            fixture.balancer.update(workers.map { if (it.id == "w0") it.copy(startedMillis = 2) else it })
+            fixture.acquire("b", 2)
+            second.received.last() shouldBe SchedulerMessage.Granted(2, "w0")
+            fixture.connect("d").received shouldBe emptyList()
+        }
+
+        test("a new scheduler knows the leaving workers that connecting nodes state, before it has read of them") {
+            val fixture = Fixture(workers = 0)
+            val stated = listOf(WorkerIncarnation("w0", startedMillis = 2))
+            val connection = Connection()
+            fixture.scheduler.onConnected(
+                NodeMessage.Hello("a", emptyList(), leaving = stated),
+                nowMillis = 0,
+                connection,
+            )
+            val workers = List(2) {
+                FleetWorker("w$it", "s", "10.0.0.1:80", "here", 1, isDraining = false, startedMillis = 2)
+            }
+            fixture.balancer.update(workers)
+            fixture.acquire("a", 1)
+            connection.received.last() shouldBe SchedulerMessage.Granted(1, "w1")
+            fixture.scheduler.leaving shouldBe stated
+        }
+
         test("slots of a silent node are freed, and it is told to connect again") {
             val fixture = Fixture()
             val silent = fixture.connect("silent")
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -205,7 +205,7 @@
         val head = result.head
         head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
         forwarding.dispatcher.onRateLimit(slot, head.requestsPerSecond)
-        if (head.isLeaving) onLeaving(slot.target)
+        if (head.isLeaving) onLeaving(slot)
         return when {
             head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
             head.status in SUCCESS_STATUSES && !head.hasReceipt ->
@@ -220,11 +220,12 @@
         }
     }
 
-    private fun onLeaving(target: WorkerState) {
-        if (!target.onLeaving()) return
+    private fun onLeaving(slot: AssignedSlot) {
+        if (!forwarding.dispatcher.onLeaving(slot)) return
+        val worker = slot.target.worker
         logger.atInfo {
             message = "forward: worker states that it leaves"
-            payload = mapOf("worker" to target.worker.id, "address" to target.worker.address, "request" to plan.id)
+            payload = mapOf("worker" to worker.id, "address" to worker.address, "request" to plan.id)
         }
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -71,6 +71,9 @@
     /** Records the rate limit in requests per second that the worker of [slot] states, or null if it states none. */
     fun onRateLimit(slot: AssignedSlot, requestsPerSecond: Double?)
 
+    /** Records that the worker of [slot] states that it leaves. Returns whether this was not known before. */
+    fun onLeaving(slot: AssignedSlot): Boolean
+
     /** Describes the workers and the load of [service] for the log. */
     fun describe(service: String): String
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -8,6 +8,7 @@
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.core.dispatch.WorkerIncarnation
 import org.poplarshift.core.dispatch.ZoneCapacities
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
@@ -103,6 +104,13 @@
         link(slot.zone, slot.service).reportRateLimit(worker, requestsPerSecond)
     }
 
+    override fun onLeaving(slot: AssignedSlot): Boolean {
+        val worker = slot.target.worker
+        if (!workers.markLeaving(worker.incarnation)) return false
+        link(slot.zone ?: worker.zone, slot.service).reportLeaving(worker.incarnation)
+        return true
+    }
+
     /** Maintains the connections to the schedulers until cancelled. */
     suspend fun run() {
         while (true) {
@@ -167,12 +175,26 @@
         .filter { (it.isSuspect || it.isLeaving) && it.worker.service == service }
         .map { it.worker.id }
 
-    private fun rateLimits(): Map<String, Double> = workers.workerStates
-        .mapNotNull { state -> state.requestsPerSecond?.let { state.worker.id to it } }
-        .toMap()
+    private val statements = object : WorkerStatements {
+        override val rateLimits: Map<String, Double>
+            get() = workers.workerStates
+                .mapNotNull { state -> state.requestsPerSecond?.let { state.worker.id to it } }
+                .toMap()
+
+        override fun leaving(service: String) = workers.leaving(service)
+
+        override fun onLeaving(workers: List<WorkerIncarnation>) {
+            val added = workers.filter { this@FleetDispatcher.workers.markLeaving(it) }
+            if (added.isEmpty()) return
+            logger.atInfo {
+                message = "dispatch: workers have stated to another node that they leave"
+                payload = mapOf("workers" to added.joinToString(",") { it.worker })
+            }
+        }
+    }
 
     private fun link(zone: String, service: String): SchedulerLink = links.getOrPut(zone to service) {
-        SchedulerLink(scope, clock, self.name, service, connector, reachability, ::rateLimits) {
+        SchedulerLink(scope, clock, self.name, service, connector, reachability, statements) {
             directory.preferred(zone, service, reachability)
         }
     }
@@ -187,7 +209,7 @@
             service,
             { _, _, hello, receiver -> LocalSchedulerChannel(scheduler, clock, hello, receiver) },
             PeerReachability(clock),
-            rateLimits = { emptyMap() },
+            WorkerStatements.None,
         ) { self }
         private var lastRequestMillis = Long.MIN_VALUE / 2
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -13,6 +13,7 @@
 import org.poplarshift.core.dispatch.SchedulerMessage
 import org.poplarshift.core.dispatch.ServiceCapacity
 import org.poplarshift.core.dispatch.SlotScheduler
+import org.poplarshift.core.dispatch.WorkerIncarnation
 import org.poplarshift.core.dispatch.ZoneCapacities
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
@@ -23,7 +24,7 @@
 import org.poplarshift.serving.peer.PeerSocket
 
 /**
- * Runs the schedulers that this node has been asked to run, and announces their capacity to the other zones.
+ * Runs the schedulers that this node has been asked to run, and announces their capacity and their leaving workers to the other zones.
  *
  * Any node runs the scheduler of a service as soon as another node connects to it.
  */
@@ -36,10 +37,16 @@
     private val reachability: PeerReachability,
 ) {
     @Serializable
-    private data class Announcement(val zone: String, val service: String, val capacity: ServiceCapacity)
+    private data class Announcement(
+        val zone: String,
+        val service: String,
+        val capacity: ServiceCapacity,
+        val leaving: List<WorkerIncarnation> = emptyList(),
+    )
 
     private class HostedScheduler(val workers: LoadBalancer, val scheduler: SlotScheduler) {
         var announced: ServiceCapacity? = null
+        var announcedLeaving = emptyList<WorkerIncarnation>()
         var announcedMillis = Long.MIN_VALUE / 2
         var aliveMillis = Long.MIN_VALUE / 2
     }
@@ -55,6 +62,7 @@
             PeerMessages.decode(Announcement.serializer(), body, COMPONENT)?.let { announcement ->
                 capacitiesOf(announcement.service)
                     .onAnnouncement(announcement.zone, announcement.capacity, clock.millis())
+                hosted[announcement.service]?.scheduler?.onLeaving(announcement.leaving)
                 ""
             }
         }
@@ -96,10 +104,12 @@
     private fun announce(service: String, entry: HostedScheduler, now: Long) {
         val capacity = entry.scheduler.capacity(now)
         val isDue = now - entry.announcedMillis >= REPEAT_INTERVAL_MILLIS
-        if (!isDue && !differs(entry.announced, capacity)) return
+        val leaving = entry.scheduler.leaving
+        if (!isDue && !differs(entry.announced, capacity) && leaving == entry.announcedLeaving) return
+        entry.announcedLeaving = leaving
         entry.announced = capacity
         entry.announcedMillis = now
-        val body = Json.encodeToString(Announcement.serializer(), Announcement(self.zone, service, capacity))
+        val body = Json.encodeToString(Announcement.serializer(), Announcement(self.zone, service, capacity, leaving))
         for (zone in directory.otherZones(self.zone)) {
             val target = directory.order(zone, service).firstOrNull { !reachability.isSuspect(it.name) } ?: continue
             scope.launch {
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -11,6 +11,7 @@
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.core.dispatch.WorkerIncarnation
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.peer.PeerReachability
@@ -45,7 +46,7 @@
 /**
  * This node's connection to the scheduler of one service in one availability zone.
  *
- * @param rateLimits returns the rate limits of workers that this node knows
+ * @param statements what this node knows from workers and tells the scheduler, and the other way round
  * @param preferred returns the node that is to run the scheduler, or null if none can be reached
  */
 class SchedulerLink(
@@ -55,7 +56,7 @@
     private val service: String,
     private val connector: SchedulerConnector,
     private val reachability: PeerReachability,
-    private val rateLimits: () -> Map<String, Double>,
+    private val statements: WorkerStatements,
     private val preferred: () -> FleetMember?,
 ) {
     private class PendingRequest {
@@ -65,7 +66,11 @@
 
     private inner class Receiver : SchedulerReceiver {
         override fun onMessage(message: SchedulerMessage) {
-            if (this === receiver) handle(message)
+            when {
+                // True on any connection, also before this node uses it.
+                message is SchedulerMessage.Leaving -> statements.onLeaving(message.workers)
+                this === receiver -> handle(message)
+            }
         }
 
         override fun onClosed() {
@@ -122,6 +127,11 @@
         channel?.let { send(it, NodeMessage.RateLimit(worker, requestsPerSecond)) }
     }
 
+    /** Tells the scheduler that [worker] leaves. Without a connection it is told when this node connects. */
+    fun reportLeaving(worker: WorkerIncarnation) {
+        channel?.let { send(it, NodeMessage.Leaving(worker)) }
+    }
+
     /** Keeps the slots in use, detects a silent scheduler, and moves to a preferred one. Called in short intervals. */
     fun maintain() {
         val connected = channel
@@ -157,7 +167,12 @@
 
     private suspend fun connectToPreferred() {
         val member = preferred() ?: return
-        val hello = NodeMessage.Hello(self, slots.values.map { it.toHeldSlot() }, rateLimits())
+        val hello = NodeMessage.Hello(
+            self,
+            slots.values.map { it.toHeldSlot() },
+            statements.rateLimits,
+            statements.leaving(service),
+        )
         val newReceiver = Receiver()
         val previousReceiver = receiver
         val newChannel = connector.connect(member, service, hello, newReceiver)
@@ -190,7 +205,7 @@
             is SchedulerMessage.Redirected -> decide(message.number, LinkResult.Redirected(message.zone))
             is SchedulerMessage.NoWorker -> decide(message.number, LinkResult.NoWorker)
             is SchedulerMessage.Preempted -> slots[message.number]?.onPreempt?.invoke()
-            SchedulerMessage.Alive -> Unit
+            is SchedulerMessage.Leaving, SchedulerMessage.Alive -> Unit
         }
     }
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/LeavingWorkerTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/LeavingWorkerTest.kt
@@ -30,7 +30,7 @@
         }
 
         suspend fun TestFleet.startSound(): ScriptedWorker =
-            startWorker("sound", *Array(REQUESTS + 1) { soundStream }).also { delay(REGISTRY_MILLIS) }
+            startWorker("sound", *Array(2 * REQUESTS) { soundStream }).also { delay(REGISTRY_MILLIS) }
 
         data class Case(val name: String, val response: String, val path: String = "/stream/x")
         listOf(
@@ -82,6 +82,35 @@
             }
         }
 
+        // The word of a worker was known only to the node that had read it; the other nodes went on sending requests.
+        listOf("here", "there").forEach { zone ->
+            test("a worker that has stated to a node that it leaves gets no request of a node in the zone $zone") {
+                val fleet = TestFleet()
+                try {
+                    val first = head("200 OK") + "Connection: close\r\n" + stream + "CLOSE"
+                    val leaving = fleet.startWorker("leaving", first, *Array(REQUESTS) { soundStream })
+                    val node = fleet.startReady()
+                    val other = fleet.start("b", ownsBatch = false, zone)
+                    // Long enough for both nodes to know each other and the capacity of the zones.
+                    delay(MEMBERS_MILLIS)
+                    fleet.sendRequest(node.callersAddress, HttpMethod.POST, "/stream/x").statusCode() shouldBe 200
+                    val sound = fleet.startSound()
+                    repeat(REQUESTS) {
+                        fleet.sendRequest(other.callersAddress, HttpMethod.POST, "/stream/x").statusCode() shouldBe 200
+                    }
+                    leaving.requests.size shouldBe 1
+                    sound.requests.size shouldBe REQUESTS
+                    fleet.register("leaving", leaving.address, startedMillis = 2)
+                    eventually(5.seconds) {
+                        fleet.sendRequest(other.callersAddress, HttpMethod.POST, "/stream/x")
+                        leaving.requests.size shouldBe 2
+                    }
+                } finally {
+                    fleet.close()
+                }
+            }
+        }
+
         test("a worker that has left gets requests again after it has restarted with the same id and address") {
             val fleet = TestFleet()
             try {
@@ -107,5 +136,6 @@
 
         // Longer than the pause between two reads of the registry.
         const val REGISTRY_MILLIS = 1_000L
+        const val MEMBERS_MILLIS = 2_000L
     }
 }
