Refuse all keys while a configuration has an empty list of tenants

A configuration whose list `tenants` was empty was read like one without the field: callers were served without a key on routes that are not public, for example after the last tenant had been removed (CallerKeyTest: the request was let through instead of 401; RecordDecoderTest: the same at the decoder).

The list of organisations is null if the field is missing or null, and keys are needed whenever there is a list.

--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -4,19 +4,20 @@
  * One version of the operator's configuration. Times are in milliseconds, sizes in bytes.
  *
  * @property version increases with each change, not necessarily by one
+ * @property organisations null if the configuration does not contain the list, which is not the same as an empty list
  */
 data class IngressConfiguration(
     val version: Long,
     val routes: List<IngressRoute>,
     val services: Map<String, IngressService>,
     val limits: CallerLimits,
-    val organisations: List<IngressOrganisation>,
+    val organisations: List<IngressOrganisation>?,
 ) {
     private val routesByHost = routes
         .groupBy { it.host.lowercase() }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
     private val routesByName = routes.associateBy { it.name }
-    private val organisationsByKey = organisations.flatMap { organisation ->
+    private val organisationsByKey = organisations.orEmpty().flatMap { organisation ->
         organisation.keys.map { it to organisation }
     }.toMap()
 
@@ -30,9 +31,9 @@
     /** Returns the organisation that owns [key], or null. */
     fun findOrganisation(key: String?): IngressOrganisation? = key?.let { organisationsByKey[it] }
 
-    /** Whether organisations are configured, in which case callers need a key on routes that are not public. */
-    val hasOrganisations: Boolean
-        get() = organisations.isNotEmpty()
+    /** Whether callers need a key on routes that are not public. No key is known if the list is empty. */
+    val requiresKeys: Boolean
+        get() = organisations != null
 }
 
 /** Size limits and timeouts for the requests of callers. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/ConfigurationHolder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/ConfigurationHolder.kt
@@ -57,7 +57,7 @@
                 "version" to configuration.version,
                 "previous" to previous?.version,
                 "routes" to configuration.routes.size,
-                "organisations" to configuration.organisations.size,
+                "organisations" to configuration.organisations?.size,
             )
         }
         onChange(configuration)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -51,7 +51,7 @@
     }
 
     private fun requireKnownKey(current: IngressConfiguration, organisation: IngressOrganisation?): Refusal? =
-        if (current.hasOrganisations && organisation == null) Refusal.UNKNOWN_KEY else null
+        if (current.requiresKeys && organisation == null) Refusal.UNKNOWN_KEY else null
 
     private suspend fun handleRequest(
         incoming: IncomingCall,
--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
@@ -72,7 +72,7 @@
         if (configuration == null) return
         val now = clock.millis()
         limits.clear()
-        for (organisation in configuration.organisations) {
+        for (organisation in configuration.organisations.orEmpty()) {
             if (organisation.ratePerSecond <= 0) continue
             limits[organisation.name] = organisation
             val existing = buckets[organisation.name]
