Let the soak report requests at workers that leave

A node that goes on sending requests to a draining worker was not found: the promise DRAINED_WORKER existed, but nothing reported it.

The soak now keeps the time at which each worker's entry is marked as draining, and reports every run of a call that starts over 2 s later (drain_ms of the platform), if the node that took the call and the store were undisturbed from 3 s before the entry to the run. Runs of batch items are not checked, because the ledger does not know which node sent them.

--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
@@ -23,6 +23,9 @@
     /** The planned stops that ended without another disturbance. */
     val stops = ArrayList<PlannedStop>()
 
+    /** The workers that have left as planned. */
+    val drains = ArrayList<Drain>()
+
     /** Injects [fault] in the background. */
     fun inject(fault: SoakFault) {
         scope.launch {
@@ -160,6 +163,7 @@
         fleet.workers.start(fleet.workers.serviceOf(worker))
         fleet.workers.renewEntries()
         fleet.workers.drain(worker)
+        drains += Drain(worker.id, SoakFleet.now())
         delay(DRAIN_MILLIS)
         fleet.workers.crash(worker)
         fleet.workers.removeEntry(worker)
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -48,6 +48,7 @@
         val checks = CallChecks(ledger, fleet.disturbances)
         checks.check()
         checks.checkTimes(fleet.organisations.withdrawnMillis, injector.stops)
+        DrainCheck(ledger, fleet.disturbances).check(injector.drains)
         checkRate()
         SubmissionChecks(fleet, submissions).check()
         return createReport().also { File(settings.directory, "report.txt").writeText(it.toString()) }
