Let callers of the soak repeat accepted submissions

Callers now repeat an accepted submission in an eighth of the turns in which they would read its results. A repetition must change nothing, so the existing checks of positions and results find one that does.

--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SubmissionLoad.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SubmissionLoad.kt
@@ -55,11 +55,9 @@
     }
 
     private suspend fun serve(submission: SentSubmission) {
-        val body = OperatorRecords.submission(submission.items.map { it.id to it.path })
         repeat(SUBMIT_ATTEMPTS) {
             if (submission.acceptedMillis != null) return@repeat
-            val result =
-                call(submission.id, "POST", "${SoakOrganisations.BATCH_PREFIX}${submission.id}", body, pickNode())
+            val result = submit(submission)
             submission.statuses += result.status.takeIf { result.isComplete }
             if (result.status == ACCEPTED) submission.acceptedMillis = result.endMillis else delay(RETRY_MILLIS)
         }
@@ -67,10 +65,20 @@
         val isToBeEnded = random.nextInt(ENDED_SHARE) == 0
         while (isRunning && submission.results.size < submission.items.size && submission.endedMillis == null) {
             delay(random.nextLong(1, READ_PAUSE_MILLIS))
-            if (isToBeEnded && random.nextInt(READS_BEFORE_END) == 0) end(submission) else readSome(submission)
+            when {
+                isToBeEnded && random.nextInt(READS_BEFORE_END) == 0 -> end(submission)
+                random.nextInt(REPEATED_SHARE) == 0 -> submit(submission)
+                else -> readSome(submission)
+            }
         }
     }
 
+    // Used again for an accepted submission, as by a caller that has missed the acceptance. It must change nothing.
+    private suspend fun submit(submission: SentSubmission): CallResult {
+        val body = OperatorRecords.submission(submission.items.map { it.id to it.path })
+        return call(submission.id, "POST", "${SoakOrganisations.BATCH_PREFIX}${submission.id}", body, pickNode())
+    }
+
     private suspend fun end(submission: SentSubmission) {
         submission.isEndRequested = true
         val result = call(submission.id, "DELETE", CallerUris.end(submission.id), "", pickNode())
@@ -167,6 +175,7 @@
         const val ENDED_SHARE = 6
         const val READS_BEFORE_END = 4
         const val REREAD_SHARE = 4
+        const val REPEATED_SHARE = 8
         const val MAXIMUM_WAIT_MILLIS = 1_000L
 
         // A result that one node has listed must be listed by all others after this time.
