--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -6,17 +6,21 @@
 import org.poplarshift.serving.log.PartitionedLog
 import java.security.SecureRandom
 import java.util.HexFormat
+import java.util.Random
 
-/** All submissions, partitioned by organisation. */
+/**
+ * All submissions, partitioned by organisation.
+ *
+ * @param random source of the ids of new records
+ */
 class SubmissionStore(
     scope: CoroutineScope,
     log: PartitionedLog,
     clock: MonotonicClock,
     topic: String,
     partitions: Int,
+    private val random: Random = SecureRandom(),
 ) {
-    private val random = SecureRandom()
-
     /** All partitions, in order of their numbers. */
     val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, ::newId) }
 
