Let callers of the soak go on using a withdrawn key

The promise WITHDRAWN_KEY could not be broken in a soak: callers changed to the newest key at once, so that no call used a withdrawn key later than the 5 s within which nodes must know of the change. An eighth of the calls now use the key that was withdrawn last.

--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
@@ -38,12 +38,18 @@
         while (isRunning) {
             // Callers stay at a node that is stopping, as long as its process lives.
             if (!node.process.isAlive || random.nextInt(CALLS_PER_NODE) == 0) node = pickNode()
-            val isNewestKey = random.nextInt(NEWEST_KEY_SHARE) == 0
-            send(node, if (isNewestKey) fleet.organisations.newestKey else SoakOrganisations.LASTING_KEY)
+            send(node, pickKey())
             delay(random.nextLong(1, MAXIMUM_PAUSE_MILLIS))
         }
     }
 
+    // Some callers go on using a key that was withdrawn.
+    private fun pickKey(): String = when (random.nextInt(KEY_CHOICES)) {
+        0, 1 -> fleet.organisations.newestKey
+        2 -> fleet.organisations.previousKey ?: SoakOrganisations.LASTING_KEY
+        else -> SoakOrganisations.LASTING_KEY
+    }
+
     private fun pickNode(): SoakNode =
         fleet.nodes.filter { it.isReady }.randomOrNull(random) ?: fleet.nodes.random(random)
 
@@ -70,7 +76,7 @@
     private companion object {
         const val CALLERS = 40
         const val CALLS_PER_NODE = 40
-        const val NEWEST_KEY_SHARE = 4
+        const val KEY_CHOICES = 8
         const val MAXIMUM_PAUSE_MILLIS = 600L
         const val LIMITED_INTERVAL_MILLIS = 150L
         const val DEADLINE_MILLIS = 4_000L
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakOrganisations.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakOrganisations.kt
@@ -16,6 +16,10 @@
     val newestKey: String
         get() = key(withdrawable)
 
+    /** The key of [FREE] that was withdrawn last, or null. */
+    val previousKey: String?
+        get() = if (withdrawable > 0) key(withdrawable - 1) else null
+
     /** Returns the next version of the configuration. */
     fun nextConfiguration(): String {
         version += VERSION_STEP
