Create the proposals of tests of submissions in one place

Three tests of serving repeated the same record, and two of SubmissionLedgerTest the same function. The checks are unchanged: SubmissionLedgerTest, SubmissionPartitionTest, SubmissionServiceTest and ResultSimulationTest pass.

--- a/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
@@ -35,6 +35,9 @@
             output.encodeToByteArray(),
             listOf("$submission/$item"),
         )
+        fun SubmissionLedger.state() = submissions.map { state ->
+            Triple(state.proposal.submission, state.isEnded, state.results.map { it.item to it.output.toList() })
+        }
 
         test("a submission that is proposed twice is accepted once") {
             val ledger = SubmissionLedger()
@@ -129,16 +132,6 @@
                     }
                 }
 
-                fun SubmissionLedger.state() = submissions.map { state ->
-                    Triple(
-                        state.proposal.submission,
-                        state.isEnded,
-                        state.results.map {
-                            it.item to it.output.toList()
-                        },
-                    )
-                }
-
                 fun startFromNewest() = SubmissionLedger().also { ledger ->
                     val newest = log.indices.associateBy { log[it].key }.values.sorted()
                     newest.filter { log[it].record != null }.forEach { ledger.read(it) }
@@ -195,26 +188,12 @@
                 }
                 fun replay() = SubmissionLedger().also { ledger ->
                     records.forEachIndexed { offset, record ->
-                        val content = if (record is SubmissionRecord.Proposed) {
-                            bodies(
-                                2,
-                            )
-                        } else {
-                            byteArrayOf(offset.toByte())
-                        }
+                        val isProposed = record is SubmissionRecord.Proposed
+                        val content = if (isProposed) bodies(2) else byteArrayOf(offset.toByte())
                         ledger.apply(record, content, listOf("k$offset"))
                     }
                 }
 
-                fun SubmissionLedger.state() = submissions.map { state ->
-                    Triple(
-                        state.proposal.submission,
-                        state.isEnded,
-                        state.results.map {
-                            it.item to it.output.toList()
-                        },
-                    )
-                }
                 val ledger = replay()
                 ledger.state() shouldBe replay().state()
                 ledger.submissions.forEach { state ->
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
@@ -13,12 +13,12 @@
 import kotlinx.coroutines.test.runTest
 import org.poplarshift.core.submission.ItemResult
 import org.poplarshift.core.submission.LedgerEffect
-import org.poplarshift.core.submission.ProposedItem
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.DisturbedLog
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.fixture.PlainCallerProtocol
+import org.poplarshift.serving.fixture.Proposals
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.ingress.CallerOperation
 import org.poplarshift.serving.ingress.CallerProtocol
@@ -82,18 +82,10 @@
         private fun partition(node: Int) = stores[node].partitions.single()
 
         private suspend fun submit() {
-            val proposal = SubmissionRecord.Proposed(
+            val proposal = Proposals.of(
                 submission = "s${random.nextInt(1_000_000)}",
-                organisation = "",
-                route = "route",
-                host = "host",
-                service = "service",
+                items = List(ITEMS) { Proposals.item("i$it") },
                 waitingTokensLimit = 10L * ITEMS * OPEN_SUBMISSIONS,
-                firstSentMillis = 0,
-                dueMillis = 1_000,
-                abandonMillis = 2_000,
-                maximumAttempts = 3,
-                items = List(ITEMS) { ProposedItem("i$it", "/", emptyMap(), tokens = 10, bodyBytes = 1) },
             )
             val node = random.nextInt(NODES)
             if (!partition(node).follower.isStarted) return
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -12,10 +12,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.core.submission.LedgerEffect
-import org.poplarshift.core.submission.ProposedItem
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fixture.Proposals
 import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.PartitionedLog
 import org.poplarshift.serving.log.ReadResult
@@ -27,19 +27,7 @@
 class SubmissionPartitionTest :
     FunSpec({
         var ids = 0
-        val proposal = SubmissionRecord.Proposed(
-            submission = "s",
-            organisation = "org",
-            route = "route",
-            host = "host",
-            service = "service",
-            waitingTokensLimit = 0,
-            firstSentMillis = 0,
-            dueMillis = 1_000,
-            abandonMillis = 2_000,
-            maximumAttempts = 3,
-            items = listOf(ProposedItem("1", "/1", emptyMap(), tokens = 10, bodyBytes = 5_000)),
-        )
+        val proposal = Proposals.of("s", listOf(Proposals.item("1", bodyBytes = 5_000)), organisation = "org")
 
         suspend fun withPartition(log: PartitionedLog, use: suspend CoroutineScope.(SubmissionPartition) -> Unit) =
             coroutineScope {
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
@@ -7,11 +7,11 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import org.poplarshift.core.submission.ItemResult
-import org.poplarshift.core.submission.ProposedItem
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.fixture.PlainCallerProtocol
+import org.poplarshift.serving.fixture.Proposals
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.ingress.CallerOperation
 import org.poplarshift.serving.ingress.CallerProtocol
@@ -25,19 +25,7 @@
             override fun encodeResults(total: Int, next: Int, results: List<ItemResult>): Buffer =
                 Buffer.buffer("total $total, next $next, items ${results.map { it.item }}")
         }
-        val proposal = SubmissionRecord.Proposed(
-            submission = "s",
-            organisation = "",
-            route = "route",
-            host = "host",
-            service = "service",
-            waitingTokensLimit = 0,
-            firstSentMillis = 0,
-            dueMillis = 1_000,
-            abandonMillis = 2_000,
-            maximumAttempts = 3,
-            items = listOf("a", "b", "c").map { ProposedItem(it, "/$it", emptyMap(), tokens = 10, bodyBytes = 1) },
-        )
+        val proposal = Proposals.of("s", listOf("a", "b", "c").map { Proposals.item(it) })
 
         data class Case(val after: Int, val expectedPage: String)
         listOf(
