End with 0 at SIGTERM while a node starts

Operators saw exit code 143 instead of 0 from a node that got SIGTERM while it started. Cause: until the shutdown hook is added, after the settings, Vert.x and the node are set up, SIGTERM is handled by the JVM. Under load this takes seconds.

StartSignals handles SIGTERM from the first statement on and hands over to the JVM when the hook is added.

--- a/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
@@ -1,13 +1,12 @@
 package org.poplarshift.node
 
 import picocli.CommandLine
-import sun.misc.Signal
 import kotlin.system.exitProcess
 
 /** Entry point of the program. */
 fun main(arguments: Array<String>) {
-    // Before anything else, because until then SIGHUP ends the program. The JVM lets nothing replace SIG_IGN.
-    if (SERVE in arguments) Signal.handle(Signal("HUP")) {}
+    // Before anything else, because until then signals end the program.
+    if (SERVE in arguments) StartSignals.handle()
     exitProcess(CommandLine(NodeCommand()).execute(*arguments))
 }
 
--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -68,14 +68,7 @@
             vertx.runOnContext { node.updateTimes(changed.toServingSettings()) }
         }
         reload.listen()
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                runBlocking { scope.async { node.stop() }.await() }
-                Logging.flush()
-                // The JVM would otherwise exit with 143 after SIGTERM.
-                Runtime.getRuntime().halt(CommandLine.ExitCode.OK)
-            },
-        )
+        stopOnShutdown(node, scope)
         try {
             runBlocking { scope.async { node.start() }.await() }
         } catch (exception: Exception) {
@@ -86,6 +79,18 @@
         return CommandLine.ExitCode.OK
     }
 
+    private fun stopOnShutdown(node: ServingNode, scope: CoroutineScope) {
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                runBlocking { scope.async { node.stop() }.await() }
+                Logging.flush()
+                // The JVM would otherwise exit with 143 after SIGTERM.
+                Runtime.getRuntime().halt(CommandLine.ExitCode.OK)
+            },
+        )
+        StartSignals.runShutdownHooks()
+    }
+
     companion object {
         private val logger = KotlinLogging.logger {}
 
--- a/node/src/test/kotlin/org/poplarshift/node/NodeProgramTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/NodeProgramTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.engine.spec.tempdir
 import io.kotest.engine.spec.tempfile
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -77,6 +78,18 @@
             process.inputStream.reader().readText() shouldContain "settings: read again"
         }
 
+        // Guards against the JVM's exit code 143 until the shutdown hook is added, which takes seconds on a busy machine.
+        test("the serving program exits with 0 after SIGTERM while it reads its settings") {
+            val pipe = tempdir().resolve("settings")
+            ProcessBuilder("mkfifo", pipe.path).start().waitFor() shouldBe 0
+            val process = start("serve", "--settings", pipe.path)
+            // Opening the pipe waits until the program reads it.
+            pipe.outputStream().use {
+                process.destroy()
+                process.exitCode() shouldBe 0
+            }
+        }
+
         test("the program exits with 0 after SIGTERM") {
             val peersAddress = Fleet.freeAddress()
             write(Fleet.freeAddress(), peersAddress)
