Read the log to its end before answering that a job is unknown

A caller that asked another node than the one that had just acknowledged its job got 404 unknown_job for status, results and cancellation, and a job that should have been cancelled ran to its end.

Cause: BatchRoutes looked only in the records that the node had read so far, also while the node could not read the log at all. Other nodes read the record after the node that accepted the job.

The node catches up with the log before it answers 404, and answers 503 log_unavailable while it can't.

--- a/node/src/main/kotlin/org/poplarshift/node/batch/BatchRoutes.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/batch/BatchRoutes.kt
@@ -48,9 +48,9 @@
 
     override suspend fun start() {
         callersRouter.post(JOB).suspendingHandler(context.scope) { serve(it, ::upload) }
-        callersRouter.get(JOB).suspendingHandler(context.scope) { serve(it, ::status) }
-        callersRouter.get("$JOB/results").suspendingHandler(context.scope) { serve(it, ::results) }
-        callersRouter.delete(JOB).suspendingHandler(context.scope) { serve(it, ::cancel) }
+        callersRouter.get(JOB).suspendingHandler(context.scope) { serveJob(it, ::status) }
+        callersRouter.get("$JOB/results").suspendingHandler(context.scope) { serveJob(it, ::results) }
+        callersRouter.delete(JOB).suspendingHandler(context.scope) { serveJob(it, ::cancel) }
     }
 
     private suspend fun serve(
@@ -75,6 +75,21 @@
         }
     }
 
+    private suspend fun serveJob(
+        routing: RoutingContext,
+        handle: suspend (RoutingContext, JobState) -> ErrorResponse?,
+    ) = serve(routing) { _, organisation ->
+        val key = keyOf(routing, organisation)
+        // Another node may have accepted the job in a record that this node has not read yet.
+        val isCurrent = find(key) != null || batchLog.catchUp()
+        val job = find(key)
+        when {
+            job != null -> handle(routing, job)
+            isCurrent -> notRun(RefusalReason.UNKNOWN_JOB, "the organisation has no job with this identifier")
+            else -> notRun(RefusalReason.LOG_UNAVAILABLE, "whether the job exists can't be read now")
+        }
+    }
+
     private fun refuse(routing: RoutingContext, answer: ErrorResponse) {
         metrics.recordRefusal(answer.reason)
         val response = routing.response()
@@ -115,31 +130,26 @@
         return null
     }
 
-    private suspend fun status(routing: RoutingContext, organisation: Organisation): ErrorResponse? {
-        val job = find(keyOf(routing, organisation)) ?: return unknownJob()
+    private suspend fun status(routing: RoutingContext, job: JobState): ErrorResponse? {
         sendStatus(routing, job, OK)
         return null
     }
 
-    private suspend fun results(routing: RoutingContext, organisation: Organisation): ErrorResponse? {
-        val key = keyOf(routing, organisation)
-        find(key) ?: return unknownJob()
+    private suspend fun results(routing: RoutingContext, job: JobState): ErrorResponse? {
         val parameters = routing.request().params()
         val from = (parameters.get("from") ?: "0").toIntOrNull()?.takeIf { it >= 0 }
             ?: return notRun(RefusalReason.BAD_REQUEST, "from must be an integer, at least 0")
         val limit = (parameters.get("limit") ?: "$DEFAULT_PAGE").toIntOrNull()?.takeIf { it >= 1 }
             ?: return notRun(RefusalReason.BAD_REQUEST, "limit must be an integer, at least 1")
-        return pages.write(routing.response(), key, from, limit, follow = parameters.get("follow") == "true")
+        return pages.write(routing.response(), job.key, from, limit, follow = parameters.get("follow") == "true")
     }
 
-    private suspend fun cancel(routing: RoutingContext, organisation: Organisation): ErrorResponse? {
-        val key = keyOf(routing, organisation)
-        val job = find(key) ?: return unknownJob()
+    private suspend fun cancel(routing: RoutingContext, job: JobState): ErrorResponse? {
         val record = BatchRecord.JobCancelled(job.uploadId, wallClock.millis())
         val written = batchLog.writer.write(record, APPEND_TIMEOUT_MILLIS)
         if (written is WriteResult.NotWritten) return notRun(RefusalReason.LOG_UNAVAILABLE, "the job is not cancelled")
         val isApplied = written is WriteResult.Written && batchLog.awaitApplied(written.offset)
-        val cancelled = find(key)
+        val cancelled = find(job.key)
         if (!isApplied || cancelled == null) {
             val message = "whether the job is cancelled is not known yet; send the request again"
             return ErrorResponse(RefusalReason.LOG_UNAVAILABLE, message, RunStatus.MAY_HAVE_RUN)
@@ -160,8 +170,6 @@
     private fun declaredBytes(routing: RoutingContext): Long =
         routing.request().getHeader("Content-Length")?.toLongOrNull() ?: 0
 
-    private fun unknownJob() = notRun(RefusalReason.UNKNOWN_JOB, "the organisation has no job with this identifier")
-
     private fun notRun(reason: RefusalReason, message: String) = ErrorResponse(reason, message, RunStatus.NOT_RUN)
 
     private companion object {
--- a/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/batch/BatchJobTest.kt
@@ -136,6 +136,33 @@
             }
         }
 
+        // Guards against 404 for a job that another node has just acknowledged.
+        listOf("GET" to "", "GET" to "/results", "DELETE" to "").forEach { (method, path) ->
+            test("$method $path finds a job whose record this node has not read yet") {
+                withFleet {
+                    val first = start()
+                    val second = startAnother()
+                    engine.answer = BatchFixture::neverRespond
+                    second.log.readDelayMillis = 400
+                    delay(500)
+                    upload(first, "night", modelItems(3)).statusCode() shouldBe 201
+                    second.call(method, "/v1/batches/night$path", key).statusCode() shouldBe 200
+                    val state = if (method == "DELETE") JobPhase.CANCELLED else JobPhase.RUNNING
+                    await(first, "night") { it.state == state }
+                }
+            }
+
+            test("$method $path of an unknown job is 503 while the log can't be read, and then 404") {
+                withFleet {
+                    val node = start()
+                    node.log.isCutOff = true
+                    node.call(method, "/v1/batches/night$path", key).statusCode() shouldBe 503
+                    node.log.isCutOff = false
+                    node.call(method, "/v1/batches/night$path", key).statusCode() shouldBe 404
+                }
+            }
+        }
+
         test("batch keeps to its limit and yields within 100 ms of a peer's demand") {
             withFleet {
                 val node = start()
--- a/verification/src/test/resources/scenarios/batch.feature
+++ b/verification/src/test/resources/scenarios/batch.feature
@@ -52,6 +52,8 @@
     And job "twice" of "office" is "ended" within 60 seconds at node "a-2"
     And job "twice" of "office" has 40 results at node "a-2", one for each item
     When "rival" submits job "stopped" of 3000 items through node "a-1"
-    And "rival" cancels job "stopped" through node "b-1"
-    Then job "stopped" of "rival" is "cancelled" within 10 seconds at node "a-2"
+    Then the response has the status 201
+    When "rival" cancels job "stopped" through node "b-1"
+    Then the response has the status 200
+    And job "stopped" of "rival" is "cancelled" within 10 seconds at node "a-2"
     And all 3000 items of job "stopped" of "rival" have ended at node "a-2"
