--- a/node/src/test/kotlin/org/poplarshift/node/quota/FleetQuotaTest.kt
+++ b/node/src/test/kotlin/org/poplarshift/node/quota/FleetQuotaTest.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.node.quota
 
 import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
@@ -14,6 +15,7 @@
 import org.poplarshift.node.fixture.Fleet
 import org.poplarshift.node.fixture.RunningNode
 import org.poplarshift.node.settings.QuotaMode
+import java.net.http.HttpResponse
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against limits that each node enforces alone, and against slots that are lost or held twice. */
@@ -23,16 +25,18 @@
             withFleet { fleet, nodes, key ->
                 delay(BURST_REFILL_MILLIS)
                 val startedNanos = System.nanoTime()
-                val statuses = withContext(Dispatchers.IO) {
-                    (0 until REQUESTS).map { index -> async { nodes[index % nodes.size].complete(key).statusCode() } }
-                        .awaitAll()
+                val responses = withContext(Dispatchers.IO) {
+                    (0 until REQUESTS).map { index -> async { nodes[index % nodes.size].complete(key) } }.awaitAll()
                 }
+                val statuses = responses.map { it.statusCode() }
                 val seconds = (System.nanoTime() - startedNanos) / 1e9
                 val admitted = statuses.count { it == 200 }
                 println("fleet quota: $admitted of $REQUESTS admitted within $seconds s")
                 admitted.toDouble() shouldBeLessThanOrEqualTo RATE * seconds + BURST
                 admitted shouldBeGreaterThanOrEqualTo BURST.toInt() - 1
-                statuses.toSet() shouldContainExactlyInAnyOrder setOf(200, 429)
+                withClue("errors by node: ${errorsByNode(responses, nodes.size)}") {
+                    statuses.toSet() shouldContainExactlyInAnyOrder setOf(200, 429)
+                }
             }
         }
 
@@ -77,6 +81,11 @@
         /** The holders append their claims again after the last node joins, which adds it to the electorates. */
         const val CLAIM_RENEWAL_MILLIS = 2_500L
 
+        fun errorsByNode(responses: List<HttpResponse<String>>, nodes: Int): Map<Int, Map<String, Int>> =
+            responses.withIndex().filter { it.value.statusCode() != 200 }
+                .groupBy({ it.index % nodes }, { it.value.body() })
+                .mapValues { (_, bodies) -> bodies.groupingBy { it }.eachCount() }
+
         fun slots(nodes: List<RunningNode>): Int = nodes.sumOf { node ->
             node.node.ownership.ownedSlots.value.count { node.node.ownership.isHolding(it.slot) }
         }
