Keep an index of submissions in memory and read bodies and outputs from the log

The ledger now holds headers and the places of contents in the log (RecordContent). At a start, a record is shortened to its header when its page has been read. Bodies, outputs and saved progress are read when an item runs, a page of results is asked for or a body is read: by offset, and by key if the log has deleted the offset by age or size. An LRU of 16 MB, a sixth of the heap, keeps records that were written or read last. One read of a partition at a time bounds the memory of reads. Contents that can't be read are answered with 503, and items are tried again later.

A page of results ends before the first output that can't be read within a second.

--- a/core/src/main/kotlin/org/poplarshift/core/submission/RecordAssembler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/RecordAssembler.kt
@@ -1,29 +1,48 @@
 package org.poplarshift.core.submission
 
-/** Joins the parts of split records. Parts are added in the order of their offsets. */
+/**
+ * Joins the headers of split records, without their contents. Parts are added in the order of their offsets.
+ *
+ * Only the bytes of the header are kept, so that a node can read a log whose contents exceed its memory.
+ */
 class RecordAssembler {
-    private val partial = HashMap<String, Array<ByteArray?>>()
+    private class Partial(count: Int) {
+        val parts = arrayOfNulls<RecordPart>(count)
+        val heads = arrayOfNulls<ByteArray>(count)
+    }
+
+    private val partial = HashMap<String, Partial>()
+    private val headerExtractor = HeaderExtractor()
 
     /**
      * Adds one log record and returns the complete record if this was its last missing part, otherwise null.
      *
      * Log records whose keys have another form are ignored.
+     *
+     * @param value the value of the log record or the part of it that [shorten] has returned
+     * @param valueBytes the length of the whole value
      */
-    fun add(key: String, value: ByteArray): AssembledRecord? {
-        val fields = key.split(':')
-        if (fields.size != 3) return null
-        val (id, part, parts) = fields
-        val count = parts.toIntOrNull() ?: return null
-        val index = part.toIntOrNull()?.takeIf { it in 0 until count } ?: return null
-        val slots = partial.getOrPut(id) { arrayOfNulls(count) }
-        if (slots.size != count) return null
-        slots[index] = value
-        if (slots.any { it == null }) return null
-        partial.remove(id)
-        val whole = slots.filterNotNull().fold(ByteArray(0)) { joined, bytes -> joined + bytes }
-        return AssembledRecord(id, List(count) { "$id:$it:$count" }, RecordFormat.decode(whole))
+    fun add(offset: Long, key: String, value: ByteArray, valueBytes: Int = value.size): AssembledRecord? {
+        val partKey = PartKey.parse(key) ?: return null
+        val assembled = partial.getOrPut(partKey.id) { Partial(partKey.count) }
+        if (assembled.parts.size != partKey.count) return null
+        assembled.parts[partKey.index] = RecordPart(key, offset, valueBytes)
+        assembled.heads[partKey.index] = shorten(key, value, valueBytes)
+        if (assembled.parts.any { it == null }) return null
+        partial.remove(partKey.id)
+        headerExtractor.remove(partKey.id)
+        val header = RecordFormat.decodeHeader(assembled.heads.filterNotNull())
+        val parts = assembled.parts.filterNotNull()
+        val content = RecordContent.of(parts, header.bytes, parts.sumOf { it.bytes } - header.bytes)
+        return AssembledRecord(partKey.id, parts.map { it.key }, header.record, content)
+    }
+
+    /** Returns the beginning of [value] that [add] needs. The first part of a record must be passed first. */
+    fun shorten(key: String, value: ByteArray, valueBytes: Int = value.size): ByteArray {
+        val partKey = PartKey.parse(key) ?: return value
+        return headerExtractor.extract(partKey, value, valueBytes)
     }
 }
 
-/** A complete record with the keys of its parts. */
-class AssembledRecord(val id: String, val keys: List<String>, val decoded: DecodedRecord)
+/** A complete record with the keys of its parts and the place of its content. */
+class AssembledRecord(val id: String, val keys: List<String>, val record: SubmissionRecord, val content: RecordContent)
--- a/core/src/main/kotlin/org/poplarshift/core/submission/RecordFormat.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/RecordFormat.kt
@@ -25,17 +25,18 @@
         }
     }
 
-    /** Decodes [encoded], the joined values of all parts of a record. */
-    fun decode(encoded: ByteArray): DecodedRecord {
-        val headerBytes = ByteBuffer.wrap(encoded).int
-        val header = encoded.decodeToString(Int.SIZE_BYTES, Int.SIZE_BYTES + headerBytes)
-        val record = json.decodeFromString(SubmissionRecord.serializer(), header)
-        return DecodedRecord(record, encoded.copyOfRange(Int.SIZE_BYTES + headerBytes, encoded.size))
+    /** Decodes the header at the beginning of the joined [heads], the beginnings of all parts of a record. */
+    fun decodeHeader(heads: List<ByteArray>): DecodedHeader {
+        val joined = ByteBuffer.allocate(heads.sumOf { it.size })
+        heads.forEach { joined.put(it) }
+        val headerBytes = joined.getInt(0)
+        val header = joined.array().decodeToString(Int.SIZE_BYTES, Int.SIZE_BYTES + headerBytes)
+        return DecodedHeader(json.decodeFromString(SubmissionRecord.serializer(), header), Int.SIZE_BYTES + headerBytes)
     }
 }
 
 /** A log record: a value and its key. */
 class KeyedValue(val key: String, val value: ByteArray)
 
-/** A decoded record with its content. */
-class DecodedRecord(val record: SubmissionRecord, val content: ByteArray)
+/** A decoded record. Its content begins after the first [bytes] bytes of its encoded form. */
+class DecodedHeader(val record: SubmissionRecord, val bytes: Int)
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
@@ -33,10 +33,10 @@
     /**
      * Applies [record] and returns its effect.
      *
-     * @param content the bodies of a proposal, or the output of a result or of a run in progress
+     * @param content the place of the bodies of a proposal, or the output of a result or of a run in progress
      * @param keys the keys of the record's parts in the log
      */
-    fun apply(record: SubmissionRecord, content: ByteArray, keys: List<String>): LedgerEffect = when (record) {
+    fun apply(record: SubmissionRecord, content: RecordContent, keys: List<String>): LedgerEffect = when (record) {
         is SubmissionRecord.Proposed -> propose(record, content, keys)
         is SubmissionRecord.Result -> addResult(record, content, keys)
         is SubmissionRecord.Progress -> saveProgress(record, content, keys)
@@ -67,7 +67,7 @@
         return removed
     }
 
-    private fun propose(record: SubmissionRecord.Proposed, content: ByteArray, keys: List<String>): LedgerEffect {
+    private fun propose(record: SubmissionRecord.Proposed, content: RecordContent, keys: List<String>): LedgerEffect {
         val existing = submissionsById[record.submission]
         if (existing != null) {
             existing.keys += keys
@@ -92,7 +92,7 @@
         return LedgerEffect.Accepted(state)
     }
 
-    private fun addResult(record: SubmissionRecord.Result, content: ByteArray, keys: List<String>): LedgerEffect {
+    private fun addResult(record: SubmissionRecord.Result, content: RecordContent, keys: List<String>): LedgerEffect {
         val state = submissionsById[record.submission] ?: return LedgerEffect.Unknown
         state.keys += keys
         val item = state.item(record.item) ?: return LedgerEffect.Unknown
@@ -102,7 +102,11 @@
         return LedgerEffect.ResultAdded(state)
     }
 
-    private fun saveProgress(record: SubmissionRecord.Progress, content: ByteArray, keys: List<String>): LedgerEffect {
+    private fun saveProgress(
+        record: SubmissionRecord.Progress,
+        content: RecordContent,
+        keys: List<String>,
+    ): LedgerEffect {
         val state = submissionsById[record.submission] ?: return LedgerEffect.Unknown
         state.keys += keys
         val item = state.item(record.item) ?: return LedgerEffect.Unknown
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
@@ -1,9 +1,9 @@
 package org.poplarshift.core.submission
 
-/** An accepted submission, as derived from the log. */
-class SubmissionState(val proposal: SubmissionRecord.Proposed, content: ByteArray) {
+/** An accepted submission, as derived from the log. Bodies and outputs remain in the log. */
+class SubmissionState(val proposal: SubmissionRecord.Proposed, content: RecordContent) {
     private val itemsById = LinkedHashMap<String, ItemState>()
-    private val resultList = ArrayList<ItemResult>()
+    private val resultList = ArrayList<StoredResult>()
 
     /** Whether the caller has ended the submission. */
     var isEnded = false
@@ -15,7 +15,7 @@
     init {
         var position = 0
         for (item in proposal.items) {
-            val body = content.copyOfRange(position, position + item.bodyBytes)
+            val body = content.slice(position, item.bodyBytes)
             position += item.bodyBytes
             itemsById[item.id] = ItemState(item, body, ItemShares.shareOf(proposal.submission, item.id))
         }
@@ -26,7 +26,7 @@
         get() = itemsById.values
 
     /** Results in the order of their positions. */
-    val results: List<ItemResult>
+    val results: List<StoredResult>
         get() = resultList
 
     /** Whether every item has a result. */
@@ -36,10 +36,10 @@
     /** Returns the item [id], or null. */
     fun item(id: String): ItemState? = itemsById[id]
 
-    internal fun addResult(item: ItemState, isComplete: Boolean, output: ByteArray) {
+    internal fun addResult(item: ItemState, isComplete: Boolean, output: RecordContent) {
         item.hasResult = true
         item.progress = null
-        resultList += ItemResult(item.proposed.id, isComplete, output)
+        resultList += StoredResult(item.proposed.id, isComplete, output)
     }
 }
 
@@ -48,7 +48,7 @@
  *
  * @property share the share of the work that the item belongs to, see [ItemShares]
  */
-class ItemState(val proposed: ProposedItem, val body: ByteArray, val share: Int) {
+class ItemState(val proposed: ProposedItem, val body: RecordContent, val share: Int) {
     /** Whether the item has a result. */
     var hasResult = false
         internal set
@@ -59,7 +59,10 @@
 }
 
 /** Output of a run that stopped after event [lastEvent]. */
-class ItemProgress(val lastEvent: Long, val output: ByteArray)
+class ItemProgress(val lastEvent: Long, val output: RecordContent)
 
-/** The result of an item. */
+/** The result of an item, with the place of its output in the log. */
+class StoredResult(val item: String, val isComplete: Boolean, val output: RecordContent)
+
+/** The result of an item, with its output. */
 class ItemResult(val item: String, val isComplete: Boolean, val output: ByteArray)
--- a/core/src/test/kotlin/org/poplarshift/core/submission/RecordFormatTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/submission/RecordFormatTest.kt
@@ -14,9 +14,13 @@
                 val values = RecordFormat.encode("id", record, content, limit)
                 values.all { it.value.size <= limit } shouldBe true
                 val assembler = RecordAssembler()
-                val assembled = values.mapNotNull { assembler.add(it.key, it.value) }.single()
-                assembled.decoded.record shouldBe record
-                assembled.decoded.content.toList() shouldBe content.toList()
+                val assembled = values.mapIndexedNotNull { offset, value ->
+                    assembler.add(offset.toLong(), value.key, value.value)
+                }.single()
+                assembled.record shouldBe record
+                assembled.content.parts.forEach { it.key shouldBe values[it.offset.toInt()].key }
+                assembled.content.extract(assembled.content.parts.map { values[it.offset.toInt()].value })
+                    .toList() shouldBe content.toList()
                 assembled.keys shouldBe values.map { it.key }
             }
         }
@@ -25,9 +29,9 @@
             val first = RecordFormat.encode("a", record, content, 400)
             val second = RecordFormat.encode("b", record, content, 400)
             val assembler = RecordAssembler()
-            assembler.add("something else", ByteArray(3)) shouldBe null
+            assembler.add(0, "something else", ByteArray(3)) shouldBe null
             val ids = first.zip(second).flatMap { (one, other) -> listOf(one, other) }
-                .mapNotNull { assembler.add(it.key, it.value)?.id }
+                .mapNotNull { assembler.add(0, it.key, it.value)?.id }
             ids shouldBe listOf("a", "b")
         }
     })
--- a/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
@@ -27,16 +27,22 @@
             items = items.map { ProposedItem(it, "/path/$it", emptyMap(), tokens = 10, bodyBytes = 2) },
         )
 
-        fun bodies(count: Int) = ByteArray(2 * count) { it.toByte() }
+        val stored = ArrayList<ByteArray>()
+        fun store(bytes: ByteArray): RecordContent {
+            stored += bytes
+            return RecordContent.of(listOf(RecordPart("k", stored.size - 1L, bytes.size)), start = 0, bytes.size)
+        }
+        fun RecordContent.load() = extract(parts.map { stored[it.offset.toInt()] })
+        fun bodies(count: Int) = store(ByteArray(2 * count) { it.toByte() })
         fun SubmissionLedger.propose(record: SubmissionRecord.Proposed) =
             apply(record, bodies(record.items.size), listOf(record.submission))
         fun SubmissionLedger.result(submission: String, item: String, output: String) = apply(
             SubmissionRecord.Result(submission, item, isComplete = true),
-            output.encodeToByteArray(),
+            store(output.encodeToByteArray()),
             listOf("$submission/$item"),
         )
         fun SubmissionLedger.state() = submissions.map { state ->
-            Triple(state.proposal.submission, state.isEnded, state.results.map { it.item to it.output.toList() })
+            Triple(state.proposal.submission, state.isEnded, state.results.map { it.item to it.output.load().toList() })
         }
 
         test("a submission that is proposed twice is accepted once") {
@@ -50,7 +56,7 @@
         test("items keep their bodies") {
             val ledger = SubmissionLedger()
             ledger.propose(proposal("s"))
-            ledger.find("s")?.item("2")?.body?.toList() shouldBe listOf<Byte>(2, 3)
+            ledger.find("s")?.item("2")?.body?.load()?.toList() shouldBe listOf<Byte>(2, 3)
         }
 
         test("only the first result of an item counts, and it keeps its position") {
@@ -59,7 +65,7 @@
             ledger.result("s", "2", "first").shouldBeInstanceOf<LedgerEffect.ResultAdded>()
             ledger.result("s", "2", "late") shouldBe LedgerEffect.Duplicate
             ledger.result("s", "1", "other")
-            ledger.find("s")?.results?.map { it.item to it.output.decodeToString() } shouldBe
+            ledger.find("s")?.results?.map { it.item to it.output.load().decodeToString() } shouldBe
                 listOf("2" to "first", "1" to "other")
         }
 
@@ -76,10 +82,10 @@
             ledger.propose(proposal("a"))
             ledger.apply(
                 SubmissionRecord.Ended("a"),
-                ByteArray(0),
+                store(ByteArray(0)),
                 listOf("e1"),
             ).shouldBeInstanceOf<LedgerEffect.Ended>()
-            ledger.apply(SubmissionRecord.Ended("a"), ByteArray(0), listOf("e2")) shouldBe LedgerEffect.Duplicate
+            ledger.apply(SubmissionRecord.Ended("a"), store(ByteArray(0)), listOf("e2")) shouldBe LedgerEffect.Duplicate
             ledger.result("a", "1", "x")
             ledger.waitingTokens("org", "route") shouldBe 0
         }
@@ -88,7 +94,7 @@
             val ledger = SubmissionLedger()
             ledger.propose(proposal("s"))
             fun saveProgress(event: Long) =
-                ledger.apply(SubmissionRecord.Progress("s", "1", event), byteArrayOf(1), listOf("p$event"))
+                ledger.apply(SubmissionRecord.Progress("s", "1", event), store(byteArrayOf(1)), listOf("p$event"))
             saveProgress(5) shouldBe LedgerEffect.ProgressSaved
             saveProgress(3) shouldBe LedgerEffect.Duplicate
             ledger.find("s")?.item("1")?.progress?.lastEvent shouldBe 5
@@ -125,10 +131,10 @@
 
                 val log = ArrayList<Stored>()
                 fun SubmissionLedger.read(offset: Int) {
-                    val stored = log[offset]
-                    when (val record = stored.record) {
-                        null -> onKeyDeleted(stored.key)
-                        else -> apply(record, ByteArray(4) { offset.toByte() }, listOf(stored.key))
+                    val entry = log[offset]
+                    when (val record = entry.record) {
+                        null -> onKeyDeleted(entry.key)
+                        else -> apply(record, store(ByteArray(4) { offset.toByte() }), listOf(entry.key))
                     }
                 }
 
@@ -170,7 +176,7 @@
                     started.state() shouldBe live.state()
                     started.waitingTokens("org", "route") shouldBe live.waitingTokens("org", "route")
                 }
-                (log.count { stored -> stored.record == null } > 0) shouldBe true
+                (log.count { entry -> entry.record == null } > 0) shouldBe true
             }
         }
 
@@ -189,7 +195,7 @@
                 fun replay() = SubmissionLedger().also { ledger ->
                     records.forEachIndexed { offset, record ->
                         val isProposed = record is SubmissionRecord.Proposed
-                        val content = if (isProposed) bodies(2) else byteArrayOf(offset.toByte())
+                        val content = if (isProposed) bodies(2) else store(byteArrayOf(offset.toByte()))
                         ledger.apply(record, content, listOf("k$offset"))
                     }
                 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -39,6 +39,7 @@
 import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
 import org.poplarshift.serving.submission.BatchRunner
+import org.poplarshift.serving.submission.ContentCache
 import org.poplarshift.serving.submission.SubmissionService
 import org.poplarshift.serving.submission.SubmissionStore
 
@@ -100,8 +101,9 @@
     )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
+    private val contentCache = ContentCache(settings.contentCacheBytes)
     private val store =
-        SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions)
+        SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
     private val batchRunner = BatchRunner(
         scope,
         store,
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
@@ -14,6 +14,7 @@
  * @property workerTopic keyed topic of the workers' registry entries
  * @property submissionPartitions number of partitions of [submissionTopic] that are used
  * @property retentionMillis milliseconds for which results are kept after a submission
+ * @property contentCacheBytes maximum size of the bodies and outputs of submissions that are kept in memory
  * @property drainMillis maximum milliseconds for which a node keeps serving requests during shutdown
  */
 data class ServingSettings(
@@ -32,4 +33,10 @@
     val submissionPartitions: Int,
     val retentionMillis: Long,
     val drainMillis: Long,
-)
+    val contentCacheBytes: Long = DEFAULT_CONTENT_CACHE_BYTES,
+) {
+    private companion object {
+        // A sixth of the heap of 96 MB that nodes run with.
+        const val DEFAULT_CONTENT_CACHE_BYTES = 16L * 1024 * 1024
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/PartitionedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/PartitionedLog.kt
@@ -24,8 +24,21 @@
     val maximumAppendBytes: Int
 }
 
-/** A record of a partition. An empty [value] means that the key has been removed. */
-class LogRecord(val offset: Long, val key: String, val value: ByteArray)
+/**
+ * A record of a partition.
+ *
+ * @property value the value, or the beginning of it if a receiver has shortened the record
+ * @property valueBytes the length of the whole value
+ */
+class LogRecord(val offset: Long, val key: String, val value: ByteArray, val valueBytes: Int = value.size) {
+    /** Whether the record removes its key. */
+    val isDeletion: Boolean
+        get() = valueBytes == 0
+
+    /** Whether [value] is only the beginning of the whole value. */
+    val isShortened: Boolean
+        get() = value.size < valueBytes
+}
 
 /** The outcome of an append. */
 sealed interface AppendResult {
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/TopicFollower.kt
@@ -130,7 +130,7 @@
             }
             firstEnd = minOf(firstEnd, page.end)
             lastEnd = maxOf(lastEnd, page.end)
-            page.records.forEach { newest[it.key] = it }
+            page.records.forEach { newest[it.key] = receiver.shorten(it) }
             after = page.records.lastOrNull()?.key
         } while (page.hasMore && after != null)
         val end = when (val result = applyChanges(newest, firstEnd, lastEnd)) {
@@ -164,7 +164,7 @@
             for (record in result.records) {
                 val known = newest[record.key]
                 if (known != null && known.offset > record.offset) continue
-                if (record.value.isEmpty()) newest.remove(record.key) else newest[record.key] = record
+                if (record.isDeletion) newest.remove(record.key) else newest[record.key] = receiver.shorten(record)
             }
             position = result.next
         }
@@ -224,7 +224,7 @@
             "partition" to partition,
             "offset" to record.offset,
             "key" to record.key,
-            "bytes" to record.value.size,
+            "bytes" to record.valueBytes,
             "reason" to "$cause",
         )
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemOutput.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemOutput.kt
@@ -1,14 +1,15 @@
 package org.poplarshift.serving.submission
 
-import org.poplarshift.core.submission.ItemProgress
 import org.poplarshift.serving.forward.StreamEvent
 
 /**
  * The data of all events that an item has received so far, joined by line feeds.
  *
  * A run is resumed after the last event that has an id. Later events without an id are sent again and must not be kept.
+ *
+ * @param saved the output of an earlier run up to the event [lastEvent], or null
  */
-class ItemOutput(progress: ItemProgress?) {
+class ItemOutput(saved: ByteArray? = null, lastEvent: Long? = null) {
     /** A state of the output after which a run can be resumed. */
     class ResumePoint internal constructor(
         internal val length: Int,
@@ -16,11 +17,11 @@
         internal val event: Long?,
     )
 
-    private val text = StringBuilder(progress?.output?.decodeToString().orEmpty())
-    private var hasData = progress != null
+    private val text = StringBuilder(saved?.decodeToString().orEmpty())
+    private var hasData = saved != null
 
     /** The state after the last event that has an id. */
-    var resumePoint = ResumePoint(text.length, hasData, progress?.lastEvent)
+    var resumePoint = ResumePoint(text.length, hasData, lastEvent)
         private set
 
     /** Id of the last event that has one, or null. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -31,7 +31,8 @@
     private val wallClockMillis: () -> Long,
 ) {
     private val proposal = state.proposal
-    private val output = ItemOutput(item.progress)
+    private var output = ItemOutput()
+    private var unreadProgress = item.progress
     private var internalErrors = 0
     private var failedWorker: String? = null
     private var lastSaveMillis = forwarding.clock.millis()
@@ -90,7 +91,7 @@
     /**
      * Sends the item to a worker once, unless its time is up. Cancellation also cancels the request at the worker.
      *
-     * Without a result the item goes back into the queue of its service, so that it holds no run without a worker.
+     * Without a result, or while its body can't be read, the item goes back into the queue of its service, so that it holds no run without a worker.
      *
      * @param onPreempt called when the run must give up its slot
      */
@@ -98,7 +99,8 @@
         if (isFinished) return
         isWaiting = true
         if (isTimeUp) return recordResult(isComplete = false, "time is up")
-        val session = newSession()
+        val body = readBody() ?: return retryLater()
+        val session = newSession(body)
         val request = dispatchRequest(onPreempt)
         failedWorker = null
         val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
@@ -161,6 +163,16 @@
         }
     }
 
+    /** Reads the body and the saved progress of the item from the log. Returns null if it can't be read at present. */
+    private suspend fun readBody(): ByteArray? {
+        unreadProgress?.let { progress ->
+            val saved = partition.read(progress.output) ?: return null
+            output = ItemOutput(saved, progress.lastEvent)
+            unreadProgress = null
+        }
+        return partition.read(item.body)
+    }
+
     private fun retryLater() {
         retryMillis = forwarding.clock.millis() + RETRY_MILLIS
     }
@@ -291,7 +303,7 @@
         onPreempt = onPreempt,
     )
 
-    private fun newSession(): AttemptSession {
+    private fun newSession(body: ByteArray): AttemptSession {
         val headers = MultiMap.caseInsensitiveMultiMap()
         item.proposed.headers.forEach { (name, value) -> headers.add(name, value) }
         headers.set("Host", proposal.host)
@@ -302,7 +314,7 @@
             method = HttpMethod.POST,
             uri = item.proposed.path,
             headers = headers,
-            body = Buffer.buffer(item.body),
+            body = Buffer.buffer(body),
             deadlineMillis = forwarding.clock.millis() + remainingMillis(),
             maximumAttempts = proposal.maximumAttempts,
             mayCrashWorkers = false,
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -9,6 +9,7 @@
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.core.submission.LedgerEffect
 import org.poplarshift.core.submission.RecordAssembler
+import org.poplarshift.core.submission.RecordContent
 import org.poplarshift.core.submission.RecordFormat
 import org.poplarshift.core.submission.SubmissionLedger
 import org.poplarshift.core.submission.SubmissionRecord
@@ -39,8 +40,10 @@
     private val topic: String,
     val number: Int,
     private val scope: CoroutineScope,
+    cache: ContentCache,
     private val newId: () -> String,
 ) : RecordReceiver {
+    private val contents = PartitionContents(log, topic, number, cache)
     private val pendingWrites = HashMap<String, CompletableDeferred<LedgerEffect>>()
     private var assembler = RecordAssembler()
     private var changed = CompletableDeferred<Unit>()
@@ -67,14 +70,21 @@
         firstReadMillis = HashMap()
     }
 
+    override fun shorten(record: LogRecord): LogRecord {
+        contents.keep(record)
+        val head = assembler.shorten(record.key, record.value)
+        return LogRecord(record.offset, record.key, head, record.valueBytes)
+    }
+
     override fun onRecord(record: LogRecord) {
         revision++
-        if (record.value.isEmpty()) {
+        if (record.isDeletion) {
             ledger.onKeyDeleted(record.key)?.let { firstReadMillis.remove(it.proposal.submission) }
             return
         }
+        if (!record.isShortened) contents.keep(record)
         val assembled = try {
-            assembler.add(record.key, record.value) ?: return
+            assembler.add(record.offset, record.key, record.value, record.valueBytes) ?: return
         } catch (exception: IllegalArgumentException) {
             logger.error(exception) {
                 "submission: record ${record.key} at $number/${record.offset} can't be decoded; skipped"
@@ -104,6 +114,9 @@
         return minOf(sinceReadMillis, wallClockMillis - proposal.firstSentMillis)
     }
 
+    /** Returns the bytes of [content], or null if the log can't be read at present. */
+    suspend fun read(content: RecordContent): ByteArray? = contents.read(content)
+
     /** Waits until more records have been read, for at most [millis]. */
     suspend fun awaitChange(millis: Long) {
         withTimeoutOrNull(millis) { changed.await() }
@@ -202,8 +215,8 @@
         log.append(topic, number, ledger.keysToRemove(ids).map { KeyedValue(it, ByteArray(0)) })
 
     private fun apply(assembled: AssembledRecord) {
-        val record = assembled.decoded.record
-        val effect = ledger.apply(record, assembled.decoded.content, assembled.keys)
+        val record = assembled.record
+        val effect = ledger.apply(record, assembled.content, assembled.keys)
         if (effect is LedgerEffect.Accepted) {
             val id = record.submission
             firstReadMillis[id] = firstReadMillisBeforeRestart.remove(id) ?: clock.millis()
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -3,11 +3,13 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.buffer.Buffer
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.core.ingress.IngressRoute
 import org.poplarshift.core.submission.ItemResult
 import org.poplarshift.core.submission.LedgerEffect
 import org.poplarshift.core.submission.ProposedItem
+import org.poplarshift.core.submission.StoredResult
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.core.submission.SubmissionState
 import org.poplarshift.serving.MonotonicClock
@@ -19,6 +21,7 @@
 import org.poplarshift.serving.ingress.Refusal
 import org.poplarshift.serving.ingress.SubmittedItem
 import org.poplarshift.serving.observe.CallRecord
+import java.nio.ByteBuffer
 
 /**
  * Handles the calls of callers that concern batch submissions.
@@ -52,7 +55,7 @@
             return refuseWaitingTokens(partition, id, owner, sink, record)
         }
         val proposal = createProposal(id, route, owner, items)
-        val content = items.fold(ByteArray(0)) { joined, item -> joined + item.body }
+        val content = joinBodies(items)
         return when (val result = write(partition, proposal, content, record)) {
             is WriteResult.Refused -> Refusal.LOG_UNAVAILABLE
             is WriteResult.Unknown -> Refusal.OUTCOME_UNKNOWN
@@ -85,7 +88,8 @@
             return Refusal.NOT_CAUGHT_UP
         }
         val state = find(id, owner) ?: return Refusal.NOT_CAUGHT_UP
-        sendResults(state, operation.after, sink)
+        val isSent = sendResults(partition, state, operation.after, sink)
+        if (!isSent) return Refusal.LOG_UNAVAILABLE
         record.end("read")
         return null
     }
@@ -104,7 +108,9 @@
         refuseIfMissing(store.partitionOf(owner), operation.submission, owner)?.let { return it }
         val state = find(operation.submission, owner) ?: return Refusal.NOT_CAUGHT_UP
         val item = state.item(operation.item) ?: return Refusal.UNKNOWN_ITEM
-        CallHandlers.respond(sink, OK, Buffer.buffer(item.body), "application/octet-stream")
+        val body = withTimeoutOrNull(MAXIMUM_CONTENT_READ_MILLIS) { store.partitionOf(owner).read(item.body) }
+        if (body == null) return Refusal.LOG_UNAVAILABLE
+        CallHandlers.respond(sink, OK, Buffer.buffer(body), "application/octet-stream")
         record.end("read")
         return null
     }
@@ -215,18 +221,47 @@
         return null
     }
 
-    private fun sendResults(state: SubmissionState, after: Int, sink: CallerSink) {
+    /** Sends the results that can be read from the log in time. Returns false if there are results but none could be read. */
+    private suspend fun sendResults(
+        partition: SubmissionPartition,
+        state: SubmissionState,
+        after: Int,
+        sink: CallerSink,
+    ): Boolean {
         val from = maxOf(after, 0)
         if (from > state.results.size) reportLackingResults(state, from)
-        val page = ArrayList<ItemResult>()
-        var bytes = 0
-        for (result in state.results.drop(from)) {
-            if (page.isNotEmpty() && bytes + result.output.size > MAXIMUM_PAGE_BYTES) break
-            page += result
-            bytes += result.output.size
-        }
+        val results = state.results.drop(from)
+        val page = readPage(partition, results)
+        if (page.isEmpty() && results.isNotEmpty()) return false
         val body = protocol.encodeResults(state.items.size, from + page.size, page)
         CallHandlers.respond(sink, OK, body, "application/json")
+        return true
+    }
+
+    private suspend fun readPage(partition: SubmissionPartition, results: List<StoredResult>): List<ItemResult> {
+        val page = ArrayList<ItemResult>()
+        withTimeoutOrNull(MAXIMUM_CONTENT_READ_MILLIS) {
+            for (result in selectPage(results)) {
+                val output = partition.read(result.output) ?: break
+                page += ItemResult(result.item, result.isComplete, output)
+            }
+        }
+        return page
+    }
+
+    private fun selectPage(results: List<StoredResult>): List<StoredResult> {
+        var bytes = 0L
+        val following = results.drop(1).takeWhile {
+            bytes += it.output.length
+            bytes + results.first().output.length <= MAXIMUM_PAGE_BYTES
+        }
+        return results.take(1) + following
+    }
+
+    private fun joinBodies(items: List<SubmittedItem>): ByteArray {
+        val joined = ByteBuffer.allocate(items.sumOf { it.body.size })
+        items.forEach { joined.put(it.body) }
+        return joined.array()
     }
 
     // The caller continues at the position that it asked for. A smaller one would take back results that another node
@@ -253,6 +288,9 @@
         // it for longer.
         const val MAXIMUM_READ_AGE_MILLIS = 300L
 
+        // Callers time out after 1.5 s. Results that can't be read in this time follow in the next page.
+        const val MAXIMUM_CONTENT_READ_MILLIS = 1_000L
+
         // The limit for a page is 1 MB. The difference leaves room for escaping.
         const val MAXIMUM_PAGE_BYTES = 800_000
         const val APPEND_RETRIES = 1
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -11,6 +11,7 @@
 /**
  * All submissions, partitioned by organisation.
  *
+ * @param cache keeps bodies and outputs of all partitions
  * @param random source of the ids of new records
  */
 class SubmissionStore(
@@ -19,10 +20,11 @@
     clock: MonotonicClock,
     topic: String,
     partitions: Int,
+    cache: ContentCache,
     private val random: Random = SecureRandom(),
 ) {
     /** All partitions, in order of their numbers. */
-    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, ::newId) }
+    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, cache, ::newId) }
 
     /** Changes whenever records of any partition have been read. */
     val revision: Long
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
@@ -46,7 +46,8 @@
         private val log = FakeLog()
         private val stores = List(NODES) {
             val disturbed = DisturbedLog(log, scope.backgroundScope, random)
-            SubmissionStore(scope.backgroundScope, disturbed, clock, "t", partitions = 1, random.asJavaRandom())
+            val cache = ContentCache(if (it == 0) 0 else CACHE_BYTES)
+            SubmissionStore(scope.backgroundScope, disturbed, clock, "t", partitions = 1, cache, random.asJavaRandom())
         }
         private val protocol = object : CallerProtocol by PlainCallerProtocol {
             override fun encodeResults(total: Int, next: Int, results: List<ItemResult>): Buffer =
@@ -155,6 +156,9 @@
         const val READERS = 8
         const val ITEMS = 5
         const val OPEN_SUBMISSIONS = 4
+
+        // Fewer than the submissions have. The first node keeps none, so that it reads all outputs from the log.
+        const val CACHE_BYTES = 1_000L
         const val DURATION_MILLIS = 60_000L
 
         // The time after which all nodes must list what one has listed.
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -31,7 +31,8 @@
 
         suspend fun withPartition(log: PartitionedLog, use: suspend CoroutineScope.(SubmissionPartition) -> Unit) =
             coroutineScope {
-                val partition = SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this) { "id${ids++}" }
+                val partition =
+                    SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this, ContentCache(0)) { "id${ids++}" }
                 launch { partition.follower.run() }
                 partition.follower.awaitStart()
                 use(partition)
@@ -42,11 +43,15 @@
             "a record that spans several appends is applied when complete, and another node reads the same content",
         ) {
             val log = FakeLog()
+            val content = ByteArray(5_000) { it.toByte() }
             withPartition(log) { partition ->
-                val result = partition.write(proposal, ByteArray(5_000) { 7 })
+                val result = partition.write(proposal, content)
                 result.shouldBeInstanceOf<WriteResult.Applied>().effect.shouldBeInstanceOf<LedgerEffect.Accepted>()
             }
-            withPartition(log) { other -> other.ledger.find("s")?.item("1")?.body?.size shouldBe 5_000 }
+            withPartition(log) { other ->
+                val body = other.ledger.find("s")?.item("1")?.body ?: error("the submission was not read")
+                other.read(body)?.toList() shouldBe content.toList()
+            }
         }
 
         test("a write whose append response is lost is confirmed by reading the record back") {
@@ -75,7 +80,8 @@
                 var now = 50_000L
                 val sent = proposal.copy(firstSentMillis = 1_000_000)
                 coroutineScope {
-                    val partition = SubmissionPartition(FakeLog(), { now }, "t", 0, this) { "id${ids++}" }
+                    val partition =
+                        SubmissionPartition(FakeLog(), { now }, "t", 0, this, ContentCache(0)) { "id${ids++}" }
                     launch { partition.follower.run() }
                     partition.follower.awaitStart()
                     partition.write(sent, ByteArray(5_000)).shouldBeInstanceOf<WriteResult.Applied>()
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
@@ -40,8 +40,9 @@
                 val log = FakeLog()
                 coroutineScope {
                     var ids = 0
-                    val partition = SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this) { "id${ids++}" }
-                    val store = SubmissionStore(this, log, MonotonicClock.SYSTEM, "t", partitions = 1)
+                    val partition =
+                        SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this, ContentCache(0)) { "id${ids++}" }
+                    val store = SubmissionStore(this, log, MonotonicClock.SYSTEM, "t", partitions = 1, ContentCache(0))
                     listOf(partition, store.partitions.single()).forEach {
                         launch { it.follower.run() }
                         it.follower.awaitStart()
