Merge equal branches and small copies

The branches for unusable responses, the name of the command and the copy of results before a page had each two places or an extra list. Free runs are checked before the workers of every service.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -71,7 +71,7 @@
         pacer = requestsPerSecond?.let { RequestPacer(it, rateShare, nowMillis) }
     }
 
-    /** Records that the worker has stated in a response that it leaves. */
+    /** Records that the worker has stated, to this node or to another one, that it leaves. */
     fun onLeaving() {
         isLeaving = true
     }
--- a/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/NodeMain.kt
@@ -6,8 +6,6 @@
 /** Entry point of the program. */
 fun main(arguments: Array<String>) {
     // Before anything else, because until then signals end the program.
-    if (SERVE in arguments) StartSignals.handle()
+    if (ServeCommand.NAME in arguments) StartSignals.handle()
     exitProcess(CommandLine(NodeCommand()).execute(*arguments))
 }
-
-private const val SERVE = "serve"
--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -26,7 +26,7 @@
 
 /** Serves callers on one entry VM of the platform. */
 @Command(
-    name = "serve",
+    name = ServeCommand.NAME,
     description = ["Serves callers on one entry VM of the platform that deploy/ describes."],
     mixinStandardHelpOptions = true,
     exitCodeListHeading = "%nExit codes:%n",
@@ -92,6 +92,9 @@
     }
 
     companion object {
+        /** Name of the command. */
+        const val NAME = "serve"
+
         private val logger = KotlinLogging.logger {}
 
         /** Options for one event loop, which owns all state. More threads would only use memory. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -185,16 +185,11 @@
         }
 
         // Not counted as a crash of the worker, which is still there.
-        is ExchangeResult.MalformedResponse -> {
+        is ExchangeResult.UnusableResponse -> {
             slot.target.onConnectionLost()
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
-        is ExchangeResult.ForeignResponse -> {
-            slot.target.onConnectionLost()
-            mayHaveRunAt(slot.target, result.identity.reason, isTimeout = false)
-        }
-
         ExchangeResult.TimedOut -> {
             forwarding.prober.markUnreachable(slot.target)
             mayHaveRunAt(slot.target, "silent", isTimeout = true)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -17,11 +17,19 @@
     /** The connection was lost. */
     data class ConnectionLost(val reason: String) : ExchangeResult
 
+    /** The worker has sent something that is not the response to the request. */
+    sealed interface UnusableResponse : ExchangeResult {
+        val reason: String
+    }
+
     /** The worker has sent bytes that are no response. */
-    data class MalformedResponse(val reason: String) : ExchangeResult
+    data class MalformedResponse(override val reason: String) : UnusableResponse
 
     /** The response does not belong to the request. */
-    data class ForeignResponse(val identity: ResponseIdentity.Foreign) : ExchangeResult
+    data class ForeignResponse(val identity: ResponseIdentity.Foreign) : UnusableResponse {
+        override val reason: String
+            get() = identity.reason
+    }
 
     /** No response head was received within the timeout. */
     data object TimedOut : ExchangeResult
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/RunShares.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/RunShares.kt
@@ -32,12 +32,12 @@
         waitingRuns: (String) -> Int,
         hasWorker: (String) -> Boolean,
     ): List<QueuedItem<T>> {
+        if (runs >= maximumRuns) return emptyList()
         val servedServices = queued.map { it.account.service }.toSet().associateWith(hasWorker)
         val startable = queued.filter { it.isTimeUp || servedServices.getValue(it.account.service) }
         val itemsByAccount = startable.groupBy { it.account }
         services.update(itemsByAccount.keys.map { it.service })
         organisations.update(itemsByAccount.keys)
-        if (runs >= maximumRuns) return emptyList()
         val waiting = servedServices.keys.associateWith(waitingRuns).toMutableMap()
         val queues = itemsByAccount
             .filterKeys { waiting.getValue(it.service) < maximumWaitingRuns }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -220,7 +220,7 @@
         if (from > state.results.size) reportLackingResults(state, from)
         val page = ArrayList<ItemResult>()
         var bytes = 0
-        for (result in state.results.drop(from)) {
+        for (result in state.results.subList(minOf(from, state.results.size), state.results.size)) {
             if (page.isNotEmpty() && bytes + result.output.size > MAXIMUM_PAGE_BYTES) break
             page += result
             bytes += result.output.size
