Give short-lived tasks of a node the owner of its long-running ones

Item runs, background writes, the hand-over, calls, messages of other nodes, probes, announcements, token requests and connections to schedulers were started in the scope of the node. A failure of one was a log line without a name, was not counted, and was not known to those who waited. They are now started by BackgroundTasks, which returns the outcome, calls back to free what the task has held, and logs and counts by name. A failed connection to a scheduler counts as a failure of its node; a failed token request delays the next one. Errors that are no exceptions are handled as well.

--- a/serving/src/main/kotlin/org/poplarshift/serving/BackgroundTasks.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/BackgroundTasks.kt
@@ -3,16 +3,21 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlin.coroutines.coroutineContext
 
 /**
- * The long-running tasks of a node.
+ * The owner of all tasks of a node.
  *
- * A task that fails is started again. Without it the node would stay ready although a part of it has stopped.
+ * A long-running task that fails is started again. Without it the node would stay ready although a part of it has
+ * stopped. A short-lived task that fails ends, and whoever waits for it gets the cause. Every failure is logged with the
+ * name of the task and counted.
  *
  * @param onFailure called with the name of the task after each failure
  */
@@ -23,30 +28,50 @@
 ) {
     /** Runs [task] until it returns or is cancelled. After a failure it is started again with a growing delay. */
     fun launch(name: String, task: suspend () -> Unit): Job = scope.launch {
-        var delayMillis = INITIAL_DELAY_MILLIS
+        val backoff = Backoff(INITIAL_DELAY_MILLIS, MAXIMUM_DELAY_MILLIS)
         while (true) {
             val startMillis = clock.millis()
-            val failure = run(task) ?: return@launch
-            if (clock.millis() - startMillis > STABLE_MILLIS) delayMillis = INITIAL_DELAY_MILLIS
+            val failure = failureOf(task) ?: return@launch
+            if (clock.millis() - startMillis > STABLE_MILLIS) backoff.reset()
+            val delayMillis = backoff.next()
             onFailure(name)
             logger.error(failure) { "node: the task $name failed and starts again in $delayMillis ms" }
             delay(delayMillis)
-            delayMillis = minOf(delayMillis * 2, MAXIMUM_DELAY_MILLIS)
         }
     }
 
+    /**
+     * Runs the short-lived [task] once.
+     *
+     * @param onFailed called with the cause after a failure, to free what the task has held
+     */
+    fun launchOnce(
+        name: String,
+        start: CoroutineStart = CoroutineStart.DEFAULT,
+        onFailed: (Throwable) -> Unit = {},
+        task: suspend () -> Unit,
+    ): Deferred<TaskResult> = scope.async(start = start) {
+        val failure = failureOf(task) ?: return@async TaskResult.Completed
+        report(name, failure)
+        failureOf { onFailed(failure) }?.let { report(name, it) }
+        TaskResult.Failed(failure)
+    }
+
+    private fun report(name: String, failure: Throwable) {
+        onFailure(name)
+        logger.error(failure) { "node: the task $name failed" }
+    }
+
     /** Returns the failure of [task], or null when it has returned. */
-    private suspend fun run(task: suspend () -> Unit): Throwable? = try {
+    private suspend fun failureOf(task: suspend () -> Unit): Throwable? = try {
         task()
         null
     } catch (exception: CancellationException) {
         coroutineContext.ensureActive()
         // Only something within the task was cancelled.
         exception
-    } catch (exception: Exception) {
-        exception
-    } catch (error: VirtualMachineError) {
-        error
+    } catch (failure: Throwable) {
+        failure
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
-import kotlinx.coroutines.launch
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.RateLimitShares
 import org.poplarshift.serving.fleet.ConfigurationHolder
@@ -45,20 +44,23 @@
 /** A serving node. All of its components run on one event loop. */
 class ServingNode(
     vertx: Vertx,
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     private val settings: ServingSettings,
     private val ports: ServingPorts,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
     wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
+    private val tasks = BackgroundTasks(scope, clock) { name ->
+        metrics.counter("task_failures", "task", name).increment()
+    }
     private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
         LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
-    private val peerServer = PeerServer(vertx, scope)
+    private val peerServer = PeerServer(vertx, tasks)
     private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock) { members.peers }
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
@@ -73,11 +75,11 @@
     )
     private val directory: SchedulerDirectory = SchedulerDirectory(ownMember, members)
     private val tokenSource = PeerTokenSource(peerClient, members)
-    private val rateLimiter: RateLimiter = RateLimiter(scope, clock, tokenSource) { members.assumedSize }
+    private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(scope, clock, ownMember, directory, peerClient, reachability)
+    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
     private val dispatcher = FleetDispatcher(
-        scope,
+        tasks,
         clock,
         ownMember,
         loadBalancer,
@@ -87,8 +89,8 @@
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
-    private val prober = WorkerProber(scope, loadBalancer, connections)
-    private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name, wallClockMillis)
+    private val prober = WorkerProber(tasks, loadBalancer, connections)
+    private val crashTracker = CrashTracker(tasks, clock, log, settings.memberTopic, settings.name, wallClockMillis)
     private val forwarding = ForwardingContext(
         dispatcher,
         connections,
@@ -101,9 +103,9 @@
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
     private val store =
-        SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions)
+        SubmissionStore(tasks, log, clock, settings.submissionTopic, settings.submissionPartitions)
     private val batchRunner = BatchRunner(
-        scope,
+        tasks,
         store,
         ports.group,
         forwarding,
@@ -115,15 +117,12 @@
     private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
     private val callerServer =
-        CallerServer(vertx, scope, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
+        CallerServer(vertx, tasks, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
     private val readinessServer =
         StatusServer(vertx) { path ->
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
     private val metricsServer = StatusServer(vertx, { metrics.scrape() }) { OK }
-    private val tasks = BackgroundTasks(scope, clock) { name ->
-        metrics.counter("task_failures", "task", name).increment()
-    }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -185,7 +184,7 @@
     suspend fun stop() {
         logger.info { "node: shutting down, ${callerServer.activeRequests} requests are active" }
         callerServer.isShuttingDown = true
-        val handover = scope.launch { batchRunner.leave() }
+        val handover = tasks.launchOnce("hand-over") { batchRunner.leave() }
         callerServer.drain(DEREGISTRATION_MILLIS, drainMillis)
         joinAll(handover)
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
@@ -1,11 +1,10 @@
 package org.poplarshift.serving.forward
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.WorkerState
+import org.poplarshift.serving.BackgroundTasks
 
 /**
  * Excludes unreachable workers from dispatch and probes them with new connections until one succeeds.
@@ -14,7 +13,7 @@
  * suspected.
  */
 class WorkerProber(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val loadBalancer: LoadBalancer,
     private val connections: WorkerConnectionPool,
 ) {
@@ -30,7 +29,7 @@
             message = "forward: worker can't be reached"
             payload = mapOf("worker" to worker.id, "address" to worker.address, "zone" to worker.zone)
         }
-        scope.launch { probe(target) }
+        tasks.launchOnce("worker probe") { probe(target) }
     }
 
     /** Starts probing workers that became suspect through failed requests. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -9,11 +9,10 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.http.SocketAddresses
@@ -24,7 +23,7 @@
 /** The HTTP server for callers. */
 class CallerServer(
     private val vertx: Vertx,
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     private val protocol: CallerProtocol,
     private val configuration: ConfigurationHolder,
@@ -108,7 +107,7 @@
         val record = CallRecord(operation.head, request.method().name(), receivedMillis)
         val sink = HttpCallerSink(request, onStart = { record.responseStartMillis = clock.millis() }) { isShuttingDown }
         val call = ActiveCall(record).also { activeCalls += it }
-        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) {
+        val job = tasks.launchOnce("call", CoroutineStart.UNDISPATCHED) {
             try {
                 serve(operation, request, body, sink, record)
             } catch (exception: CancellationException) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -6,9 +6,8 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.ServerWebSocket
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.launch
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.http.SocketAddresses
 
 /**
@@ -16,7 +15,7 @@
  *
  * Responds with status 400 if the handler can't decode the message or if none is registered for the path.
  */
-class PeerServer(private val vertx: Vertx, private val scope: CoroutineScope) {
+class PeerServer(private val vertx: Vertx, private val tasks: BackgroundTasks) {
     private val handlers = HashMap<String, suspend (String) -> String?>()
     private val socketHandlers = HashMap<String, (String, PeerSocket) -> Unit>()
 
@@ -43,7 +42,9 @@
             .webSocketHandler { accept(it) }
             .requestHandler { request ->
                 request.body().onSuccess { body ->
-                    scope.launch(start = CoroutineStart.UNDISPATCHED) { respond(request, body.toString()) }
+                    tasks.launchOnce("peer message", CoroutineStart.UNDISPATCHED) {
+                        respond(request, body.toString())
+                    }
                 }
             }
             .listen()
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/CrashTracker.kt
@@ -1,7 +1,6 @@
 package org.poplarshift.serving.quarantine
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -9,6 +8,7 @@
 import org.poplarshift.core.quarantine.QuarantineTable
 import org.poplarshift.core.quarantine.QuarantineUpdate
 import org.poplarshift.core.quarantine.SuspectStatus
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.log.PartitionedLog
@@ -22,7 +22,7 @@
  * crashed it also receive a strike, which is cleared when they complete on another worker.
  */
 class CrashTracker(
-    scope: CoroutineScope,
+    tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     log: PartitionedLog,
     topic: String,
@@ -34,8 +34,8 @@
 
     private val table = QuarantineTable(RETENTION_MILLIS, STRIKE_LIMIT)
     private val localTable = QuarantineTable(RETENTION_MILLIS, STRIKE_LIMIT)
-    private val promptParts = PromptPartTracker(scope, clock, log, topic, nodeName, wallClockMillis)
-    private val writer = NodeRecordWriter(scope, log, topic, KEY_PREFIX + nodeName, WRITE_DELAY_MILLIS) { encode() }
+    private val promptParts = PromptPartTracker(tasks, clock, log, topic, nodeName, wallClockMillis)
+    private val writer = NodeRecordWriter(tasks, log, topic, KEY_PREFIX + nodeName, WRITE_DELAY_MILLIS) { encode() }
 
     /** Number of prompt parts that are blamed for crashes. */
     val blamedPartCount: Int
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
@@ -1,10 +1,9 @@
 package org.poplarshift.serving.quarantine
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.poplarshift.core.submission.KeyedValue
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.PartitionedLog
 
@@ -16,7 +15,7 @@
  * @param encode returns the current content of the record
  */
 class NodeRecordWriter(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val log: PartitionedLog,
     private val topic: String,
     private val key: String,
@@ -31,7 +30,7 @@
         hasUnwrittenChanges = true
         if (isWriting) return
         isWriting = true
-        scope.launch {
+        tasks.launchOnce("record writer") {
             try {
                 while (hasUnwrittenChanges) {
                     delay(delayMillis)
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/PromptPartTracker.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/PromptPartTracker.kt
@@ -1,12 +1,12 @@
 package org.poplarshift.serving.quarantine
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.quarantine.PromptPartTable
 import org.poplarshift.core.quarantine.PromptPartUpdate
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.log.PartitionedLog
@@ -18,7 +18,7 @@
  * Each node keeps one record in a keyed topic with the evidence that it has observed.
  */
 class PromptPartTracker(
-    scope: CoroutineScope,
+    tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     log: PartitionedLog,
     topic: String,
@@ -31,7 +31,7 @@
     private val ownKey = KEY_PREFIX + nodeName
     private val table = PromptPartTable(RETENTION_MILLIS)
     private val localTable = PromptPartTable(RETENTION_MILLIS)
-    private val writer = NodeRecordWriter(scope, log, topic, ownKey, WRITE_DELAY_MILLIS) { encode() }
+    private val writer = NodeRecordWriter(tasks, log, topic, ownKey, WRITE_DELAY_MILLIS) { encode() }
     private var loggedParts = emptySet<String>()
 
     /** Number of prompt parts that are blamed for crashes. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
@@ -2,12 +2,11 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.allowance.TokenBucketShare
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.ingress.IngressOrganisation
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 
 /** Result of checking a request against its organisation's rate limit. */
@@ -32,7 +31,7 @@
 
 /** Enforces this node's share of each organisation's rate limit and requests tokens from peers when it runs out. */
 class RateLimiter(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     private val source: TokenSource,
     private val fleetSize: () -> Int,
@@ -107,11 +106,11 @@
         val request = CompletableDeferred<Unit>()
         pendingRequests[name] = request
         val wanted = maxOf(MINIMUM_REQUESTED_TOKENS, organisation.burst / fleetSize())
-        scope.launch {
+        tasks.launchOnce("token request", onFailed = { delayNextRequest(name) }) {
             try {
                 val received = source.request(name, wanted)
                 bucket.deposit(received, clock.millis())
-                if (received <= 0) nextRequestMillis[name] = clock.millis() + RETRY_DELAY_MILLIS
+                if (received <= 0) delayNextRequest(name)
                 logger.debug {
                     "allowance: requested $wanted tokens of organisation $name from peers, received $received"
                 }
@@ -123,6 +122,10 @@
         return request
     }
 
+    private fun delayNextRequest(name: String) {
+        nextRequestMillis[name] = clock.millis() + RETRY_DELAY_MILLIS
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
         const val MILLIS_PER_SECOND = 1_000.0
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -1,7 +1,6 @@
 package org.poplarshift.serving.scheduling
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.NodeMessage
@@ -10,6 +9,7 @@
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.dispatch.WorkerIncarnation
 import org.poplarshift.core.dispatch.ZoneCapacities
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.forward.AssignedSlot
@@ -27,7 +27,7 @@
  * @param workers all workers, with the requests of this node
  */
 class FleetDispatcher(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     private val self: FleetMember,
     private val workers: LoadBalancer,
@@ -194,7 +194,7 @@
     }
 
     private fun link(zone: String, service: String): SchedulerLink = links.getOrPut(zone to service) {
-        SchedulerLink(scope, clock, self.name, service, connector, reachability, statements) {
+        SchedulerLink(tasks, clock, self.name, service, connector, reachability, statements) {
             directory.preferred(zone, service, reachability)
         }
     }
@@ -203,7 +203,7 @@
     private inner class OwnScheduler(private val service: String) {
         val scheduler = SlotScheduler(service, workers, ZoneCapacities(), reports = null)
         val link = SchedulerLink(
-            scope,
+            tasks,
             clock,
             self.name,
             service,
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -1,9 +1,7 @@
 package org.poplarshift.serving.scheduling
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.poplarshift.core.dispatch.FleetWorker
@@ -15,6 +13,7 @@
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.WorkerIncarnation
 import org.poplarshift.core.dispatch.ZoneCapacities
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.peer.PeerClient
@@ -29,7 +28,7 @@
  * Any node runs the scheduler of a service as soon as another node connects to it.
  */
 class SchedulerHost(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     private val self: FleetMember,
     private val directory: SchedulerDirectory,
@@ -112,7 +111,7 @@
         val body = Json.encodeToString(Announcement.serializer(), Announcement(self.zone, service, capacity, leaving))
         for (zone in directory.otherZones(self.zone)) {
             val target = directory.order(zone, service).firstOrNull { !reachability.isSuspect(it.name) } ?: continue
-            scope.launch {
+            tasks.launchOnce("capacity announcement", onFailed = { reachability.onFailure(target.name) }) {
                 val response = client.post(target, CAPACITY_PATH, body, ANNOUNCEMENT_TIMEOUT_MILLIS)
                 if (response == null) reachability.onFailure(target.name)
             }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -1,9 +1,7 @@
 package org.poplarshift.serving.scheduling
 
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.dispatch.HeldSlot
 import org.poplarshift.core.dispatch.NodeMessage
@@ -12,6 +10,7 @@
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.dispatch.WorkerIncarnation
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.peer.PeerReachability
@@ -50,7 +49,7 @@
  * @param preferred returns the node that is to run the scheduler, or null if none can be reached
  */
 class SchedulerLink(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val clock: MonotonicClock,
     private val self: String,
     private val service: String,
@@ -162,7 +161,7 @@
 
     private fun startConnecting(): Job {
         connecting?.takeIf { it.isActive }?.let { return it }
-        return scope.launch { connectToPreferred() }.also { connecting = it }
+        return tasks.launchOnce("scheduler connection") { connectToPreferred() }.also { connecting = it }
     }
 
     private suspend fun connectToPreferred() {
@@ -175,12 +174,13 @@
         )
         val newReceiver = Receiver()
         val previousReceiver = receiver
-        val newChannel = connector.connect(member, service, hello, newReceiver)
-        if (newChannel == null) {
-            reachability.onFailure(member.name)
-            failedMillis = clock.millis()
-            return
+        var newChannel: SchedulerChannel? = null
+        try {
+            newChannel = connector.connect(member, service, hello, newReceiver)
+        } finally {
+            if (newChannel == null) onConnectionFailed(member)
         }
+        if (newChannel == null) return
         if (receiver !== previousReceiver) {
             newChannel.close()
             return
@@ -195,6 +195,11 @@
         heardMillis = clock.millis()
     }
 
+    private fun onConnectionFailed(member: FleetMember) {
+        reachability.onFailure(member.name)
+        failedMillis = clock.millis()
+    }
+
     private fun UsedSlot.toHeldSlot() = HeldSlot(number, use, worker, onTimeUntilMillis - clock.millis())
 
     private fun handle(message: SchedulerMessage) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -1,14 +1,13 @@
 package org.poplarshift.serving.submission
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
-import kotlinx.coroutines.launch
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.submission.ItemShares
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.log.ConsumerGroup
@@ -22,7 +21,7 @@
  * themselves assigned to the same share, items run twice and the ledger keeps the first result.
  */
 class BatchRunner(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val store: SubmissionStore,
     private val group: ConsumerGroup,
     private val forwarding: ForwardingContext,
@@ -131,7 +130,7 @@
         val released = entries.values.filter { it.share in shares }
         entries.values.removeAll(released.toSet())
         released.forEach { it.job?.cancelAndJoin() }
-        released.map { scope.launch { it.run.saveProgress() } }.joinAll()
+        released.map { tasks.launchOnce("progress of an item") { it.run.saveProgress() } }.joinAll()
     }
 
     private fun schedule() {
@@ -182,7 +181,7 @@
 
     private fun start(entry: Entry, account: RunAccount) {
         entry.runService = account.service
-        val job = scope.launch { entry.run.run(onPreempt = { entry.job?.cancel() }) }
+        val job = tasks.launchOnce("item run") { entry.run.run(onPreempt = { entry.job?.cancel() }) }
         entry.job = job
         job.invokeOnCompletion { runShares.onEnded(account) }
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -2,8 +2,6 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.submission.AssembledRecord
 import org.poplarshift.core.submission.KeyedValue
@@ -12,6 +10,7 @@
 import org.poplarshift.core.submission.RecordFormat
 import org.poplarshift.core.submission.SubmissionLedger
 import org.poplarshift.core.submission.SubmissionRecord
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.LogRecord
@@ -38,7 +37,7 @@
     private val clock: MonotonicClock,
     private val topic: String,
     val number: Int,
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val newId: () -> String,
 ) : RecordReceiver {
     private val pendingWrites = HashMap<String, CompletableDeferred<LedgerEffect>>()
@@ -186,12 +185,12 @@
     /** Writes [record] without waiting for the outcome. The record may be lost. */
     fun writeInBackground(record: SubmissionRecord, content: ByteArray) {
         val values = RecordFormat.encode(newId(), record, content, log.maximumValueBytes)
-        scope.launch {
+        tasks.launchOnce("background write") {
             for (records in splitIntoAppends(values)) {
                 val result = log.append(topic, number, records)
                 if (result !is AppendResult.Appended) {
                     logger.info { "submission: a record of submission ${record.submission} was not appended: $result" }
-                    return@launch
+                    return@launchOnce
                 }
             }
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -1,7 +1,7 @@
 package org.poplarshift.serving.submission
 
-import kotlinx.coroutines.CoroutineScope
 import org.poplarshift.core.submission.SubmissionState
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.PartitionedLog
 import java.security.SecureRandom
@@ -14,7 +14,7 @@
  * @param random source of the ids of new records
  */
 class SubmissionStore(
-    scope: CoroutineScope,
+    tasks: BackgroundTasks,
     log: PartitionedLog,
     clock: MonotonicClock,
     topic: String,
@@ -22,7 +22,7 @@
     private val random: Random = SecureRandom(),
 ) {
     /** All partitions, in order of their numbers. */
-    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, ::newId) }
+    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, tasks, ::newId) }
 
     /** Changes whenever records of any partition have been read. */
     val revision: Long
--- a/serving/src/test/kotlin/org/poplarshift/serving/BackgroundTasksTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/BackgroundTasksTest.kt
@@ -39,6 +39,45 @@
                 }
             }
 
+        listOf(
+            IllegalStateException("x"),
+            CancellationException("x"),
+            NotImplementedError(),
+            OutOfMemoryError("planned"),
+        )
+            .forEach { failure ->
+                test("whoever waits for a short-lived task learns that it has failed with $failure") {
+                    supervisorScope {
+                        val counted = ArrayList<String>()
+                        val freed = ArrayList<Throwable>()
+                        val tasks = BackgroundTasks(this, MonotonicClock.SYSTEM) { counted += it }
+                        tasks.launchOnce("short", onFailed = { freed += it }) { throw failure }.await() shouldBe
+                            TaskResult.Failed(failure)
+                        counted shouldBe listOf("short")
+                        freed shouldBe listOf(failure)
+                    }
+                }
+            }
+
+        test("a failure while what a short-lived task has held is freed is counted") {
+            supervisorScope {
+                val counted = ArrayList<String>()
+                val tasks = BackgroundTasks(this, MonotonicClock.SYSTEM) { counted += it }
+                tasks.launchOnce("short", onFailed = { error("second") }) { error("first") }.await()
+                counted shouldBe listOf("short", "short")
+            }
+        }
+
+        test("a short-lived task that returns or is cancelled has not failed") {
+            supervisorScope {
+                val counted = ArrayList<String>()
+                val tasks = BackgroundTasks(this, MonotonicClock.SYSTEM) { counted += it }
+                tasks.launchOnce("short") {}.await() shouldBe TaskResult.Completed
+                tasks.launchOnce("short") { awaitCancellation() }.cancelAndJoin()
+                counted shouldBe emptyList()
+            }
+        }
+
         test("a task whose own time limit has passed is started again") {
             supervisorScope {
                 var starts = 0
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -24,6 +24,7 @@
 import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.ScriptedWorker
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.quarantine.RequestFingerprint
@@ -270,8 +271,8 @@
                 val clock = MonotonicClock.SYSTEM
                 val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
                 val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
-                val prober = WorkerProber(scope, loadBalancer, connections)
-                val crashTracker = CrashTracker(scope, clock, FakeLog(), "members", "node")
+                val prober = WorkerProber(TestTasks.of(scope), loadBalancer, connections)
+                val crashTracker = CrashTracker(TestTasks.of(scope), clock, FakeLog(), "members", "node")
                 case.crashedWorkers.forEach {
                     crashTracker.onConnectionLost(WorkerRun(RequestFingerprint.of(null, "/", body), it))
                 }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerProberTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerProberTest.kt
@@ -15,6 +15,7 @@
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 
 /**
@@ -38,7 +39,7 @@
                     val state = loadBalancer.state("w").shouldNotBeNull()
                     val connection = pool.acquire(worker, "r").shouldNotBeNull()
 
-                    WorkerProber(scope, loadBalancer, pool).markUnreachable(state)
+                    WorkerProber(TestTasks.of(scope), loadBalancer, pool).markUnreachable(state)
                     pool.release(connection, KEEP_ALIVE_MILLIS)
                     val reusableUntilMillis = connection.reusableUntilMillis
                     delay(PROBE_MILLIS)
--- a/serving/src/test/kotlin/org/poplarshift/serving/quarantine/CrashTrackerTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/quarantine/CrashTrackerTest.kt
@@ -9,6 +9,7 @@
 import org.poplarshift.core.quarantine.SuspectStatus
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.log.ReadResult
 
 /** Guards against a request that crashes every worker it reaches and is retried through any node. */
@@ -18,7 +19,9 @@
             var wallMillis = 1_000_000L
             var monotonicMillis = 0L
             val tracker =
-                CrashTracker(scope, MonotonicClock { monotonicMillis }, log, "members", name) { wallMillis }
+                CrashTracker(TestTasks.of(scope), MonotonicClock { monotonicMillis }, log, "members", name) {
+                    wallMillis
+                }
 
             fun loseConnection(worker: String) = tracker.onConnectionLost(WorkerRun("bad", worker))
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimiterTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimiterTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.fixture.TestTasks
 
 /**
  * Guards against refusing an organisation within its rate when its callers all use one node, as behind a load balancer
@@ -20,7 +21,11 @@
         class Fleet(scope: CoroutineScope, nodes: Int) {
             var now = 0L
             val limiters: List<RateLimiter> = List(nodes) { own ->
-                RateLimiter(scope, MonotonicClock { now }, { name, wanted -> request(own, name, wanted) }) { nodes }
+                RateLimiter(
+                    TestTasks.of(scope),
+                    MonotonicClock { now },
+                    { name, wanted -> request(own, name, wanted) },
+                ) { nodes }
             }
 
             private fun request(own: Int, name: String, wanted: Double): Double =
@@ -57,6 +62,23 @@
             }
         }
 
+        test("a request whose token request fails is refused, and tokens are requested again after a delay") {
+            coroutineScope {
+                var now = 0L
+                var requests = 0
+                val limiter = RateLimiter(TestTasks.of(this), MonotonicClock { now }, { _, _ ->
+                    requests++
+                    error("planned")
+                }) { 10 }
+                limiter.acquire(organisation) shouldBe RateLimitResult.Allowed
+                repeat(2) { limiter.acquire(organisation).shouldBeInstanceOf<RateLimitResult.Exceeded>() }
+                requests shouldBe 1
+                now = 200
+                limiter.acquire(organisation)
+                requests shouldBe 2
+            }
+        }
+
         test("an organisation without a rate has no limit") {
             coroutineScope {
                 val free = organisation.copy(ratePerSecond = 0.0)
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -20,6 +20,7 @@
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.forward.DispatchRequest
@@ -81,7 +82,7 @@
             }
             val dispatcher =
                 FleetDispatcher(
-                    scope.backgroundScope,
+                    TestTasks.of(scope.backgroundScope),
                     clock,
                     self,
                     workers,
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
@@ -20,6 +20,7 @@
 import org.poplarshift.serving.fixture.PlainCallerProtocol
 import org.poplarshift.serving.fixture.Proposals
 import org.poplarshift.serving.fixture.RecordingSink
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.ingress.CallerOperation
 import org.poplarshift.serving.ingress.CallerProtocol
 import org.poplarshift.serving.ingress.CallerRequestHead
@@ -46,7 +47,8 @@
         private val log = FakeLog()
         private val stores = List(NODES) {
             val disturbed = DisturbedLog(log, scope.backgroundScope, random)
-            SubmissionStore(scope.backgroundScope, disturbed, clock, "t", partitions = 1, random.asJavaRandom())
+            val tasks = TestTasks.of(scope.backgroundScope)
+            SubmissionStore(tasks, disturbed, clock, "t", partitions = 1, random.asJavaRandom())
         }
         private val protocol = object : CallerProtocol by PlainCallerProtocol {
             override fun encodeResults(total: Int, next: Int, results: List<ItemResult>): Buffer =
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -16,6 +16,7 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.fixture.Proposals
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.PartitionedLog
 import org.poplarshift.serving.log.ReadResult
@@ -31,7 +32,8 @@
 
         suspend fun withPartition(log: PartitionedLog, use: suspend CoroutineScope.(SubmissionPartition) -> Unit) =
             coroutineScope {
-                val partition = SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this) { "id${ids++}" }
+                val partition =
+                    SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, TestTasks.of(this)) { "id${ids++}" }
                 launch { partition.follower.run() }
                 partition.follower.awaitStart()
                 use(partition)
@@ -75,7 +77,7 @@
                 var now = 50_000L
                 val sent = proposal.copy(firstSentMillis = 1_000_000)
                 coroutineScope {
-                    val partition = SubmissionPartition(FakeLog(), { now }, "t", 0, this) { "id${ids++}" }
+                    val partition = SubmissionPartition(FakeLog(), { now }, "t", 0, TestTasks.of(this)) { "id${ids++}" }
                     launch { partition.follower.run() }
                     partition.follower.awaitStart()
                     partition.write(sent, ByteArray(5_000)).shouldBeInstanceOf<WriteResult.Applied>()
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
@@ -13,6 +13,7 @@
 import org.poplarshift.serving.fixture.PlainCallerProtocol
 import org.poplarshift.serving.fixture.Proposals
 import org.poplarshift.serving.fixture.RecordingSink
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.ingress.CallerOperation
 import org.poplarshift.serving.ingress.CallerProtocol
 import org.poplarshift.serving.ingress.CallerRequestHead
@@ -40,8 +41,9 @@
                 val log = FakeLog()
                 coroutineScope {
                     var ids = 0
-                    val partition = SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, this) { "id${ids++}" }
-                    val store = SubmissionStore(this, log, MonotonicClock.SYSTEM, "t", partitions = 1)
+                    val tasks = TestTasks.of(this)
+                    val partition = SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, tasks) { "id${ids++}" }
+                    val store = SubmissionStore(tasks, log, MonotonicClock.SYSTEM, "t", partitions = 1)
                     listOf(partition, store.partitions.single()).forEach {
                         launch { it.follower.run() }
                         it.follower.awaitStart()
