Write a node's record again after an append has failed with an exception

The writer ended and had already forgotten the change, so other nodes did not get the strikes of a crash until the next one. The change is now forgotten only when it is in the log, and the writer is started again. NodeRecordWriterTest failed before.

--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
@@ -30,24 +30,26 @@
         hasUnwrittenChanges = true
         if (isWriting) return
         isWriting = true
-        tasks.launchOnce("record writer") {
-            try {
-                while (hasUnwrittenChanges) {
-                    delay(delayMillis)
-                    hasUnwrittenChanges = false
-                    write()
-                }
-            } finally {
-                isWriting = false
+        tasks.launch("record writer") {
+            while (hasUnwrittenChanges) {
+                delay(delayMillis)
+                write()
             }
+            isWriting = false
         }
     }
 
     private suspend fun write() {
-        val result = log.append(topic, PARTITION, listOf(KeyedValue(key, encode().encodeToByteArray())))
+        hasUnwrittenChanges = false
+        var result: AppendResult? = null
+        try {
+            result = log.append(topic, PARTITION, listOf(KeyedValue(key, encode().encodeToByteArray())))
+        } finally {
+            // Also after an exception, because the owner of the tasks then starts this one again.
+            if (result !is AppendResult.Appended) hasUnwrittenChanges = true
+        }
         if (result is AppendResult.Appended) return
         logger.info { "quarantine: writing the record $key failed, trying again: $result" }
-        hasUnwrittenChanges = true
         delay(RETRY_MILLIS)
     }
 
