Respond to calls and messages of nodes whose task fails

A call that failed with an error, or because something within it was cancelled, got no response, and neither did a message whose handler failed: both senders waited until their time limit. They get 500 now, and a node takes 500 from another as no response. Failed calls are counted.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.ConfigurationHolder
@@ -19,6 +20,7 @@
 import org.poplarshift.serving.observe.CallRecord
 import org.poplarshift.serving.observe.CallRecorder
 import java.util.concurrent.TimeUnit
+import kotlin.coroutines.coroutineContext
 
 /** The HTTP server for callers. */
 class CallerServer(
@@ -111,12 +113,13 @@
             try {
                 serve(operation, request, body, sink, record)
             } catch (exception: CancellationException) {
-                if (record.isStopped) respondStopped(sink, record) else record.end("caller_gone")
+                // Otherwise something within the task was cancelled.
+                val isCancelled = !coroutineContext.isActive
+                if (isCancelled) endCancelled(sink, record) else respondFailed(operation, sink, record)
                 throw exception
-            } catch (exception: Exception) {
-                record.end("internal")
-                logger.error(exception) { "ingress: request ${operation.head.requestId} failed" }
-                if (sink.status == null) refuse(sink, Refusal(500, "internal")) else sink.abort()
+            } catch (failure: Throwable) {
+                respondFailed(operation, sink, record)
+                throw failure
             } finally {
                 activeCalls -= call
                 recorder.finish(record, sink.status, clock.millis())
@@ -163,6 +166,16 @@
         return clock.millis() + timeoutMillis > endMillis
     }
 
+    private fun endCancelled(sink: HttpCallerSink, record: CallRecord) =
+        if (record.isStopped) respondStopped(sink, record) else record.end("caller_gone")
+
+    /** Responds to a call whose task has failed. The owner of the tasks logs the cause. */
+    private fun respondFailed(operation: CallerOperation, sink: HttpCallerSink, record: CallRecord) {
+        record.end("internal")
+        logger.error { "ingress: request ${operation.head.requestId} failed" }
+        if (sink.status == null) refuse(sink, Refusal(500, "internal")) else sink.abort()
+    }
+
     /** Responds to a call that the shutdown has ended. A request that has not been read has not run. */
     private fun respondStopped(sink: HttpCallerSink, record: CallRecord) {
         val refusal = if (record.readMillis == null) Refusal.SHUTTING_DOWN else Refusal.OUTCOME_UNKNOWN
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
@@ -32,7 +32,7 @@
         PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(CONNECTIONS_PER_PEER),
     )
 
-    /** Sends [body] to [peer]. Returns the response body, or null if the request fails or exceeds [timeoutMillis]. */
+    /** Sends [body] to [peer]. Returns the response body, or null if the request or its handler fails or exceeds [timeoutMillis]. */
     suspend fun post(peer: FleetMember, path: String, body: String, timeoutMillis: Long): String? {
         val socket = SocketAddresses.parse(peer.peerAddress)
         val options = RequestOptions().setMethod(
@@ -44,7 +44,10 @@
             val response = withTimeoutOrNull(timeoutMillis) {
                 val connected = client.request(options).coAwait()
                 request = connected
-                connected.send(Buffer.buffer(body)).compose { it.body() }.coAwait().toString()
+                connected.send(Buffer.buffer(body)).compose { response ->
+                    check(response.statusCode() != PeerServer.INTERNAL_ERROR) { "the node's handler has failed" }
+                    response.body()
+                }.coAwait().toString()
             }
             isComplete = response != null
             return response
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -13,7 +13,8 @@
 /**
  * HTTP server for messages of other nodes.
  *
- * Responds with status 400 if the handler can't decode the message or if none is registered for the path.
+ * Responds with status 400 if the handler can't decode the message or if none is registered for the path,
+ * and with status 500 if the handler fails.
  */
 class PeerServer(private val vertx: Vertx, private val tasks: BackgroundTasks) {
     private val handlers = HashMap<String, suspend (String) -> String?>()
@@ -42,7 +43,7 @@
             .webSocketHandler { accept(it) }
             .requestHandler { request ->
                 request.body().onSuccess { body ->
-                    tasks.launchOnce("peer message", CoroutineStart.UNDISPATCHED) {
+                    tasks.launchOnce("peer message", CoroutineStart.UNDISPATCHED, { respondFailed(request) }) {
                         respond(request, body.toString())
                     }
                 }
@@ -70,8 +71,17 @@
         }
     }
 
-    private companion object {
-        val logger = KotlinLogging.logger {}
-        const val BAD_REQUEST = 400
+    // The sender would otherwise wait until its time limit.
+    private fun respondFailed(request: HttpServerRequest) {
+        val response = request.response()
+        if (!response.ended() && !response.closed()) response.setStatusCode(INTERNAL_ERROR).end()
+    }
+
+    companion object {
+        private val logger = KotlinLogging.logger {}
+        private const val BAD_REQUEST = 400
+
+        /** Status of the response when the handler has failed. */
+        const val INTERNAL_ERROR = 500
     }
 }
