--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -6,7 +6,6 @@
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.joinAll
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.RateLimitShares
 import org.poplarshift.serving.fleet.ConfigurationHolder
@@ -186,7 +185,9 @@
         callerServer.isShuttingDown = true
         val handover = tasks.launchOnce("hand-over") { batchRunner.leave() }
         callerServer.drain(DEREGISTRATION_MILLIS, drainMillis)
-        joinAll(handover)
+        if (handover.await() is TaskResult.Failed) {
+            logger.warn { "node: the batch shares are not handed over; the group assigns them to others after a while" }
+        }
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
     }
 
