Delay further runs of an item whose run has failed with an exception

The item ran again at the next pass, up to ten times a second, and took a slot of a worker each time. Its runs now start after delays from 250 ms to 4 s until one returns. A hand-over logs how many items it could not save.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -2,13 +2,15 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.joinAll
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.submission.ItemShares
 import org.poplarshift.serving.BackgroundTasks
+import org.poplarshift.serving.Backoff
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.TaskResult
 import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.log.ConsumerGroup
 import org.poplarshift.serving.log.JoinResult
@@ -35,6 +37,21 @@
 
         /** The service that the current or latest run counts for. That of the item may change meanwhile. */
         var runService: String? = null
+        private val backoff = Backoff(INITIAL_RETRY_MILLIS, MAXIMUM_RETRY_MILLIS)
+        private var retryMillis = Long.MIN_VALUE
+
+        /** Monotonic time in milliseconds from which the item may run. */
+        val startMillis: Long
+            get() = maxOf(retryMillis, run.retryMillis)
+
+        /** Delays the next run, because the current one has failed with an exception. */
+        fun onFailed(nowMillis: Long) {
+            retryMillis = nowMillis + backoff.next()
+        }
+
+        /** Ends the delays of further runs. */
+        fun onReturned() = backoff.reset()
+
         val isActive: Boolean
             get() = job?.isActive == true
     }
@@ -130,7 +147,10 @@
         val released = entries.values.filter { it.share in shares }
         entries.values.removeAll(released.toSet())
         released.forEach { it.job?.cancelAndJoin() }
-        released.map { tasks.launchOnce("progress of an item") { it.run.saveProgress() } }.joinAll()
+        val results = released.map { tasks.launchOnce("progress of an item") { it.run.saveProgress() } }.awaitAll()
+        val failures = results.count { it is TaskResult.Failed }
+        if (failures == 0) return
+        logger.warn { "batch: the progress of $failures items is not saved; they run again from before" }
     }
 
     private fun schedule() {
@@ -167,7 +187,7 @@
     private fun startRuns() {
         val now = clock.millis()
         val idle = entries.values.filter {
-            !it.isActive && now >= maxOf(it.run.retryMillis, startMillisByShare[it.share] ?: Long.MAX_VALUE)
+            !it.isActive && now >= maxOf(it.startMillis, startMillisByShare[it.share] ?: Long.MAX_VALUE)
         }
         if (idle.isEmpty()) return
         val waiting = entries.values.filter { it.isActive && it.run.isWaiting }.groupingBy { it.runService }.eachCount()
@@ -181,7 +201,10 @@
 
     private fun start(entry: Entry, account: RunAccount) {
         entry.runService = account.service
-        val job = tasks.launchOnce("item run") { entry.run.run(onPreempt = { entry.job?.cancel() }) }
+        val job = tasks.launchOnce("item run", onFailed = { entry.onFailed(clock.millis()) }) {
+            entry.run.run(onPreempt = { entry.job?.cancel() })
+            entry.onReturned()
+        }
         entry.job = job
         job.invokeOnCompletion { runShares.onEnded(account) }
     }
@@ -204,6 +227,12 @@
         // Of all services together. Bounds memory. Exceeds the number of worker slots that one node can use.
         const val MAXIMUM_ACTIVE_RUNS = 96
 
+        // A run that fails with an exception probably fails again, and each run takes a slot of a worker.
+        const val INITIAL_RETRY_MILLIS = 250L
+
+        // A small part of the time within which items are due, about 18 s.
+        const val MAXIMUM_RETRY_MILLIS = 4_000L
+
         // Allows for differences between the clocks of the nodes.
         const val CLOCK_SKEW_MILLIS = 30_000L
     }
