Give up what needs a task that fails again and again

A node whose follower, registry or dispatcher failed at every start stayed ready and kept its shares of items. After five failures without a run of 10 s in between it now answers 503 to the check of readiness or leaves the group, as the task requires, and takes part again once the task has run for 10 s. /status on the metrics address states the tasks. The limit was chosen so that a task that fails at once is noticed after 1.5 s; it was not measured.

The planned failures of TestFleet are a class of their own.

--- a/serving/src/main/kotlin/org/poplarshift/serving/BackgroundTasks.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/BackgroundTasks.kt
@@ -26,16 +26,43 @@
     private val clock: MonotonicClock,
     private val onFailure: (String) -> Unit,
 ) {
-    /** Runs [task] until it returns or is cancelled. After a failure it is started again with a growing delay. */
-    fun launch(name: String, task: suspend () -> Unit): Job = scope.launch {
+    private val longRunning = ArrayList<TaskHealth>()
+
+    /** The states of the long-running tasks that have not returned. */
+    val states: List<TaskState>
+        get() = longRunning.map { TaskState.of(it, clock.millis()) }
+
+    /** What the node can't do at present, because a task that it needs for it fails again and again. */
+    val suspendedDuties: Set<NodeDuty>
+        get() = longRunning.filter { it.isFailing(clock.millis()) }.flatMap { it.duties }.toSet()
+
+    /**
+     * Runs [task] until it returns or is cancelled. After a failure it is started again with a growing delay.
+     *
+     * @param duties what the node can't do without the task
+     */
+    fun launch(name: String, duties: Set<NodeDuty> = emptySet(), task: suspend () -> Unit): Job {
+        val health = TaskHealth(name, duties)
+        longRunning += health
+        return scope.launch { runRepeatedly(health, task) }.also { job ->
+            job.invokeOnCompletion { longRunning -= health }
+        }
+    }
+
+    private suspend fun runRepeatedly(health: TaskHealth, task: suspend () -> Unit) {
         val backoff = Backoff(INITIAL_DELAY_MILLIS, MAXIMUM_DELAY_MILLIS)
         while (true) {
-            val startMillis = clock.millis()
-            val failure = failureOf(task) ?: return@launch
-            if (clock.millis() - startMillis > STABLE_MILLIS) backoff.reset()
+            health.onStarted(clock.millis())
+            val failure = failureOf(task) ?: return
+            val wasFailing = health.isFailing(clock.millis())
+            if (health.isSound(clock.millis())) backoff.reset()
+            health.onFailed(clock.millis(), failure)
             val delayMillis = backoff.next()
-            onFailure(name)
-            logger.error(failure) { "node: the task $name failed and starts again in $delayMillis ms" }
+            onFailure(health.name)
+            logger.error(failure) { "node: the task ${health.name} failed and starts again in $delayMillis ms" }
+            if (!wasFailing && health.isFailing(clock.millis())) {
+                logger.error { "node: the task ${health.name} fails again and again, suspended: ${health.duties}" }
+            }
             delay(delayMillis)
         }
     }
@@ -78,8 +105,5 @@
         val logger = KotlinLogging.logger {}
         const val INITIAL_DELAY_MILLIS = 100L
         const val MAXIMUM_DELAY_MILLIS = 2_000L
-
-        // A task that has run for this time is taken as sound.
-        const val STABLE_MILLIS = 10_000L
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -24,6 +24,7 @@
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
 import org.poplarshift.serving.observe.NodeGauges
+import org.poplarshift.serving.observe.NodeStatus
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerLogRelay
@@ -112,6 +113,7 @@
         settings.retentionMillis,
         wallClockMillis,
         isLogReachable = { log.isServed },
+        mayRun = { NodeDuty.ITEMS !in tasks.suspendedDuties },
     )
     private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
@@ -121,7 +123,7 @@
         StatusServer(vertx) { path ->
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
-    private val metricsServer = StatusServer(vertx, { metrics.scrape() }) { OK }
+    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else metrics.scrape() }) { OK }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -153,23 +155,28 @@
 
     /** Starts the background tasks and the servers. */
     suspend fun start() {
-        followers.forEach { tasks.launch("follower of ${it.topic}") { it.run() } }
-        store.partitions.forEach { tasks.launch("follower of submissions ${it.number}") { it.follower.run() } }
-        tasks.launch("members") { members.run() }
-        tasks.launch("registry") { registry.run() }
+        followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
+        store.partitions.forEach {
+            tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { it.follower.run() }
+        }
+        // Nodes that do not know of this one would divide rate limits among too few.
+        tasks.launch("members", setOf(NodeDuty.CALLERS)) { members.run() }
+        tasks.launch("registry", ALL_DUTIES) { registry.run() }
         tasks.launch("maintenance") { runMaintenance() }
         tokenSource.serve(peerServer) { organisation, wanted -> rateLimiter.grant(organisation, wanted) }
         schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
         tasks.launch("schedulers") { schedulerHost.run() }
-        tasks.launch("dispatcher") { dispatcher.run() }
+        tasks.launch("dispatcher", ALL_DUTIES) { dispatcher.run() }
         readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
         callerServer.listen(settings.callersAddress)
-        tasks.launch("batch membership") { awaitSubmissions { batchRunner.maintainMembership() } }
-        tasks.launch("batch items") { awaitSubmissions { batchRunner.run() } }
+        tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
+            awaitSubmissions { batchRunner.maintainMembership() }
+        }
+        tasks.launch("batch items", setOf(NodeDuty.ITEMS)) { awaitSubmissions { batchRunner.run() } }
         logger.atInfo {
             message = "node: started"
             payload = mapOf("node" to settings.name, "zone" to settings.zone, "callers" to settings.callersAddress)
@@ -196,10 +203,15 @@
         run()
     }
 
-    private fun readinessStatus(): Int {
-        val isReady = !callerServer.isShuttingDown && configuration.current != null && registry.known.isNotEmpty()
-        return if (isReady) OK else UNAVAILABLE
-    }
+    private val isReady: Boolean
+        get() = !callerServer.isShuttingDown &&
+            configuration.current != null &&
+            registry.known.isNotEmpty() &&
+            NodeDuty.CALLERS !in tasks.suspendedDuties
+
+    private fun readinessStatus(): Int = if (isReady) OK else UNAVAILABLE
+
+    private fun status(): String = NodeStatus(settings.name, isReady, tasks.states).encode()
 
     // Member records and crash records share a topic, which saves the calls of another follower.
     private fun memberTopicReceiver() = object : RecordReceiver {
@@ -237,7 +249,9 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
+        const val STATUS_PATH = "/status"
         const val FIRST_PARTITION = 0
+        val ALL_DUTIES = NodeDuty.entries.toSet()
 
         // Bounds the time until a read on a stalled connection is detected.
         const val READ_WAIT_MILLIS = 1_500L
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -21,6 +21,8 @@
  * The consumer group divides the items of all submissions into [ItemShares.COUNT] shares, so that every node runs some
  * items of each submission. It only distributes work and does not provide mutual exclusion. If two nodes consider
  * themselves assigned to the same share, items run twice and the ledger keeps the first result.
+ *
+ * @param mayRun whether this node may run items; its shares go back to the group otherwise
  */
 class BatchRunner(
     private val tasks: BackgroundTasks,
@@ -31,6 +33,7 @@
     var retentionMillis: Long,
     private val wallClockMillis: () -> Long = System::currentTimeMillis,
     private val isLogReachable: () -> Boolean,
+    private val mayRun: () -> Boolean = { true },
 ) {
     private class Entry(val run: ItemRun, val share: Int) {
         var job: Job? = null
@@ -65,6 +68,7 @@
     private var generation = 0L
     private var lastJoinMillis = Long.MIN_VALUE / 2
     private var isLeaving = false
+    private var isMember = false
 
     /** Number of items that are currently running or waiting for a slot. */
     val runningItems: Int
@@ -109,20 +113,33 @@
         }
     }
 
-    /** Maintains the group membership until cancelled or until [leave] is called. */
+    /** Maintains the group membership, or none while [mayRun] denies it, until cancelled or until [leave] is called. */
     suspend fun maintainMembership() {
         while (!isLeaving) {
-            when (val result = group.join(generation)) {
-                is JoinResult.Unavailable -> logger.debug { "batch: can't join the group: ${result.reason}" }
-                is JoinResult.Joined -> {
-                    lastJoinMillis = clock.millis()
-                    onAssignment(result)
-                }
-            }
+            if (mayRun()) join() else suspendMembership()
             delay(JOIN_INTERVAL_MILLIS)
         }
     }
 
+    private suspend fun join() {
+        isMember = true
+        when (val result = group.join(generation)) {
+            is JoinResult.Unavailable -> logger.debug { "batch: can't join the group: ${result.reason}" }
+            is JoinResult.Joined -> {
+                lastJoinMillis = clock.millis()
+                onAssignment(result)
+            }
+        }
+    }
+
+    private suspend fun suspendMembership() {
+        if (!isMember) return
+        logger.warn { "batch: this node gives its shares back, because one of its tasks fails again and again" }
+        release(startMillisByShare.keys.toSet())
+        group.leave()
+        isMember = false
+    }
+
     private suspend fun onAssignment(assignment: JoinResult.Joined) {
         val lost = startMillisByShare.keys - assignment.partitions
         val gained = assignment.partitions - startMillisByShare.keys
--- a/serving/src/test/kotlin/org/poplarshift/serving/BackgroundTasksTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/BackgroundTasksTest.kt
@@ -101,9 +101,9 @@
             test("a node runs an item after its call '$call' has failed with an exception") {
                 val fleet = TestFleet()
                 try {
-                    fleet.failingCalls += call
+                    fleet.planned.failingCalls += call
                     val node = fleet.start("a")
-                    eventually(5.seconds) { fleet.failingCalls.isEmpty() shouldBe true }
+                    eventually(5.seconds) { fleet.planned.failingCalls.isEmpty() shouldBe true }
                     fleet.startWorker("w", ITEM_RESPONSE)
                     fleet.publishConfiguration()
                     eventually(10.seconds) {
--- a/serving/src/test/kotlin/org/poplarshift/serving/FailedCallTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/FailedCallTest.kt
@@ -36,12 +36,12 @@
                         fleet.sendRequest(node.callersAddress, HttpMethod.GET, "/results/none").statusCode() shouldBe
                             404
                     }
-                    fleet.failure = { failure }
-                    fleet.brokenCalls += "append submissions"
+                    fleet.planned.failure = { failure }
+                    fleet.planned.brokenCalls += "append submissions"
                     val response = fleet.sendRequest(node.callersAddress, HttpMethod.POST, "/batch/s", "item")
                     response.statusCode() shouldBe 500
                     node.failuresOf("call") shouldBe 1
-                    fleet.brokenCalls.clear()
+                    fleet.planned.brokenCalls.clear()
                     fleet.sendRequest(node.callersAddress, HttpMethod.POST, "/batch/s", "item").statusCode() shouldBe
                         202
                 } finally {
--- a/serving/src/test/kotlin/org/poplarshift/serving/FailedTasksTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/FailedTasksTest.kt
@@ -34,22 +34,22 @@
 
         class Case(val task: String, val plan: suspend TestFleet.(TestFleet.Node) -> Unit)
         listOf(
-            Case("follower of configuration") { failingCalls += "read configuration" },
-            Case("follower of workers") { failingCalls += "read workers" },
-            Case("follower of members") { failingCalls += "read members" },
-            Case("follower of submissions 0") { failingCalls += "read submissions" },
+            Case("follower of configuration") { planned.failingCalls += "read configuration" },
+            Case("follower of workers") { planned.failingCalls += "read workers" },
+            Case("follower of members") { planned.failingCalls += "read members" },
+            Case("follower of submissions 0") { planned.failingCalls += "read submissions" },
             Case("registry") {
-                failingCalls += "clock WorkerRegistry.run"
+                planned.failingCalls += "clock WorkerRegistry.run"
                 leaveExpiredWorker()
             },
-            Case("maintenance") { failingCalls += "clock ServingNode.runMaintenance" },
-            Case("schedulers") { failingCalls += "clock SchedulerHost.run" },
-            Case("dispatcher") { failingCalls += "clock FleetDispatcher.run" },
-            Case("batch membership") { failingCalls += "join" },
-            Case("batch items") { failingCalls += "clock BatchRunner.run" },
+            Case("maintenance") { planned.failingCalls += "clock ServingNode.runMaintenance" },
+            Case("schedulers") { planned.failingCalls += "clock SchedulerHost.run" },
+            Case("dispatcher") { planned.failingCalls += "clock FleetDispatcher.run" },
+            Case("batch membership") { planned.failingCalls += "join" },
+            Case("batch items") { planned.failingCalls += "clock BatchRunner.run" },
             Case("item run") { node ->
                 call(node, HttpMethod.POST, "/batch/first") shouldBe 202
-                failingCalls += "append submissions"
+                planned.failingCalls += "append submissions"
             },
             Case("scheduler connection") { addUnusableMember("here") },
             Case("capacity announcement") { addUnusableMember("there") },
@@ -68,7 +68,7 @@
 
         test("a node serves and finishes items after its task 'members' has failed at its start") {
             withFleet {
-                failingCalls += "append members"
+                planned.failingCalls += "append members"
                 val other = start("b")
                 eventually(5.seconds) { other.failuresOf("members") shouldBe 1 }
                 finishesItem(other)
@@ -77,7 +77,7 @@
 
         test("a node ends its shutdown although its hand-over has failed") {
             withFleet { node ->
-                failingCalls += "leave"
+                planned.failingCalls += "leave"
                 onEventLoop { node.node.stop() }
                 node.failuresOf("hand-over") shouldBe 1
             }
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/FailedItemRunTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/FailedItemRunTest.kt
@@ -32,7 +32,7 @@
                 // At 0 s, 0.25 s, 0.75 s and 1.75 s, each up to 0.1 s later.
                 worker.requests.size - requestsBefore shouldBeInRange 3..4
                 node.failuresOf("item run") shouldBeInRange 3..4
-                fleet.brokenCalls.clear()
+                fleet.planned.brokenCalls.clear()
                 eventually(10.seconds) {
                     val results = fleet.sendRequest(node.callersAddress, HttpMethod.GET, "/results/s")
                     results.body().coAwait().toString().startsWith("item true") shouldBe true
@@ -50,7 +50,7 @@
             eventually(5.seconds) {
                 sendRequest(node.callersAddress, HttpMethod.POST, "/batch/s", "item").statusCode() shouldBe 202
             }
-            brokenCalls += "append submissions"
+            planned.brokenCalls += "append submissions"
         }
     }
 }
