--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -6,8 +6,6 @@
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.joinAll
-import kotlinx.coroutines.launch
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.RateLimitShares
 import org.poplarshift.serving.fleet.ConfigurationHolder
@@ -26,6 +24,7 @@
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
 import org.poplarshift.serving.observe.NodeGauges
+import org.poplarshift.serving.observe.NodeStatus
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerLogRelay
@@ -46,20 +45,23 @@
 /** A serving node. All of its components run on one event loop. */
 class ServingNode(
     vertx: Vertx,
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     private val settings: ServingSettings,
     private val ports: ServingPorts,
     private val clock: MonotonicClock = MonotonicClock.SYSTEM,
     private val metrics: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
     wallClockMillis: () -> Long = System::currentTimeMillis,
 ) {
+    private val tasks = BackgroundTasks(scope, clock) { name ->
+        metrics.counter("task_failures", "task", name).increment()
+    }
     private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
         LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
-    private val peerServer = PeerServer(vertx, scope)
+    private val peerServer = PeerServer(vertx, tasks)
     private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock) { members.peers }
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
@@ -74,11 +76,11 @@
     )
     private val directory: SchedulerDirectory = SchedulerDirectory(ownMember, members)
     private val tokenSource = PeerTokenSource(peerClient, members)
-    private val rateLimiter: RateLimiter = RateLimiter(scope, clock, tokenSource) { members.assumedSize }
+    private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(scope, clock, ownMember, directory, peerClient, reachability)
+    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
     private val dispatcher = FleetDispatcher(
-        scope,
+        tasks,
         clock,
         ownMember,
         loadBalancer,
@@ -88,8 +90,8 @@
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
-    private val prober = WorkerProber(scope, loadBalancer, connections)
-    private val crashTracker = CrashTracker(scope, clock, log, settings.memberTopic, settings.name, wallClockMillis)
+    private val prober = WorkerProber(tasks, loadBalancer, connections)
+    private val crashTracker = CrashTracker(tasks, clock, log, settings.memberTopic, settings.name, wallClockMillis)
     private val forwarding = ForwardingContext(
         dispatcher,
         connections,
@@ -103,9 +105,9 @@
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
     private val contentCache = ContentCache(settings.contentCacheBytes)
     private val store =
-        SubmissionStore(scope, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
+        SubmissionStore(tasks, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
     private val batchRunner = BatchRunner(
-        scope,
+        tasks,
         store,
         ports.group,
         forwarding,
@@ -113,19 +115,17 @@
         settings.retentionMillis,
         wallClockMillis,
         isLogReachable = { log.isServed },
+        mayRun = { NodeDuty.ITEMS !in tasks.suspendedDuties },
     )
     private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
     private val callerServer =
-        CallerServer(vertx, scope, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
+        CallerServer(vertx, tasks, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
     private val readinessServer =
         StatusServer(vertx) { path ->
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
-    private val metricsServer = StatusServer(vertx, { metrics.scrape() }) { OK }
-    private val tasks = BackgroundTasks(scope, clock) { name ->
-        metrics.counter("task_failures", "task", name).increment()
-    }
+    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else metrics.scrape() }) { OK }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -157,23 +157,28 @@
 
     /** Starts the background tasks and the servers. */
     suspend fun start() {
-        followers.forEach { tasks.launch("follower of ${it.topic}") { it.run() } }
-        store.partitions.forEach { tasks.launch("follower of submissions ${it.number}") { it.follower.run() } }
-        tasks.launch("members") { members.run() }
-        tasks.launch("registry") { registry.run() }
+        followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
+        store.partitions.forEach {
+            tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { it.follower.run() }
+        }
+        // Nodes that do not know of this one would divide rate limits among too few.
+        tasks.launch("members", setOf(NodeDuty.CALLERS)) { members.run() }
+        tasks.launch("registry", ALL_DUTIES) { registry.run() }
         tasks.launch("maintenance") { runMaintenance() }
         tokenSource.serve(peerServer) { organisation, wanted -> rateLimiter.grant(organisation, wanted) }
         schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
         tasks.launch("schedulers") { schedulerHost.run() }
-        tasks.launch("dispatcher") { dispatcher.run() }
+        tasks.launch("dispatcher", ALL_DUTIES) { dispatcher.run() }
         readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
         callerServer.listen(settings.callersAddress)
-        tasks.launch("batch membership") { awaitSubmissions { batchRunner.maintainMembership() } }
-        tasks.launch("batch items") { awaitSubmissions { batchRunner.run() } }
+        tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
+            awaitSubmissions { batchRunner.maintainMembership() }
+        }
+        tasks.launch("batch items", setOf(NodeDuty.ITEMS)) { awaitSubmissions { batchRunner.run() } }
         logger.atInfo {
             message = "node: started"
             payload = mapOf("node" to settings.name, "zone" to settings.zone, "callers" to settings.callersAddress)
@@ -187,9 +192,11 @@
     suspend fun stop() {
         logger.info { "node: shutting down, ${callerServer.activeRequests} requests are active" }
         callerServer.isShuttingDown = true
-        val handover = scope.launch { batchRunner.leave() }
+        val handover = tasks.launchOnce("hand-over") { batchRunner.leave() }
         callerServer.drain(DEREGISTRATION_MILLIS, drainMillis)
-        joinAll(handover)
+        if (handover.await() is TaskResult.Failed) {
+            logger.warn { "node: the batch shares are not handed over; the group assigns them to others after a while" }
+        }
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
     }
 
@@ -198,10 +205,15 @@
         run()
     }
 
-    private fun readinessStatus(): Int {
-        val isReady = !callerServer.isShuttingDown && configuration.current != null && registry.known.isNotEmpty()
-        return if (isReady) OK else UNAVAILABLE
-    }
+    private val isReady: Boolean
+        get() = !callerServer.isShuttingDown &&
+            configuration.current != null &&
+            registry.known.isNotEmpty() &&
+            NodeDuty.CALLERS !in tasks.suspendedDuties
+
+    private fun readinessStatus(): Int = if (isReady) OK else UNAVAILABLE
+
+    private fun status(): String = NodeStatus(settings.name, isReady, tasks.states).encode()
 
     // Member records and crash records share a topic, which saves the calls of another follower.
     private fun memberTopicReceiver() = object : RecordReceiver {
@@ -239,7 +251,9 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
+        const val STATUS_PATH = "/status"
         const val FIRST_PARTITION = 0
+        val ALL_DUTIES = NodeDuty.entries.toSet()
 
         // Bounds the time until a read on a stalled connection is detected.
         const val READ_WAIT_MILLIS = 1_500L
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -6,17 +6,17 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.ServerWebSocket
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.launch
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.http.SocketAddresses
 
 /**
  * HTTP server for messages of other nodes.
  *
- * Responds with status 400 if the handler can't decode the message or if none is registered for the path.
+ * Responds with status 400 if the handler can't decode the message or if none is registered for the path,
+ * and with status 500 if the handler fails.
  */
-class PeerServer(private val vertx: Vertx, private val scope: CoroutineScope) {
+class PeerServer(private val vertx: Vertx, private val tasks: BackgroundTasks) {
     private val handlers = HashMap<String, suspend (String) -> String?>()
     private val socketHandlers = HashMap<String, (String, PeerSocket) -> Unit>()
 
@@ -43,7 +43,9 @@
             .webSocketHandler { accept(it) }
             .requestHandler { request ->
                 request.body().onSuccess { body ->
-                    scope.launch(start = CoroutineStart.UNDISPATCHED) { respond(request, body.toString()) }
+                    tasks.launchOnce("peer message", CoroutineStart.UNDISPATCHED, { respondFailed(request) }) {
+                        respond(request, body.toString())
+                    }
                 }
             }
             .listen()
@@ -69,8 +71,17 @@
         }
     }
 
-    private companion object {
-        val logger = KotlinLogging.logger {}
-        const val BAD_REQUEST = 400
+    // The sender would otherwise wait until its time limit.
+    private fun respondFailed(request: HttpServerRequest) {
+        val response = request.response()
+        if (!response.ended() && !response.closed()) response.setStatusCode(INTERNAL_ERROR).end()
+    }
+
+    companion object {
+        private val logger = KotlinLogging.logger {}
+        private const val BAD_REQUEST = 400
+
+        /** Status of the response when the handler has failed. */
+        const val INTERNAL_ERROR = 500
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
@@ -1,10 +1,9 @@
 package org.poplarshift.serving.quarantine
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.poplarshift.core.submission.KeyedValue
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.log.AppendResult
 import org.poplarshift.serving.log.PartitionedLog
 
@@ -16,7 +15,7 @@
  * @param encode returns the current content of the record
  */
 class NodeRecordWriter(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val log: PartitionedLog,
     private val topic: String,
     private val key: String,
@@ -31,24 +30,26 @@
         hasUnwrittenChanges = true
         if (isWriting) return
         isWriting = true
-        scope.launch {
-            try {
-                while (hasUnwrittenChanges) {
-                    delay(delayMillis)
-                    hasUnwrittenChanges = false
-                    write()
-                }
-            } finally {
-                isWriting = false
+        tasks.launch("record writer") {
+            while (hasUnwrittenChanges) {
+                delay(delayMillis)
+                write()
             }
+            isWriting = false
         }
     }
 
     private suspend fun write() {
-        val result = log.append(topic, PARTITION, listOf(KeyedValue(key, encode().encodeToByteArray())))
+        hasUnwrittenChanges = false
+        var result: AppendResult? = null
+        try {
+            result = log.append(topic, PARTITION, listOf(KeyedValue(key, encode().encodeToByteArray())))
+        } finally {
+            // Also after an exception, because the owner of the tasks then starts this one again.
+            if (result !is AppendResult.Appended) hasUnwrittenChanges = true
+        }
         if (result is AppendResult.Appended) return
         logger.info { "quarantine: writing the record $key failed, trying again: $result" }
-        hasUnwrittenChanges = true
         delay(RETRY_MILLIS)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -1,15 +1,16 @@
 package org.poplarshift.serving.submission
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.joinAll
-import kotlinx.coroutines.launch
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.submission.ItemShares
+import org.poplarshift.serving.BackgroundTasks
+import org.poplarshift.serving.Backoff
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.TaskResult
 import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.log.ConsumerGroup
 import org.poplarshift.serving.log.JoinResult
@@ -20,9 +21,11 @@
  * The consumer group divides the items of all submissions into [ItemShares.COUNT] shares, so that every node runs some
  * items of each submission. It only distributes work and does not provide mutual exclusion. If two nodes consider
  * themselves assigned to the same share, items run twice and the ledger keeps the first result.
+ *
+ * @param mayRun whether this node may run items; its shares go back to the group otherwise
  */
 class BatchRunner(
-    private val scope: CoroutineScope,
+    private val tasks: BackgroundTasks,
     private val store: SubmissionStore,
     private val group: ConsumerGroup,
     private val forwarding: ForwardingContext,
@@ -30,12 +33,28 @@
     var retentionMillis: Long,
     private val wallClockMillis: () -> Long = System::currentTimeMillis,
     private val isLogReachable: () -> Boolean,
+    private val mayRun: () -> Boolean = { true },
 ) {
     private class Entry(val run: ItemRun, val share: Int) {
         var job: Job? = null
 
         /** The service that the current or latest run counts for. That of the item may change meanwhile. */
         var runService: String? = null
+        private val backoff = Backoff(INITIAL_RETRY_MILLIS, MAXIMUM_RETRY_MILLIS)
+        private var retryMillis = Long.MIN_VALUE
+
+        /** Monotonic time in milliseconds from which the item may run. */
+        val startMillis: Long
+            get() = maxOf(retryMillis, run.retryMillis)
+
+        /** Delays the next run, because the current one has failed with an exception. */
+        fun onFailed(nowMillis: Long) {
+            retryMillis = nowMillis + backoff.next()
+        }
+
+        /** Ends the delays of further runs. */
+        fun onReturned() = backoff.reset()
+
         val isActive: Boolean
             get() = job?.isActive == true
     }
@@ -49,6 +68,7 @@
     private var generation = 0L
     private var lastJoinMillis = Long.MIN_VALUE / 2
     private var isLeaving = false
+    private var isMember = false
 
     /** Number of items that are currently running or waiting for a slot. */
     val runningItems: Int
@@ -93,20 +113,33 @@
         }
     }
 
-    /** Maintains the group membership until cancelled or until [leave] is called. */
+    /** Maintains the group membership, or none while [mayRun] denies it, until cancelled or until [leave] is called. */
     suspend fun maintainMembership() {
         while (!isLeaving) {
-            when (val result = group.join(generation)) {
-                is JoinResult.Unavailable -> logger.debug { "batch: can't join the group: ${result.reason}" }
-                is JoinResult.Joined -> {
-                    lastJoinMillis = clock.millis()
-                    onAssignment(result)
-                }
-            }
+            if (mayRun()) join() else suspendMembership()
             delay(JOIN_INTERVAL_MILLIS)
         }
     }
 
+    private suspend fun join() {
+        isMember = true
+        when (val result = group.join(generation)) {
+            is JoinResult.Unavailable -> logger.debug { "batch: can't join the group: ${result.reason}" }
+            is JoinResult.Joined -> {
+                lastJoinMillis = clock.millis()
+                onAssignment(result)
+            }
+        }
+    }
+
+    private suspend fun suspendMembership() {
+        if (!isMember) return
+        logger.warn { "batch: this node gives its shares back, because one of its tasks fails again and again" }
+        release(startMillisByShare.keys.toSet())
+        group.leave()
+        isMember = false
+    }
+
     private suspend fun onAssignment(assignment: JoinResult.Joined) {
         val lost = startMillisByShare.keys - assignment.partitions
         val gained = assignment.partitions - startMillisByShare.keys
@@ -131,7 +164,10 @@
         val released = entries.values.filter { it.share in shares }
         entries.values.removeAll(released.toSet())
         released.forEach { it.job?.cancelAndJoin() }
-        released.map { scope.launch { it.run.saveProgress() } }.joinAll()
+        val results = released.map { tasks.launchOnce("progress of an item") { it.run.saveProgress() } }.awaitAll()
+        val failures = results.count { it is TaskResult.Failed }
+        if (failures == 0) return
+        logger.warn { "batch: the progress of $failures items is not saved; they run again from before" }
     }
 
     private fun schedule() {
@@ -168,7 +204,7 @@
     private fun startRuns() {
         val now = clock.millis()
         val idle = entries.values.filter {
-            !it.isActive && now >= maxOf(it.run.retryMillis, startMillisByShare[it.share] ?: Long.MAX_VALUE)
+            !it.isActive && now >= maxOf(it.startMillis, startMillisByShare[it.share] ?: Long.MAX_VALUE)
         }
         if (idle.isEmpty()) return
         val waiting = entries.values.filter { it.isActive && it.run.isWaiting }.groupingBy { it.runService }.eachCount()
@@ -182,7 +218,10 @@
 
     private fun start(entry: Entry, account: RunAccount) {
         entry.runService = account.service
-        val job = scope.launch { entry.run.run(onPreempt = { entry.job?.cancel() }) }
+        val job = tasks.launchOnce("item run", onFailed = { entry.onFailed(clock.millis()) }) {
+            entry.run.run(onPreempt = { entry.job?.cancel() })
+            entry.onReturned()
+        }
         entry.job = job
         job.invokeOnCompletion { runShares.onEnded(account) }
     }
@@ -205,6 +244,12 @@
         // Of all services together. Bounds memory. Exceeds the number of worker slots that one node can use.
         const val MAXIMUM_ACTIVE_RUNS = 96
 
+        // A run that fails with an exception probably fails again, and each run takes a slot of a worker.
+        const val INITIAL_RETRY_MILLIS = 250L
+
+        // A small part of the time within which items are due, about 18 s.
+        const val MAXIMUM_RETRY_MILLIS = 4_000L
+
         // Allows for differences between the clocks of the nodes.
         const val CLOCK_SKEW_MILLIS = 30_000L
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -1,7 +1,7 @@
 package org.poplarshift.serving.submission
 
-import kotlinx.coroutines.CoroutineScope
 import org.poplarshift.core.submission.SubmissionState
+import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.PartitionedLog
 import java.security.SecureRandom
@@ -15,7 +15,7 @@
  * @param random source of the ids of new records
  */
 class SubmissionStore(
-    scope: CoroutineScope,
+    tasks: BackgroundTasks,
     log: PartitionedLog,
     clock: MonotonicClock,
     topic: String,
@@ -24,7 +24,7 @@
     private val random: Random = SecureRandom(),
 ) {
     /** All partitions, in order of their numbers. */
-    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, scope, cache, ::newId) }
+    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, tasks, cache, ::newId) }
 
     /** Changes whenever records of any partition have been read. */
     val revision: Long
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/UncachedContentTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/UncachedContentTest.kt
@@ -19,6 +19,7 @@
 import org.poplarshift.serving.fixture.Proposals
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.TestFleet
+import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.ingress.CallerOperation
 import org.poplarshift.serving.ingress.CallerProtocol
 import org.poplarshift.serving.ingress.CallerRequestHead
@@ -41,7 +42,15 @@
         // A node that has read a submission with the results "A" and "B" and has no cache.
         suspend fun withStore(log: PartitionedLog, use: suspend CoroutineScope.(SubmissionStore) -> Unit) =
             coroutineScope {
-                val store = SubmissionStore(this, log, MonotonicClock.SYSTEM, "t", partitions = 1, ContentCache(0))
+                val store =
+                    SubmissionStore(
+                        TestTasks.of(this),
+                        log,
+                        MonotonicClock.SYSTEM,
+                        "t",
+                        partitions = 1,
+                        ContentCache(0),
+                    )
                 val partition = store.partitions.single()
                 launch { partition.follower.run() }
                 partition.follower.awaitStart()
