Move the room for rate-limit tokens with the tokens that nodes lend

A transfer moved tokens but not the room to hold them. The lender refilled up to its whole share while the borrower held more than its own, so that all nodes together held up to 2,728 (11 nodes) and 2,957 (91 nodes) of a burst of 146 in virtual time.

A transfer is now a loan with a schedule that both nodes follow without further messages. For tokens that fit into the borrower's share, the lender keeps room only while they may be on their way (100 ms, four times the time a node waits for a loan). For the others the room returns to the lender at its refill rate. A restarted node starts as if its share were lent.

TokenBucketShareTest and RateLimiterTest call lend instead of withdraw and grant; their bounds are unchanged.

--- a/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
@@ -4,9 +4,13 @@
  * One node's share of an organisation's token bucket.
  *
  * Each node refills at an equal share of the organisation's rate up to an equal share of its burst, so that all nodes
- * together stay within both. Tokens that move between nodes are withdrawn from the sender before they are deposited at
- * the receiver, so that a lost message can only lower the total. A new process cannot know how many tokens its
- * predecessor consumed. It therefore starts with the tokens that are refilled during the shortest possible restart.
+ * together stay within both. Tokens move between nodes as loans. Where the borrower has no room for them within its own
+ * share, the room moves too: it lowers the lender's room, returns to it at the rate of its refill, and raises the
+ * borrower's by what has not returned yet. Tokens for which the borrower has no room any more are dropped. The room of all
+ * nodes together is therefore never more than the burst, also if a message is lost or late.
+ *
+ * A new process knows neither how many tokens its predecessor consumed nor how much room it lent. It therefore starts with
+ * the tokens that are refilled during the shortest possible restart, and as if the rest of its room were on loan.
  *
  * @param ratePerSecond tokens per second of all nodes together
  * @param burst maximum number of tokens that all nodes together hold
@@ -18,23 +22,45 @@
     private var nodes: Int,
     nowMillis: Long,
 ) {
+    /** A loan and the time from which it counts. */
+    private class DatedLoan(val loan: TokenLoan, val sinceMillis: Long) {
+        fun remaining(nowMillis: Long): Double = loan.remaining(nowMillis - sinceMillis)
+    }
+
     private var refilledMillis = nowMillis
     private var tokens = minOf(burst / nodes, ratePerSecond / nodes * MINIMUM_RESTART_SECONDS)
 
+    // Room that this node has lent and that has not returned yet.
+    private var lent = capacity() - tokens
+
+    // Lent tokens for which the borrowers have room, as long as they may be on their way.
+    private val inTransit = ArrayList<DatedLoan>()
+
+    private val borrowed = ArrayList<DatedLoan>()
+
     /** Returns the available tokens after refilling up to [nowMillis]. */
     fun tokens(nowMillis: Long): Double {
         refill(nowMillis)
         return tokens
     }
 
-    /** Changes the limits. If the share of this node becomes smaller, tokens above it are dropped. */
+    /**
+     * Changes the limits. If the share of this node becomes smaller, tokens above it are dropped. If it becomes larger,
+     * the added room is available at the rate of the refill, because other nodes may still use it.
+     */
     fun update(ratePerSecond: Double, burst: Double, nodes: Int, nowMillis: Long) {
         refill(nowMillis)
         val isLower = ratePerSecond < this.ratePerSecond || burst < this.burst || nodes > this.nodes
+        val previousCapacity = capacity()
         this.ratePerSecond = ratePerSecond
         this.burst = burst
         this.nodes = nodes
-        if (isLower) tokens = minOf(tokens, capacity())
+        val growth = capacity() - previousCapacity
+        lent = if (growth > 0) lent + growth else lent * capacity() / previousCapacity
+        if (isLower) {
+            borrowed.clear()
+            tokens = minOf(tokens, ownRoom())
+        }
     }
 
     /** Consumes one token and returns true, or returns false if less than one token is available. */
@@ -46,23 +72,41 @@
     }
 
     /**
-     * Withdraws tokens for another node and returns their number.
+     * Lends up to [requested] tokens to a node that has room for [borrowerRoom] tokens of its own, or returns null if the
+     * loan would be too small.
      *
-     * The number is at most [requested] and at most half of the available tokens. It is 0 if the transfer would be too
-     * small.
+     * A loan is at most half of the available tokens. A node with less than one token lends all, because it could not admit
+     * a request with them.
      */
-    fun withdraw(requested: Double, nowMillis: Long): Double {
+    fun lend(requested: Double, borrowerRoom: Double, nowMillis: Long): TokenLoan? {
         refill(nowMillis)
-        val withdrawn = minOf(requested, tokens / 2)
-        if (withdrawn < MINIMUM_TRANSFER) return 0.0
-        tokens -= withdrawn
-        return withdrawn
+        val lendable = if (tokens < 1.0) tokens else tokens / 2
+        val amount = minOf(requested, lendable, ownRoom())
+        if (amount < MINIMUM_TRANSFER || ratePerSecond <= 0) return null
+        val transit = borrowerRoom.coerceIn(0.0, amount)
+        val loan = TokenLoan(amount, transit, millisToRefill(lent), millisToRefill(amount - transit))
+        tokens -= amount
+        lent += amount - transit
+        if (transit >
+            0
+        ) {
+            inTransit += DatedLoan(TokenLoan(transit, transit, holdMillis = 0.0, returnMillis = 0.0), nowMillis)
+        }
+        return loan
     }
 
-    /** Adds [amount] tokens that another node has withdrawn. */
-    fun deposit(amount: Double, nowMillis: Long) {
+    /** Returns the number of further tokens for which this node has room. */
+    fun freeRoom(nowMillis: Long): Double {
         refill(nowMillis)
-        tokens += amount
+        return room(nowMillis) - tokens
+    }
+
+    /** Adds the tokens of a [loan] that this node asked for at [requestedMillis]; they are fewer if it arrives late. */
+    fun deposit(loan: TokenLoan, requestedMillis: Long, nowMillis: Long) {
+        refill(nowMillis)
+        tokens += loan.remaining(nowMillis - requestedMillis)
+        borrowed += DatedLoan(loan, requestedMillis)
+        if (borrowed.size > MAXIMUM_BORROWED) borrowed.removeFirst()
     }
 
     /** Returns the milliseconds until one token is available without a transfer from another node. */
@@ -70,18 +114,26 @@
         refill(nowMillis)
         if (tokens >= 1.0) return 0
         if (ratePerSecond <= 0) return Long.MAX_VALUE
-        return ((1.0 - tokens) * nodes / ratePerSecond * MILLIS_PER_SECOND).toLong() + 1
+        return millisToRefill(1.0 - tokens).toLong() + 1
     }
 
     // A share of less than one token would never admit a request.
     private fun capacity(): Double = maxOf(1.0, burst / nodes)
 
+    private fun ownRoom(): Double = maxOf(0.0, capacity() - lent - inTransit.sumOf { it.loan.amount })
+
+    private fun room(nowMillis: Long): Double = ownRoom() + borrowed.sumOf { it.remaining(nowMillis) }
+
+    private fun millisToRefill(amount: Double): Double = amount * nodes / ratePerSecond * MILLIS_PER_SECOND
+
     private fun refill(nowMillis: Long) {
-        val elapsed = nowMillis - refilledMillis
-        if (elapsed <= 0) return
-        refilledMillis = nowMillis
-        val filled = minOf(capacity(), tokens + ratePerSecond / nodes * elapsed / MILLIS_PER_SECOND)
-        tokens = maxOf(tokens, filled)
+        val elapsed = maxOf(0, nowMillis - refilledMillis)
+        refilledMillis += elapsed
+        val refilled = ratePerSecond / nodes * elapsed / MILLIS_PER_SECOND
+        lent = maxOf(0.0, lent - refilled)
+        inTransit.removeIf { it.remaining(nowMillis) <= 0 }
+        borrowed.removeIf { it.remaining(nowMillis) <= 0 }
+        tokens = minOf(tokens + refilled, room(nowMillis))
     }
 
     private companion object {
@@ -92,5 +144,8 @@
 
         // Smaller transfers cost more messages than the refusals that they avoid are worth.
         const val MINIMUM_TRANSFER = 0.25
+
+        // A node that needs many loans spends their tokens at once, so it does not need the room of the older ones.
+        const val MAXIMUM_BORROWED = 64
     }
 }
--- a/core/src/test/kotlin/org/poplarshift/core/allowance/TokenBucketShareTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/allowance/TokenBucketShareTest.kt
@@ -21,9 +21,11 @@
                         if (buckets[random.nextInt(10)].tryConsume(now)) consumedMillis += now
                     }
                     if (random.nextInt(4) == 0) {
-                        val withdrawn = buckets[random.nextInt(10)].withdraw(requested = 4.0, nowMillis = now)
+                        val lender = buckets[random.nextInt(10)]
                         val isLost = random.nextInt(10) == 0
-                        if (!isLost) buckets[random.nextInt(10)].deposit(withdrawn, now)
+                        val borrower = buckets[random.nextInt(10)]
+                        val loan = lender.lend(requested = 4.0, borrower.freeRoom(now), now)
+                        if (loan != null && !isLost) borrower.deposit(loan, now, now)
                     }
                 }
                 val windowMillis = 5_000L
@@ -38,7 +40,7 @@
         test("a transfer is at most half of the available tokens and is deducted from the sender") {
             val bucket = TokenBucketShare(ratePerSecond = 10.0, burst = 10.0, nodes = 1, nowMillis = 0)
             bucket.tokens(1_000) shouldBe 10.0
-            bucket.withdraw(requested = 100.0, nowMillis = 1_000) shouldBe 5.0
+            bucket.lend(requested = 100.0, borrowerRoom = 0.0, nowMillis = 1_000)?.amount shouldBe 5.0
             bucket.tokens(1_000) shouldBe 5.0
         }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -160,7 +160,7 @@
         tasks.launch("members") { members.run() }
         tasks.launch("registry") { registry.run() }
         tasks.launch("maintenance") { runMaintenance() }
-        tokenSource.serve(peerServer) { organisation, wanted -> rateLimiter.grant(organisation, wanted) }
+        tokenSource.serve(peerServer) { organisation, wanted, room -> rateLimiter.lend(organisation, wanted, room) }
         schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.allowance.TokenBucketShare
+import org.poplarshift.core.allowance.TokenLoan
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.serving.MonotonicClock
@@ -26,8 +27,11 @@
 
 /** Source of additional tokens that other nodes hold. */
 fun interface TokenSource {
-    /** Requests up to [wanted] tokens of [organisation] and returns the number granted. */
-    suspend fun request(organisation: String, wanted: Double): Double
+    /**
+     * Requests up to [wanted] tokens of [organisation], for [room] of which this node has room within its share, and
+     * returns the loans that were granted.
+     */
+    suspend fun request(organisation: String, wanted: Double, room: Double): List<TokenLoan>
 }
 
 /** Enforces this node's share of each organisation's rate limit and requests tokens from peers when it runs out. */
@@ -47,14 +51,11 @@
         if (organisation.ratePerSecond <= 0) return RateLimitResult.Allowed
         val bucket = bucket(organisation)
         if (bucket.tryConsume(clock.millis())) {
-            if (bucket.tokens(clock.millis()) < LOW_TOKENS) requestTokens(organisation.name, bucket, organisation)
+            if (bucket.tokens(clock.millis()) < LOW_TOKENS) fillRoom(organisation, bucket)
             return RateLimitResult.Allowed
         }
-        val request = requestTokens(organisation.name, bucket, organisation)
-        if (request != null) {
-            withTimeoutOrNull(REQUEST_TIMEOUT_MILLIS) { request.await() }
-            if (bucket.tryConsume(clock.millis())) return RateLimitResult.Allowed
-        }
+        withTimeoutOrNull(REQUEST_TIMEOUT_MILLIS) { awaitTokens(organisation, bucket) }
+        if (bucket.tryConsume(clock.millis())) return RateLimitResult.Allowed
         val bucketState = "tokens=%.2f,rate=%.1f,nodes=%d".format(
             bucket.tokens(clock.millis()),
             organisation.ratePerSecond,
@@ -63,9 +64,12 @@
         return RateLimitResult.Exceeded(retryMillis(organisation), bucketState)
     }
 
-    /** Withdraws up to [wanted] tokens for another node and returns the number withdrawn. */
-    fun grant(organisation: String, wanted: Double): Double =
-        buckets[organisation]?.withdraw(wanted, clock.millis()) ?: 0.0
+    /**
+     * Lends up to [wanted] tokens to another node that has room for [room] of them, or returns null if this node has none to
+     * lend.
+     */
+    fun lend(organisation: String, wanted: Double, room: Double): TokenLoan? =
+        buckets[organisation]?.lend(wanted, room, clock.millis())
 
     /** Applies the limits of [configuration] and the current number of nodes. */
     fun update(configuration: IngressConfiguration?) {
@@ -97,24 +101,30 @@
         (MILLIS_PER_SECOND * RETRY_TOKENS / organisation.ratePerSecond).toLong()
             .coerceIn(MINIMUM_RETRY_MILLIS, MAXIMUM_RETRY_MILLIS)
 
-    private fun requestTokens(
-        name: String,
-        bucket: TokenBucketShare,
-        organisation: IngressOrganisation,
-    ): CompletableDeferred<Unit>? {
+    // Tokens above the room would return to their lenders unused if no request needs them soon.
+    private fun fillRoom(organisation: IngressOrganisation, bucket: TokenBucketShare) {
+        val room = bucket.freeRoom(clock.millis())
+        if (room >= MINIMUM_REQUESTED_TOKENS) requestTokens(organisation.name, bucket, room)
+    }
+
+    // Many nodes hold only a part of a token if the limit is small, so several rounds may be needed for one token.
+    private suspend fun awaitTokens(organisation: IngressOrganisation, bucket: TokenBucketShare) {
+        val wanted = maxOf(MINIMUM_REQUESTED_TOKENS, organisation.burst / fleetSize())
+        repeat(MAXIMUM_ROUNDS) {
+            val request = requestTokens(organisation.name, bucket, wanted) ?: return
+            request.await()
+            if (bucket.tokens(clock.millis()) >= 1.0) return
+        }
+    }
+
+    private fun requestTokens(name: String, bucket: TokenBucketShare, wanted: Double): CompletableDeferred<Unit>? {
         pendingRequests[name]?.let { return it }
         if (fleetSize() < 2 || clock.millis() < (nextRequestMillis[name] ?: Long.MIN_VALUE)) return null
         val request = CompletableDeferred<Unit>()
         pendingRequests[name] = request
-        val wanted = maxOf(MINIMUM_REQUESTED_TOKENS, organisation.burst / fleetSize())
         scope.launch {
             try {
-                val received = source.request(name, wanted)
-                bucket.deposit(received, clock.millis())
-                if (received <= 0) nextRequestMillis[name] = clock.millis() + RETRY_DELAY_MILLIS
-                logger.debug {
-                    "allowance: requested $wanted tokens of organisation $name from peers, received $received"
-                }
+                borrow(name, bucket, wanted)
             } finally {
                 pendingRequests.remove(name)
                 request.complete(Unit)
@@ -123,6 +133,18 @@
         return request
     }
 
+    private suspend fun borrow(name: String, bucket: TokenBucketShare, wanted: Double) {
+        // The borrower counts a loan from here, which is before its lender counts it.
+        val requestedMillis = clock.millis()
+        val loans = source.request(name, wanted, bucket.freeRoom(requestedMillis))
+        loans.forEach { bucket.deposit(it, requestedMillis, clock.millis()) }
+        if (loans.isEmpty()) nextRequestMillis[name] = clock.millis() + RETRY_DELAY_MILLIS
+        logger.debug {
+            val received = loans.sumOf { it.amount }
+            "allowance: requested $wanted tokens of organisation $name from peers, received $received"
+        }
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
         const val MILLIS_PER_SECOND = 1_000.0
@@ -130,8 +152,9 @@
         // Requests tokens before the bucket is empty, so that few requests wait for another node.
         const val LOW_TOKENS = 1.0
 
-        // Covers the next requests when a node's share of the burst is smaller.
-        const val MINIMUM_REQUESTED_TOKENS = 4.0
+        // Four peers are asked, and none lends less than a quarter of a token.
+        const val MINIMUM_REQUESTED_TOKENS = 1.0
+        const val MAXIMUM_ROUNDS = 3
 
         // The network delay between zones in both directions plus some processing. After it, the request is refused.
         const val REQUEST_TIMEOUT_MILLIS = 60L
--- a/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimiterTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimiterTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import org.poplarshift.core.allowance.TokenLoan
 import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.serving.MonotonicClock
 
@@ -20,11 +21,17 @@
         class Fleet(scope: CoroutineScope, nodes: Int) {
             var now = 0L
             val limiters: List<RateLimiter> = List(nodes) { own ->
-                RateLimiter(scope, MonotonicClock { now }, { name, wanted -> request(own, name, wanted) }) { nodes }
+                RateLimiter(
+                    scope,
+                    MonotonicClock {
+                        now
+                    },
+                    { name, wanted, room -> request(own, name, wanted, room) },
+                ) { nodes }
             }
 
-            private fun request(own: Int, name: String, wanted: Double): Double =
-                limiters.filterIndexed { index, _ -> index != own }.sumOf { it.grant(name, wanted) }
+            private fun request(own: Int, name: String, wanted: Double, room: Double): List<TokenLoan> =
+                limiters.filterIndexed { index, _ -> index != own }.mapNotNull { it.lend(name, wanted, room) }
 
             suspend fun admitted(node: Int, requests: Int): Int {
                 var admitted = 0
