--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -165,7 +165,7 @@
         tasks.launch("members", setOf(NodeDuty.CALLERS)) { members.run() }
         tasks.launch("registry", ALL_DUTIES) { registry.run() }
         tasks.launch("maintenance") { runMaintenance() }
-        tokenSource.serve(peerServer) { organisation, wanted -> rateLimiter.grant(organisation, wanted) }
+        tokenSource.serve(peerServer) { organisation, wanted, room -> rateLimiter.lend(organisation, wanted, room) }
         schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
--- a/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimiterTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimiterTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import org.poplarshift.core.allowance.TokenLoan
 import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.TestTasks
@@ -24,12 +25,12 @@
                 RateLimiter(
                     TestTasks.of(scope),
                     MonotonicClock { now },
-                    { name, wanted -> request(own, name, wanted) },
+                    { name, wanted, room -> request(own, name, wanted, room) },
                 ) { nodes }
             }
 
-            private fun request(own: Int, name: String, wanted: Double): Double =
-                limiters.filterIndexed { index, _ -> index != own }.sumOf { it.grant(name, wanted) }
+            private fun request(own: Int, name: String, wanted: Double, room: Double): List<TokenLoan> =
+                limiters.filterIndexed { index, _ -> index != own }.mapNotNull { it.lend(name, wanted, room) }
 
             suspend fun admitted(node: Int, requests: Int): Int {
                 var admitted = 0
@@ -66,7 +67,7 @@
             coroutineScope {
                 var now = 0L
                 var requests = 0
-                val limiter = RateLimiter(TestTasks.of(this), MonotonicClock { now }, { _, _ ->
+                val limiter = RateLimiter(TestTasks.of(this), MonotonicClock { now }, { _, _, _ ->
                     requests++
                     error("planned")
                 }) { 10 }
