--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -230,7 +230,8 @@
     ): Boolean {
         val from = maxOf(after, 0)
         if (from > state.results.size) reportLackingResults(state, from)
-        val results = state.results.subList(minOf(from, state.results.size), state.results.size)
+        // A copy, because results may be added while outputs are read.
+        val results = state.results.drop(from)
         val page = readPage(partition, results)
         if (page.isEmpty() && results.isNotEmpty()) return false
         val body = protocol.encodeResults(state.items.size, from + page.size, page)
