Inject faults of the links between nodes and the store in the soak

Each node reaches the store through a relay of its own, which delays, cuts in one or both directions and resets connections. A connection that continues after a cut has lost no bytes and none out of order, as with TCP; LinkStandIn drops bytes and can reorder them when its delay changes, so it isn't used here. The ledger records the node as disturbed for the time of the fault.

--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
@@ -41,6 +41,7 @@
         is SoakFault.Terminate -> terminate(fault)
         is SoakFault.HangUp -> hangUp(pickNodes(1).first(), fault.count)
         is SoakFault.Store -> disturbStore(fault)
+        is SoakFault.Link -> disturbLink(fleet.nodes[fault.node], fault)
         SoakFault.ForgetHistory -> fleet.store.forgetHistory()
         SoakFault.Redistribute -> fleet.store.redistribute()
         is SoakFault.Responses -> disturbResponses(fault)
@@ -49,11 +50,7 @@
         SoakFault.WorkerDrain -> drainWorker()
         is SoakFault.WorkerSlow -> slowWorker(fault)
         SoakFault.ReplaceKey -> replaceKey()
-        is SoakFault.Configurations -> repeat(fault.count) {
-            fleet.writeConfiguration()
-            delay(CONFIGURATION_GAP_MILLIS)
-        }
-
+        is SoakFault.Configurations -> writeConfigurations(fault.count)
         is SoakFault.HotOrganisation -> {
             callers.limitedFactor = fault.factor
             delay(fault.millis)
@@ -134,6 +131,12 @@
         affected.forEach { fleet.store.applyFaults(it.name, StoreFaults()) }
     }
 
+    private suspend fun disturbLink(node: SoakNode, fault: SoakFault.Link) = disturb(node.name) {
+        node.link.begin(fault.faults)
+        delay(fault.millis)
+        node.link.end(fault.faults)
+    }
+
     private suspend fun disturbResponses(fault: SoakFault.Responses) {
         val active = fault.fault to fault.share
         fleet.workers.responseFaults += active
@@ -177,6 +180,11 @@
         worker.paceMillis = usual
     }
 
+    private suspend fun writeConfigurations(count: Int) = repeat(count) {
+        fleet.writeConfiguration()
+        delay(CONFIGURATION_GAP_MILLIS)
+    }
+
     private fun replaceKey() {
         fleet.organisations.replaceKey(SoakFleet.now())
         fleet.writeConfiguration()
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -58,6 +58,7 @@
     private suspend fun injectFaults() {
         val plan = FaultPlan(random, settings.nodes)
         val endMillis = SoakFleet.now() + settings.seconds * MILLIS_PER_SECOND
+        scope.launch { injectLinkFaults(endMillis) }
         while (SoakFleet.now() < endMillis) {
             delay(plan.nextPauseMillis())
             injector.inject(plan.next())
@@ -66,6 +67,15 @@
         injector.inject(SoakFault.ReplaceKey)
     }
 
+    private suspend fun injectLinkFaults(endMillis: Long) {
+        val plan = LinkPlan(Random(settings.seed + LINK_SEED_OFFSET), settings.nodes)
+        while (true) {
+            delay(plan.nextPauseMillis())
+            if (SoakFleet.now() >= endMillis) return
+            injector.inject(plan.next())
+        }
+    }
+
     /** Waits until the faults have ended and the items have results. */
     private suspend fun settle() {
         delay(LONGEST_FAULT_MILLIS)
@@ -97,6 +107,9 @@
 
     private companion object {
         const val OK = 200
+
+        // The store and the workers draw from the seed itself and the next one.
+        const val LINK_SEED_OFFSET = 2
         const val MILLIS_PER_SECOND = 1_000L
         const val LONGEST_FAULT_MILLIS = 12_000L
         const val LONGEST_CALL_MILLIS = 6_000L
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFault.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFault.kt
@@ -23,6 +23,9 @@
     /** Faults of the store towards [nodes] of the nodes. */
     data class Store(val nodes: Int, val faults: StoreFaults, val millis: Long) : SoakFault
 
+    /** Faults of the link between the node with the number [node] and the store. */
+    data class Link(val node: Int, val faults: LinkFaults, val millis: Long) : SoakFault
+
     /** The store deletes its history. */
     data object ForgetHistory : SoakFault
 
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
@@ -102,15 +102,16 @@
     private suspend fun createNode(index: Int): SoakNode {
         val host = "127.0.0.1"
         val name = "node-$index"
+        val link = StoreLink(vertx, host, store.listen(name, host))
         val vm = VmSettings(
             name = name,
             zone = SoakWorkers.ZONES[index % SoakWorkers.ZONES.size],
             host = host,
             firstPort = freePorts(),
-            storeAddress = "$host:${store.listen(name, host)}",
+            storeAddress = "$host:${link.listen()}",
             directory = settings.directory,
         )
-        return SoakNode(vm, VmProcess(vm, settings.program))
+        return SoakNode(vm, VmProcess(vm, settings.program), link)
     }
 
     // Below the range from which the system takes the ports of outgoing connections. Soaks that run at the same time must
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakNode.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakNode.kt
@@ -3,8 +3,8 @@
 import org.poplarshift.standins.vm.VmProcess
 import org.poplarshift.standins.vm.VmSettings
 
-/** A node of the soak. */
-class SoakNode(val settings: VmSettings, val process: VmProcess) {
+/** A node of the soak and its [link] to the store. */
+class SoakNode(val settings: VmSettings, val process: VmProcess, val link: StoreLink) {
     val name: String
         get() = settings.name
 
