Record a late event loop of the soak as a disturbance of the store

The store of the soak runs on the soak's event loop. A store that responds late excuses nodes by the rule.

EventLoopWatch records the time when the event loop is late by more than 0.4 s.

--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -41,6 +41,7 @@
     private suspend fun runOnEventLoop(): SoakReport {
         fleet.start()
         scope.launch { fleet.maintain() }
+        scope.launch { EventLoopWatch(fleet.disturbances, SoakFleet::now).run() }
         scope.launch { callers.run() }
         scope.launch { submissions.run() }
         injectFaults()
