--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -41,26 +41,40 @@
     private suspend fun runOnEventLoop(): SoakReport {
         fleet.start()
         scope.launch { fleet.maintain() }
+        scope.launch { EventLoopWatch(fleet.disturbances, SoakFleet::now).run() }
         scope.launch { callers.run() }
         scope.launch { submissions.run() }
         injectFaults()
         settle()
         val checks = CallChecks(ledger, fleet.disturbances)
         checks.check()
-        checks.checkTimes(fleet.organisations.withdrawnMillis, injector.stops)
+        checks.checkStops(injector.stops)
+        val mustBeRefused = KeyCheck(ledger, fleet.disturbances).check(fleet.organisations.withdrawnMillis)
         DrainCheck(ledger, fleet.disturbances).check(injector.drains)
         checkRate()
         SubmissionChecks(fleet, submissions).check()
-        return createReport().also { File(settings.directory, "report.txt").writeText(it.toString()) }
+        return createReport(mustBeRefused).also { File(settings.directory, "report.txt").writeText(it.toString()) }
     }
 
     private suspend fun injectFaults() {
         val plan = FaultPlan(random, settings.nodes)
         val endMillis = SoakFleet.now() + settings.seconds * MILLIS_PER_SECOND
+        scope.launch { injectLinkFaults(endMillis) }
         while (SoakFleet.now() < endMillis) {
             delay(plan.nextPauseMillis())
             injector.inject(plan.next())
         }
+        // The calls until the callers stop come long enough after the last fault to be checked in every soak.
+        injector.inject(SoakFault.ReplaceKey)
+    }
+
+    private suspend fun injectLinkFaults(endMillis: Long) {
+        val plan = LinkPlan(Random(settings.seed + LINK_SEED_OFFSET), settings.nodes)
+        while (true) {
+            delay(plan.nextPauseMillis())
+            if (SoakFleet.now() >= endMillis) return
+            injector.inject(plan.next())
+        }
     }
 
     /** Waits until the faults have ended and the items have results. */
@@ -81,11 +95,12 @@
         }
     }
 
-    private fun createReport() = SoakReport(
+    private fun createReport(mustBeRefused: Int) = SoakReport(
         settings = settings,
         faults = injector.history.toList(),
         calls = ledger.calls.size,
         served = ledger.calls.count { it.result?.status == OK && it.result?.isComplete == true },
+        mustBeRefused = mustBeRefused,
         submissions = ledger.submissions.size,
         accepted = ledger.submissions.count { it.acceptedMillis != null },
         violations = ledger.violations.distinct(),
@@ -93,6 +108,9 @@
 
     private companion object {
         const val OK = 200
+
+        // The store and the workers draw from the seed itself and the next one.
+        const val LINK_SEED_OFFSET = 2
         const val MILLIS_PER_SECOND = 1_000L
         const val LONGEST_FAULT_MILLIS = 12_000L
         const val LONGEST_CALL_MILLIS = 6_000L
