--- a/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
@@ -87,11 +87,8 @@
         val loan = TokenLoan(amount, transit, millisToRefill(lent), millisToRefill(amount - transit))
         tokens -= amount
         lent += amount - transit
-        if (transit >
-            0
-        ) {
-            inTransit += DatedLoan(TokenLoan(transit, transit, holdMillis = 0.0, returnMillis = 0.0), nowMillis)
-        }
+        val transitLoan = TokenLoan(transit, transit, holdMillis = 0.0, returnMillis = 0.0)
+        if (transit > 0) inTransit += DatedLoan(transitLoan, nowMillis)
         return loan
     }
 
--- a/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/ServeCommand.kt
@@ -92,7 +92,6 @@
     }
 
     companion object {
-        /** Name of the command. */
         const val NAME = "serve"
 
         private val logger = KotlinLogging.logger {}
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
@@ -32,7 +32,10 @@
         PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_PEER).setMaxWaitQueueSize(CONNECTIONS_PER_PEER),
     )
 
-    /** Sends [body] to [peer]. Returns the response body, or null if the request or its handler fails or exceeds [timeoutMillis]. */
+    /**
+     * Sends [body] to [peer]. Returns the response body, or null if the request or its handler fails or if both together
+     * exceed [timeoutMillis].
+     */
     suspend fun post(peer: FleetMember, path: String, body: String, timeoutMillis: Long): String? {
         val socket = SocketAddresses.parse(peer.peerAddress)
         val options = RequestOptions().setMethod(
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -91,7 +91,8 @@
     /**
      * Sends the item to a worker once, unless its time is up. Cancellation also cancels the request at the worker.
      *
-     * Without a result, or while its body can't be read, the item goes back into the queue of its service, so that it holds no run without a worker.
+     * Without a result, or while its body can't be read, the item goes back into the queue of its service, so that it
+     * holds no run without a worker.
      *
      * @param onPreempt called when the run must give up its slot
      */
@@ -100,6 +101,8 @@
         isWaiting = true
         if (isTimeUp) return recordResult(isComplete = false, "time is up")
         val body = readBody() ?: return retryLater()
+        // The submission may have been ended during the read.
+        if (isFinished) return
         val session = newSession(body)
         val request = dispatchRequest(onPreempt)
         failedWorker = null
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -221,7 +221,10 @@
         return null
     }
 
-    /** Sends the results that can be read from the log in time. Returns false if there are results but none could be read. */
+    /**
+     * Sends the results that can be read from the log in time. Returns false if there are results but none could be
+     * read.
+     */
     private suspend fun sendResults(
         partition: SubmissionPartition,
         state: SubmissionState,
