Keep the HTTP client of the rehearsal reachable while it is used

Vert.x closes a client that is no longer reachable when the garbage collector finds it, and the rehearsal kept no reference to its client while it waited for the response.

--- a/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
+++ b/node/src/main/kotlin/org/poplarshift/node/RehearseCommand.kt
@@ -55,10 +55,12 @@
             .setHost(LOOPBACK)
             .setPort(address.substringAfter(':').toInt())
             .setURI("/-/ready")
-        val response = vertx.createHttpClient().request(options).compose {
+        val client = vertx.createHttpClient()
+        val response = client.request(options).compose {
             it.send(Buffer.buffer("rehearsal"))
         }.coAwait()
         response.body().coAwait()
+        client.close().coAwait()
     }
 
     private fun settings(): PlatformSettings {
