Bound the interim responses to one request

The caller got an error in time.

Interim responses were ignored in any number. More than 64 to one request are now a malformed response, and the connection is closed. 64 allows a report of progress each second within the longest timeout of a route.

WorkerConnectionTest: 2 of the 3 new cases (65 and 6400 interim responses) failed with the check removed.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -29,6 +29,7 @@
 ) {
     private var receiver: ResponseReceiver? = null
     private var isInterim = false
+    private var interimResponses = 0
     private var lastMethod: HttpMethod? = null
 
     /** Id of the latest request, or null before the first one. */
@@ -74,6 +75,7 @@
             return receiver.onLost("the request can't be sent: ${exception.message}")
         }
         this.receiver = receiver
+        interimResponses = 0
         socket.writeMessage(message).onFailure { onLost(it.message ?: it.javaClass.simpleName) }
     }
 
@@ -93,11 +95,13 @@
         val receiver = receiver ?: return
         if (message.decoderResult().isFailure) {
             val cause = message.decoderResult().cause()
-            close()
-            return receiver.onMalformed("malformed response: ${cause.message ?: cause.javaClass.simpleName}")
+            return closeMalformed(receiver, "malformed response: ${cause.message ?: cause.javaClass.simpleName}")
         }
         if (message is HttpResponse) {
             isInterim = message.status().code() in INTERIM_STATUSES
+            if (isInterim && ++interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+                return closeMalformed(receiver, "over $MAXIMUM_INTERIM_RESPONSES interim responses")
+            }
             if (isInterim) receiver.onInterim(message) else receiver.onHead(message)
         }
         if (message is HttpContent && !isInterim) onContent(receiver, message)
@@ -111,6 +115,11 @@
         receiver.onEnd()
     }
 
+    private fun closeMalformed(receiver: ResponseReceiver, reason: String) {
+        close()
+        receiver.onMalformed(reason)
+    }
+
     private fun onLost(reason: String) {
         val lost = receiver
         close()
@@ -126,6 +135,12 @@
     internal companion object {
         /** Reason for the loss of a connection that the worker has closed. */
         const val CLOSED = "Connection was closed"
+
+        /**
+         * Maximum number of interim responses to one request. A worker that reports its progress once a second stays below
+         * it within the longest timeout of a route, which is some ten seconds. With the largest heads they are 4 MiB.
+         */
+        const val MAXIMUM_INTERIM_RESPONSES = 64
         private const val MAXIMUM_HEADER_BYTES = 65_536
         private const val MAXIMUM_PART_BYTES = 65_536
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionTest.kt
@@ -27,7 +27,8 @@
 
 /**
  * Guards against a response whose end is found at the wrong place: a HEAD request that waits for a body after an interim
- * response, and a body that counts as complete because its connection was reset while the request was being sent.
+ * response, and a body that counts as complete because its connection was reset while the request was being sent. Guards as
+ * well against interim responses without end, which a node would take for as long as its caller waits.
  */
 class WorkerConnectionTest :
     FunSpec({
@@ -117,6 +118,26 @@
             }
             events shouldBe listOf("interim", "head", "end")
         }
+
+        val limit = WorkerConnection.MAXIMUM_INTERIM_RESPONSES
+        data class InterimCase(val responses: Int, val lastEvents: List<String>)
+        listOf(
+            InterimCase(limit, listOf("head", "body", "end")),
+            InterimCase(limit + 1, listOf("malformed")),
+            InterimCase(100 * limit, listOf("malformed")),
+        ).forEach { case ->
+            test("the response after ${case.responses} interim responses ends with ${case.lastEvents}") {
+                val events = exchange(request(HttpMethod.POST, Buffer.buffer())) { _, socket ->
+                    socket.write(
+                        "HTTP/1.1 102 Processing\r\n\r\n".repeat(case.responses) +
+                            "HTTP/1.1 200 OK\r\nId: a\r\nStamp: 1\r\nContent-Length: 4\r\n\r\ngood",
+                    )
+                }
+                events.take(limit) shouldBe List(limit) { "interim" }
+                // A segment with the end of a response is decoded in two parts.
+                events.drop(limit).distinct() shouldBe case.lastEvents
+            }
+        }
     }) {
     private companion object {
         // Long enough for what has been sent to be received on the loopback interface.
