Never send two requests with one id on one connection

A late copy of the response to an earlier run of an item, or to a request that a caller sent again, was used for the later one if another whole request was sent on that connection in between (A, B, A): the caller got an error or a 502 for a request that the worker had answered, and an item counted the same error twice.

A connection remembered only its last request. It now remembers the ids of all its requests, and is closed after 256 of them, so that none is forgotten while it is used. Hash codes are enough, since a collision costs a new connection only: 1 KiB a connection at most. Forgetting the oldest ids would leave the gap open; sending every repeated run on a new connection would need to know which requests are repeated, and a caller's own repetition is not known to the node.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -31,6 +31,7 @@
     private var isInterim = false
     private var interimResponses = 0
     private var lastMethod: HttpMethod? = null
+    private val sentIds = SentRequestIds(MAXIMUM_REQUESTS)
 
     /** Id of the latest request, or null before the first one. */
     var lastRequest: String? = null
@@ -67,6 +68,7 @@
     /** Sends [request]; its response and the loss of the connection are passed to [receiver]. */
     fun send(request: OutgoingRequest, receiver: ResponseReceiver) {
         lastRequest = request.id
+        sentIds.add(request.id)
         lastMethod = request.method
         if (isClosed) return receiver.onLost(CLOSED)
         val message = try {
@@ -79,6 +81,13 @@
         socket.writeMessage(message).onFailure { onLost(it.message ?: it.javaClass.simpleName) }
     }
 
+    /**
+     * Whether a response that names the request [id] can only be the response to that request.
+     *
+     * A late copy of the response to an earlier request with the same id could arrive after any number of other responses.
+     */
+    fun canIdentify(id: String): Boolean = !sentIds.isFull && !sentIds.mayContain(id)
+
     /** Stops or continues reading, so that a response is not received faster than it is forwarded. */
     fun setReading(isReading: Boolean) {
         socket.channelHandlerContext().channel().config().isAutoRead = isReading
@@ -141,6 +150,12 @@
          * it within the longest timeout of a route, which is some ten seconds. With the largest heads they are 4 MiB.
          */
         const val MAXIMUM_INTERIM_RESPONSES = 64
+
+        /**
+         * Maximum number of requests on one connection, whose ids take 1 KiB. A new connection after 256 requests adds few to
+         * those that end for other reasons, after four requests on average on a calm day.
+         */
+        const val MAXIMUM_REQUESTS = 256
         private const val MAXIMUM_HEADER_BYTES = 65_536
         private const val MAXIMUM_PART_BYTES = 65_536
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -39,8 +39,8 @@
     /**
      * Returns an idle or a new connection to [worker], or null when connecting fails.
      *
-     * A connection is not used for the same request twice in succession, because a late copy of the first response has the
-     * id that identifies the second one.
+     * A connection is not used for the same request twice, because a late copy of the first response has the id that
+     * identifies the second one.
      *
      * @param requestId id of the request to send
      */
@@ -106,7 +106,7 @@
         !isClosed &&
             reusableUntilMillis > nowMillis &&
             address == worker.address &&
-            lastRequest != requestId
+            canIdentify(requestId)
 
     private suspend fun connect(worker: FleetWorker): WorkerConnection? {
         val address = socketAddress(worker) ?: return null
