Report the end of a response after the bytes received with it

A request fails if bytes that belong to no request are on its connection. They must be found before the request is sent if they were received before. The end of a response was reported in the middle of its segment: a receiver that sends the next request at that moment got the rest of the segment, and further segments that had been received, as its own response.

The end is now reported when all that could be read at once has been decoded. Bytes behind the response close the connection before it can be used again.

The rule no longer depends on how the dispatcher resumes.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseMessageHandler.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseMessageHandler.kt
@@ -10,9 +10,12 @@
  *
  * A reset is reported before the decoder sees the end of the connection, because the decoder would take that for the end
  * of a response without a length or chunks.
+ *
+ * @param onReadComplete called after all messages that could be read at once
  */
 internal class ResponseMessageHandler(
     private val onMessage: (HttpObject) -> Unit,
+    private val onReadComplete: () -> Unit,
     private val onLost: (reason: String) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) = try {
@@ -21,6 +24,11 @@
         ReferenceCountUtil.release(message)
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        onReadComplete()
+        context.fireChannelReadComplete()
+    }
+
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         onLost(cause.message ?: cause.javaClass.simpleName)
         context.fireExceptionCaught(cause)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -15,7 +15,8 @@
  * A connection to the worker with the id [worker] at [address], used for one request at a time.
  *
  * Bytes that arrive while no request waits belong to no request. The connection is then closed, because the bytes after
- * them could be taken for a part of the next response.
+ * them could be taken for a part of the next response. The end of a response is reported after all bytes that were received
+ * with it, so that the next request is not sent before such bytes are found.
  *
  * @property number unique among the connections of a node
  * @param onForeignBytes called when the connection is closed because of bytes that belong to no request
@@ -28,6 +29,7 @@
     private val onForeignBytes: (connection: WorkerConnection, found: String) -> Unit,
 ) {
     private var receiver: ResponseReceiver? = null
+    private var endedReceiver: ResponseReceiver? = null
     private var isInterim = false
     private var interimResponses = 0
     private var lastMethod: HttpMethod? = null
@@ -59,7 +61,7 @@
             .addBefore(context.name(), "segments", segments)
             .addBefore(context.name(), "decoder", ResponseDecoder(decoding) { lastMethod != HttpMethod.HEAD })
             .addBefore(context.name(), "encoder", HttpRequestEncoder())
-            .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::onLost))
+            .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::reportEnd, ::onLost))
         // Failures are reported by the handler of responses.
         socket.exceptionHandler { }
         socket.closeHandler { isClosed = true }
@@ -120,8 +122,14 @@
         if (content.content().isReadable) receiver.onBody(Buffer.buffer(ByteBufUtil.getBytes(content.content())))
         if (content !is LastHttpContent) return
         this.receiver = null
+        endedReceiver = receiver
         setReading(true)
-        receiver.onEnd()
+    }
+
+    private fun reportEnd() {
+        val ended = endedReceiver ?: return
+        endedReceiver = null
+        ended.onEnd()
     }
 
     private fun closeMalformed(receiver: ResponseReceiver, reason: String) {
@@ -132,6 +140,7 @@
     private fun onLost(reason: String) {
         val lost = receiver
         close()
+        reportEnd()
         lost?.onLost(reason)
     }
 
