--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -15,7 +15,8 @@
  * A connection to the worker with the id [worker] at [address], used for one request at a time.
  *
  * Bytes that arrive while no request waits belong to no request. The connection is then closed, because the bytes after
- * them could be taken for a part of the next response.
+ * them could be taken for a part of the next response. The end of a response is reported after all bytes that were received
+ * with it, so that the next request is not sent before such bytes are found.
  *
  * @property number unique among the connections of a node
  * @param onForeignBytes called when the connection is closed because of bytes that belong to no request
@@ -28,8 +29,11 @@
     private val onForeignBytes: (connection: WorkerConnection, found: String) -> Unit,
 ) {
     private var receiver: ResponseReceiver? = null
+    private var endedReceiver: ResponseReceiver? = null
     private var isInterim = false
+    private var interimResponses = 0
     private var lastMethod: HttpMethod? = null
+    private val sentIds = SentRequestIds(MAXIMUM_REQUESTS)
 
     /** Id of the latest request, or null before the first one. */
     var lastRequest: String? = null
@@ -57,7 +61,7 @@
             .addBefore(context.name(), "segments", segments)
             .addBefore(context.name(), "decoder", ResponseDecoder(decoding) { lastMethod != HttpMethod.HEAD })
             .addBefore(context.name(), "encoder", HttpRequestEncoder())
-            .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::onLost))
+            .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::reportEnd, ::onLost))
         // Failures are reported by the handler of responses.
         socket.exceptionHandler { }
         socket.closeHandler { isClosed = true }
@@ -66,6 +70,7 @@
     /** Sends [request]; its response and the loss of the connection are passed to [receiver]. */
     fun send(request: OutgoingRequest, receiver: ResponseReceiver) {
         lastRequest = request.id
+        sentIds.add(request.id)
         lastMethod = request.method
         if (isClosed) return receiver.onLost(CLOSED)
         val message = try {
@@ -74,9 +79,17 @@
             return receiver.onLost("the request can't be sent: ${exception.message}")
         }
         this.receiver = receiver
+        interimResponses = 0
         socket.writeMessage(message).onFailure { onLost(it.message ?: it.javaClass.simpleName) }
     }
 
+    /**
+     * Whether a response that names the request [id] can only be the response to that request.
+     *
+     * A late copy of the response to an earlier request with the same id could arrive after any number of other responses.
+     */
+    fun canIdentify(id: String): Boolean = !sentIds.isFull && !sentIds.mayContain(id)
+
     /** Stops or continues reading, so that a response is not received faster than it is forwarded. */
     fun setReading(isReading: Boolean) {
         socket.channelHandlerContext().channel().config().isAutoRead = isReading
@@ -93,11 +106,13 @@
         val receiver = receiver ?: return
         if (message.decoderResult().isFailure) {
             val cause = message.decoderResult().cause()
-            close()
-            return receiver.onMalformed("malformed response: ${cause.message ?: cause.javaClass.simpleName}")
+            return closeMalformed(receiver, "malformed response: ${cause.message ?: cause.javaClass.simpleName}")
         }
         if (message is HttpResponse) {
             isInterim = message.status().code() in INTERIM_STATUSES
+            if (isInterim && ++interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+                return closeMalformed(receiver, "over $MAXIMUM_INTERIM_RESPONSES interim responses")
+            }
             if (isInterim) receiver.onInterim(message) else receiver.onHead(message)
         }
         if (message is HttpContent && !isInterim) onContent(receiver, message)
@@ -107,13 +122,25 @@
         if (content.content().isReadable) receiver.onBody(Buffer.buffer(ByteBufUtil.getBytes(content.content())))
         if (content !is LastHttpContent) return
         this.receiver = null
+        endedReceiver = receiver
         setReading(true)
-        receiver.onEnd()
+    }
+
+    private fun reportEnd() {
+        val ended = endedReceiver ?: return
+        endedReceiver = null
+        ended.onEnd()
+    }
+
+    private fun closeMalformed(receiver: ResponseReceiver, reason: String) {
+        close()
+        receiver.onMalformed(reason)
     }
 
     private fun onLost(reason: String) {
         val lost = receiver
         close()
+        reportEnd()
         lost?.onLost(reason)
     }
 
@@ -126,6 +153,18 @@
     internal companion object {
         /** Reason for the loss of a connection that the worker has closed. */
         const val CLOSED = "Connection was closed"
+
+        /**
+         * Maximum number of interim responses to one request. A worker that reports its progress once a second stays below
+         * it within the longest timeout of a route, which is some ten seconds. With the largest heads they are 4 MiB.
+         */
+        const val MAXIMUM_INTERIM_RESPONSES = 64
+
+        /**
+         * Maximum number of requests on one connection, whose ids take 1 KiB. A new connection after 256 requests adds few to
+         * those that end for other reasons, after four requests on average on a calm day.
+         */
+        const val MAXIMUM_REQUESTS = 256
         private const val MAXIMUM_HEADER_BYTES = 65_536
         private const val MAXIMUM_PART_BYTES = 65_536
 
