Send requests that may not be repeated on new connections to workers that answer twice

Callers of requests that may not be repeated got a 502 again and again while a worker wrote second responses: each of them is found on the connection on which the next request waits, and that request can't go on elsewhere.

In this time a request that may not be repeated takes a new connection in place of an idle one that was used before, so that the worker gets no more connections at once. It holds one time for each registered worker and is pruned in the maintenance of the pool.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
@@ -10,6 +10,7 @@
  *
  * @property deadlineMillis monotonic time in milliseconds after which the response is no longer needed
  * @property maximumAttempts maximum number of workers that may run the request
+ * @property mayRepeat whether the request goes on at another worker when one may have run it
  * @property mayCrashWorkers whether the request may be the cause when workers crash while they run it, so that it is
  *   refused after several crashes
  */
@@ -23,6 +24,7 @@
     val body: Buffer,
     val deadlineMillis: Long,
     val maximumAttempts: Int,
+    val mayRepeat: Boolean,
     val mayCrashWorkers: Boolean = true,
 ) {
     /** Identifies the request when it is repeated with another id. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -136,7 +136,7 @@
         var outcome = SlotOutcome.USED
         var connection: WorkerConnection? = null
         try {
-            connection = forwarding.connections.acquire(target.worker, plan.id)
+            connection = forwarding.connections.acquire(target.worker, plan.id, plan.mayRepeat)
             if (connection == null) {
                 outcome = SlotOutcome.UNREACHABLE
                 forwarding.prober.markUnreachable(target)
@@ -186,6 +186,7 @@
 
         // Not counted as a crash of the worker, which is still there.
         is ExchangeResult.UnusableResponse -> {
+            forwarding.connections.onUnusableResponse(slot.target.worker.id)
             slot.target.onConnectionLost()
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -39,6 +39,10 @@
     var lastRequest: String? = null
         private set
 
+    /** Whether no request was sent yet. */
+    val isUnused: Boolean
+        get() = lastRequest == null
+
     /** Whether either side has closed the connection. */
     var isClosed = false
         private set
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -17,7 +17,7 @@
  * A pool of connections to workers, each used for one request at a time.
  *
  * A connection is reused only after a complete response to the right request, and only within the worker's keep-alive
- * time.
+ * time. A request that may not be repeated gets a new connection while the worker is known to send second responses.
  */
 class WorkerConnectionPool(
     vertx: Vertx,
@@ -25,6 +25,7 @@
     private val clock: MonotonicClock,
     private val recorder: UnusableResponseRecorder,
 ) {
+    private val misattributions = MisattributionTracker(clock)
     private val idle = HashMap<String, ArrayDeque<WorkerConnection>>()
     private val client = vertx.createNetClient(
         NetClientOptions().setLocalAddress(
@@ -43,9 +44,19 @@
      * identifies the second one.
      *
      * @param requestId id of the request to send
+     * @param mayRepeat whether the request goes on elsewhere when its response can't be used
      */
-    suspend fun acquire(worker: FleetWorker, requestId: String): WorkerConnection? =
-        takeIdle(worker, requestId) ?: connect(worker)
+    suspend fun acquire(worker: FleetWorker, requestId: String, mayRepeat: Boolean): WorkerConnection? {
+        val reused = takeIdle(worker, requestId) ?: return connect(worker)
+        val mayLoseResponse = !mayRepeat && !reused.isUnused
+        if (!mayLoseResponse || !misattributions.isSuspect(worker.id)) return reused
+        // The new connection takes the place of the old one, because workers limit the number of their connections.
+        reused.close()
+        return connect(worker)
+    }
+
+    /** Records that the worker [id] has sent something that is not the response to the waiting request. */
+    fun onUnusableResponse(id: String) = misattributions.onForeignBytes(id)
 
     /** Opens a connection to [worker] for a later request. Returns whether that succeeds. */
     suspend fun open(worker: FleetWorker): Boolean {
@@ -80,6 +91,7 @@
     /** Closes idle connections that can't be reused any more, and those to workers that are not in [workers]. */
     fun evictUnusable(workers: Set<String>) {
         val now = clock.millis()
+        misattributions.expire(workers)
         idle.keys.filter { it !in workers }.forEach { closeIdle(it) }
         for (queue in idle.values) {
             while (queue.isNotEmpty() && (queue.first().reusableUntilMillis <= now || queue.first().isClosed)) {
@@ -130,7 +142,12 @@
 
     private fun newConnection(worker: FleetWorker, socket: NetSocketInternal): WorkerConnection {
         connectionsOpened++
-        return WorkerConnection(worker.id, worker.address, connectionsOpened, socket, recorder::onForeignBytes)
+        return WorkerConnection(worker.id, worker.address, connectionsOpened, socket, ::onForeignBytes)
+    }
+
+    private fun onForeignBytes(connection: WorkerConnection, found: String) {
+        misattributions.onForeignBytes(connection.worker)
+        recorder.onForeignBytes(connection, found)
     }
 
     private fun socketAddress(worker: FleetWorker): SocketAddress? = try {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -115,6 +115,7 @@
             body = call.body,
             deadlineMillis = call.deadlineMillis,
             maximumAttempts = attempts,
+            mayRepeat = call.route.mayRepeat,
         )
         val session = AttemptSession(plan, forwarding)
         record.attempts = session.trace
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -320,6 +320,7 @@
             body = Buffer.buffer(body),
             deadlineMillis = forwarding.clock.millis() + remainingMillis(),
             maximumAttempts = proposal.maximumAttempts,
+            mayRepeat = true,
             mayCrashWorkers = false,
         )
         return AttemptSession(plan, forwarding)
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -308,7 +308,7 @@
                 val plan =
                     AttemptPlan(
                         "id", "s", null, HttpMethod.POST, "/", headers,
-                        body, now + 5_000, attempts,
+                        body, now + 5_000, attempts, route.mayRepeat,
                     )
                 val sink = RecordingSink()
                 val outcome = scope.async {
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/ReusedConnectionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/ReusedConnectionTest.kt
@@ -102,12 +102,12 @@
                             FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                         val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
                         val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
-                        val first = pool.acquire(worker, "a").shouldNotBeNull()
+                        val first = pool.acquire(worker, "a", mayRepeat = true).shouldNotBeNull()
                         val isEnded = CompletableDeferred<Unit>()
 
                         suspend fun sendNext() {
                             pool.release(first, keepAliveMillis = null)
-                            val connection = pool.acquire(worker, "b").shouldNotBeNull()
+                            val connection = pool.acquire(worker, "b", mayRepeat = true).shouldNotBeNull()
                             isReused = connection === first
                             connection.send(request("b"), next)
                         }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionPoolTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionPoolTest.kt
@@ -49,15 +49,16 @@
                             MonotonicClock.SYSTEM,
                             UnusableResponseRecorder(registry),
                         )
-                    val first = pool.acquire(worker, "r").shouldNotBeNull()
-                    val other = pool.acquire(worker, "r").shouldNotBeNull()
+                    val first = pool.acquire(worker, "r", mayRepeat = true).shouldNotBeNull()
+                    val other = pool.acquire(worker, "r", mayRepeat = true).shouldNotBeNull()
                     delay(EVENT_MILLIS)
                     pool.release(other, keepAliveMillis = null)
                     pool.release(first, keepAliveMillis = null)
                     if (case.bytes.isNotEmpty()) sockets[0].write(case.bytes).coAwait()
                     delay(EVENT_MILLIS)
                     // The connection that was returned last is taken first.
-                    (pool.acquire(worker, "r") === if (case.isUsedAgain) first else other) shouldBe true
+                    (pool.acquire(worker, "r", mayRepeat = true) === if (case.isUsedAgain) first else other) shouldBe
+                        true
                     first.isClosed shouldBe !case.isUsedAgain
                     other.isClosed shouldBe false
                     pool.connectionsOpened shouldBe 2
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionTest.kt
@@ -76,7 +76,7 @@
                         FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                     val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
                     val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
-                    pool.acquire(worker, request.id).shouldNotBeNull().send(request, receiver)
+                    pool.acquire(worker, request.id, mayRepeat = true).shouldNotBeNull().send(request, receiver)
                     delay(EXCHANGE_MILLIS)
                 }.await()
             } finally {
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerProberTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerProberTest.kt
@@ -37,7 +37,7 @@
                     val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
                     val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
                     val state = loadBalancer.state("w").shouldNotBeNull()
-                    val connection = pool.acquire(worker, "r").shouldNotBeNull()
+                    val connection = pool.acquire(worker, "r", mayRepeat = true).shouldNotBeNull()
 
                     WorkerProber(TestTasks.of(scope), loadBalancer, pool).markUnreachable(state)
                     pool.release(connection, KEEP_ALIVE_MILLIS)
