--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseSegmentHandler.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseSegmentHandler.kt
@@ -13,10 +13,8 @@
  * @param isAwaited whether a request waits for the end of its response
  * @param onForeignBytes called with the number of received bytes of which some belong to no request
  */
-internal class ResponseSegmentHandler(
-    private val isAwaited: () -> Boolean,
-    private val onForeignBytes: (Int) -> Unit,
-) : ChannelInboundHandlerAdapter() {
+class ResponseSegmentHandler(private val isAwaited: () -> Boolean, private val onForeignBytes: (Int) -> Unit) :
+    ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         val bytes = message as ByteBuf
         val length = bytes.readableBytes()
