--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -156,7 +156,7 @@
     }
 
     /** Starts the background tasks and the servers. */
-    suspend fun start() {
+    suspend fun start(): ListeningPorts {
         followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
         store.partitions.forEach {
             tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { it.follower.run() }
@@ -171,10 +171,10 @@
         peerServer.listen(settings.peerAddress)
         tasks.launch("schedulers") { schedulerHost.run() }
         tasks.launch("dispatcher", ALL_DUTIES) { dispatcher.run() }
-        readinessServer.listen(settings.readinessAddress)
+        val readinessPort = readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
-        callerServer.listen(settings.callersAddress)
+        val callersPort = callerServer.listen(settings.callersAddress)
         tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
             awaitSubmissions { batchRunner.maintainMembership() }
         }
@@ -183,6 +183,7 @@
             message = "node: started"
             payload = mapOf("node" to settings.name, "zone" to settings.zone, "callers" to settings.callersAddress)
         }
+        return ListeningPorts(callersPort, readinessPort)
     }
 
     /**
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -49,8 +49,8 @@
     /** Whether the node is shutting down. Responses then contain the header `Connection: close`. */
     var isShuttingDown = false
 
-    /** Starts accepting connections at [address]. */
-    suspend fun listen(address: String) {
+    /** Starts accepting connections at [address], with port 0 at a port that the system chooses. Returns the port. */
+    suspend fun listen(address: String): Int {
         val socket = SocketAddresses.parse(address)
         val options = HttpServerOptions()
             .setHost(socket.host())
@@ -63,7 +63,7 @@
             .setTcpNoDelay(true)
             .setIdleTimeout(IDLE_SECONDS)
             .setAcceptBacklog(ACCEPT_BACKLOG)
-        server = vertx.createHttpServer(options)
+        val listening = vertx.createHttpServer(options)
             .connectionHandler {
                 it.exceptionHandler { cause ->
                     logger.debug { "ingress: caller connection failed: ${cause.message}" }
@@ -73,6 +73,8 @@
             .requestHandler { request -> handle(request) }
             .listen()
             .coAwait()
+        server = listening
+        return listening.actualPort()
     }
 
     /**
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
@@ -11,14 +11,15 @@
     private val text: (String) -> String = { "" },
     private val status: (String) -> Int,
 ) {
-    /** Starts accepting connections at [address]. */
-    suspend fun listen(address: String) {
+    /** Starts accepting connections at [address], with port 0 at a port that the system chooses. Returns the port. */
+    suspend fun listen(address: String): Int {
         val socket = SocketAddresses.parse(address)
-        vertx.createHttpServer(HttpServerOptions().setHost(socket.host()).setPort(socket.port()))
+        return vertx.createHttpServer(HttpServerOptions().setHost(socket.host()).setPort(socket.port()))
             .requestHandler { request ->
                 request.response().setStatusCode(status(request.path().orEmpty())).end(text(request.path().orEmpty()))
             }
             .listen()
             .coAwait()
+            .actualPort()
     }
 }
