Let the stop of a soak win over every start of a node

SoakFleet.maintain looked at isStopping before its delay only; stop killed all nodes during the delay, and the rest of the round started them again. The stop comes on another thread, so that it could also miss a process that was being started.

NodeSupervisor looks at the stop before each start. VmProcess.close ends a process for good: it waits for a start in progress and kills what that has started, and later starts have no effect.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
@@ -7,11 +7,24 @@
 import java.io.File
 import java.util.concurrent.TimeUnit
 
-/** The process of a node, started and stopped as the users' platform does it. */
-class VmProcess(private val settings: VmSettings, private val programFile: File) {
+/**
+ * The process of a node, started and stopped as the users' platform does it.
+ *
+ * [close] may be called on any thread, everything else on one.
+ *
+ * @property launch starts a process; tests replace it
+ */
+class VmProcess(
+    private val settings: VmSettings,
+    private val programFile: File,
+    private val launch: (ProcessBuilder) -> Process = ProcessBuilder::start,
+) : AutoCloseable {
     private val settingsFile = File(settings.directory, "${settings.name}.json").apply { writeText(settingsText()) }
     private val logFile = File(settings.directory, "${settings.name}.log")
+
+    @Volatile
     private var process: Process? = null
+    private var isClosed = false
 
     /** Time of the last start, in monotonic milliseconds. */
     var startedMillis = Long.MIN_VALUE
@@ -24,13 +37,15 @@
     val exitCode: Int?
         get() = process?.takeUnless { it.isAlive }?.exitValue()
 
-    /** Starts the process. Its log is appended to that of the one before. */
+    /** Starts the process unless this is closed. Its log is appended to that of the one before. */
+    @Synchronized
     fun start() {
+        if (isClosed) return
         val builder = ProcessBuilder(COMMAND + listOf("-jar", programFile.path, "serve"))
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
         builder.environment()["POPLARSHIFT_BOOT"] = settingsFile.path
-        process = builder.start()
+        process = launch(builder)
         startedMillis = monotonicMillis()
     }
 
@@ -45,6 +60,13 @@
         process?.destroyForcibly()?.waitFor(SIGNAL_SECONDS, TimeUnit.SECONDS)
     }
 
+    /** Kills the process for good. Waits for a start in progress, so that no process is left. */
+    @Synchronized
+    override fun close() {
+        isClosed = true
+        kill()
+    }
+
     private fun settingsText(): String = buildJsonObject {
         put("name", settings.name)
         put("zone", settings.zone)
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
@@ -21,12 +21,12 @@
 /** The nodes as processes, with the store and the workers in this process. Used on one event loop. */
 class SoakFleet(private val vertx: Vertx, private val settings: SoakSettings, val ledger: SoakLedger) {
     private val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(READINESS_MILLIS.toInt()))
-    private var isStopping = false
     val store = StoreStandIn(vertx, Random(settings.seed))
     val workers = SoakWorkers(vertx, Random(settings.seed + 1), store, ledger)
     val organisations = SoakOrganisations()
     val disturbances = Disturbances()
     val nodes = ArrayList<SoakNode>()
+    private val supervisor = NodeSupervisor(nodes, disturbances, ledger, ::now)
 
     /** Starts everything and waits until the nodes are ready. */
     suspend fun start() {
@@ -36,7 +36,7 @@
         workers.renewEntries()
         settings.directory.mkdirs()
         repeat(settings.nodes) { nodes += createNode(it) }
-        nodes.forEach { it.process.start() }
+        supervisor.startAll()
         withTimeoutOrNull(START_MILLIS) {
             while (nodes.any { !it.isReady }) {
                 checkReadiness()
@@ -55,33 +55,16 @@
     /** Renews the entries of workers, starts processes that have ended and asks the nodes for readiness. */
     suspend fun maintain() {
         var round = 0
-        while (!isStopping) {
+        while (!supervisor.isStopping) {
             delay(READINESS_MILLIS)
             if (round++ % RENEWAL_ROUNDS == 0) workers.renewEntries()
-            nodes.filter { !it.process.isAlive && !it.isHeldDown }.forEach { restart(it) }
+            supervisor.restartEnded()
             checkReadiness()
         }
     }
 
-    /** Kills all processes. */
-    fun stop() {
-        isStopping = true
-        nodes.forEach { it.process.kill() }
-    }
-
-    private fun restart(node: SoakNode) {
-        val end = disturbances.begin(node.name, now())
-        if (!node.isEndExpected) {
-            ledger.report(
-                Promise.KEEPS_RUNNING,
-                "${node.name} ended with ${node.process.exitCode}",
-            )
-        }
-        node.isEndExpected = false
-        node.terminatedMillis = null
-        node.process.start()
-        end(now())
-    }
+    /** Kills all processes. None is started afterwards. */
+    fun stop() = supervisor.stop()
 
     private suspend fun checkReadiness() = nodes.forEach { it.isReady = it.process.isAlive && isReady(it) }
 
