Find a second response behind a body without a length or chunks

Callers of plain requests received 200 with the head and the body of another response, such as a 500 or an earlier response, at the end of the body. A body with neither a length nor chunks ends with its connection, so whatever a worker writes behind it was a part of it.

The lines of such a body are now read. A status line and header lines that state a request id, or a status line directly behind text, show that the body is not whole; ResponseIdentity decides, for plain requests, streams and items. A request that may be repeated goes on at another worker, any other ends with 502 or, if its head is already out, without an end. An error of an item does not count. Nothing is looked for in bodies with a length or chunks.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -80,8 +80,9 @@
  * @property bytes the event as received, including the blank line at its end
  * @property id the event id, or null when the event has no numeric id
  * @property data the values of the data lines joined by line feeds, or null when the event has none
+ * @property statusLine the first line that begins a response, which no field of an event does, or null
  */
-class StreamEvent(val bytes: Buffer, val id: Long?, val data: String?) {
+class StreamEvent(val bytes: Buffer, val id: Long?, val data: String?, val statusLine: String? = null) {
     /** Whether the event has neither an id nor data, such as a comment that keeps the connection open. */
     val isEmpty: Boolean
         get() = id == null && data == null
@@ -95,15 +96,17 @@
         /** Parses the id and data fields of one event. */
         fun parse(bytes: Buffer): StreamEvent {
             var id: Long? = null
+            var statusLine: String? = null
             val data = ArrayList<String>(1)
             for (line in bytes.toString(Charsets.UTF_8).lineSequence()) {
+                if (statusLine == null && line.startsWith(ResponseIdentity.STATUS_LINE_START)) statusLine = line
                 val value = line.substringAfter(':', "").removePrefix(" ")
                 when (line.substringBefore(':')) {
                     "id" -> id = value.toLongOrNull()
                     "data" -> data += value
                 }
             }
-            return StreamEvent(bytes, id, data.takeIf { it.isNotEmpty() }?.joinToString("\n"))
+            return StreamEvent(bytes, id, data.takeIf { it.isNotEmpty() }?.joinToString("\n"), statusLine)
         }
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -49,6 +49,9 @@
                 is ResponsePart.Bytes -> onBytes(part.bytes)?.let { return it }
                 is ResponsePart.ConnectionLost -> return EventStreamPart.BrokenOff(part.reason, isConnectionLost = true)
                 is ResponsePart.Malformed -> return EventStreamPart.BrokenOff(part.reason, isConnectionLost = false)
+                is ResponsePart.Foreign ->
+                    return EventStreamPart.BrokenOff(part.identity.reason, isConnectionLost = false)
+
                 ResponsePart.TimedOut -> return EventStreamPart.TimedOut
                 ResponsePart.End -> {
                     isEnded = true
@@ -90,8 +93,10 @@
     private fun failureAt(event: StreamEvent): EventStreamPart? {
         val previous = lastEventId
         return when {
-            event.isResponseHead ->
+            event.isResponseHead || (event.statusLine != null && exchange.endsWithConnection) -> {
+                exchange.onSecondResponse(ResponseIdentity.secondResponse("${event.statusLine} inside a stream"))
                 EventStreamPart.BrokenOff("another response inside the stream", isConnectionLost = false)
+            }
 
             event.id != null && previous != null && event.id <= previous ->
                 EventStreamPart.Invalid("event ${event.id} after event $previous")
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -62,6 +62,26 @@
             return Foreign(reason, "status $status, request ids $ids")
         }
 
+        /**
+         * Identifies a head inside a body that ends with its connection; returns null if it is a part of the body.
+         *
+         * @param ids the request ids that the head states
+         * @param isDirectlyBehindText whether a letter, a digit or a closing mark precedes the status line
+         * @param isEnded whether no more headers follow, because the head or the body ends
+         */
+        fun ofHeadInBody(
+            statusLine: String,
+            ids: List<String>,
+            isDirectlyBehindText: Boolean,
+            isEnded: Boolean,
+        ): Foreign? {
+            val isSecondResponse = ids.isNotEmpty() || (isDirectlyBehindText && isEnded)
+            return if (isSecondResponse) secondResponse("$statusLine, request ids $ids") else null
+        }
+
+        /** The identity of a second response, of which [found] is known, behind the beginning of the own one. */
+        fun secondResponse(found: String) = Foreign("second_response", found)
+
         private fun hasSecondStatusLine(reasonPhrase: String, headers: MultiMap): Boolean =
             STATUS_LINE_START in reasonPhrase ||
                 headers.any { (name, value) -> STATUS_LINE_START in name || STATUS_LINE_START in value }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponsePart.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponsePart.kt
@@ -16,6 +16,9 @@
     /** The worker has sent bytes that can't belong to the body. */
     data class Malformed(val reason: String) : ResponsePart
 
+    /** The worker has sent another response behind the body. */
+    data class Foreign(val identity: ResponseIdentity.Foreign) : ResponsePart
+
     /** Nothing was received within the timeout. */
     data object TimedOut : ResponsePart
 }
--- /dev/null
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/SecondResponseFinder.kt
@@ -0,0 +1,171 @@
+package org.poplarshift.serving.forward
+
+import io.vertx.core.MultiMap
+import io.vertx.core.buffer.Buffer
+
+/**
+ * Finds a second response behind a body that has neither a length nor chunks.
+ *
+ * By the protocol all bytes up to the end of the connection belong to such a body, so that a response which a worker
+ * writes behind it would become a part of it. The finder reads the lines of the body; [ResponseIdentity] decides whether
+ * they are the head of another response. It holds back no bytes, keeps at most one line of a possible head, and looks at
+ * each byte a fixed number of times.
+ */
+internal class SecondResponseFinder(private val protocol: WorkerProtocol) {
+    /**
+     * A second response.
+     *
+     * @property ownBytes number of bytes of the last part of the body that precede the second response
+     */
+    class Found(val identity: ResponseIdentity.Foreign, val ownBytes: Int)
+
+    private val line = StringBuilder()
+    private var matchedBytes = 0
+    private var previousByte: Byte? = null
+    private var byteBeforeLine: Byte? = null
+    private var head: Head? = null
+    private var receivedBytes = 0L
+    private var lineStart = 0L
+
+    /** Number of bytes of the body that are kept. */
+    val keptBytes: Int
+        get() = line.length
+
+    /** Reads the next part of the body. Returns the second response if its head is now known. */
+    fun add(bytes: Buffer): Found? {
+        val partStart = receivedBytes
+        for (byte in bytes.bytes) {
+            receivedBytes++
+            val start = lineOrHeadStart
+            val identity = if (isInLine) onLineByte(byte) else null.also { match(byte) }
+            previousByte = byte
+            if (identity != null) return Found(identity, maxOf(0L, start - partStart).toInt())
+        }
+        return null
+    }
+
+    /** Returns the second response if the body ends inside its head. */
+    fun end(): ResponseIdentity.Foreign? {
+        val unfinished = if (isInLine) line.toString() else STATUS_LINE_START.take(matchedBytes)
+        val begun = head
+        if (begun != null && isHeaderBeginning(unfinished)) {
+            addHeader(begun, unfinished)
+            return identify(begun, isEnded = true)
+        }
+        return begunStatusLine.find(unfinished)?.let { match ->
+            identify(newHead(unfinished, match.range.first), isEnded = true)
+        }
+    }
+
+    private val isInLine: Boolean
+        get() = head != null || matchedBytes == STATUS_LINE_START.length
+
+    private val lineOrHeadStart: Long
+        get() = head?.start ?: lineStart
+
+    private fun match(byte: Byte) {
+        val character = byte.toInt().toChar()
+        when (character) {
+            STATUS_LINE_START[matchedBytes] -> matchedBytes++
+            // No other character of a status line's start can begin another one.
+            STATUS_LINE_START[0] -> matchedBytes = 1
+            else -> matchedBytes = 0
+        }
+        if (matchedBytes == 1) byteBeforeLine = previousByte
+        if (!isInLine) return
+        lineStart = receivedBytes - STATUS_LINE_START.length
+        line.append(STATUS_LINE_START)
+    }
+
+    private fun onLineByte(byte: Byte): ResponseIdentity.Foreign? {
+        line.append((byte.toInt() and BYTE_MASK).toChar())
+        val headBytes = receivedBytes - lineOrHeadStart
+        return when {
+            byte == LINE_FEED -> onLine(line.toString()).also { identity -> if (identity == null) startLine() }
+            headBytes <= MAXIMUM_HEAD_BYTES -> null
+            else -> null.also { forgetHead() }
+        }
+    }
+
+    private fun onLine(text: String): ResponseIdentity.Foreign? {
+        val begun = head
+        val content = text.removeSuffix(LINE_END)
+        if (begun != null && content.length < text.length) {
+            if (content.isEmpty()) {
+                head = null
+                return identify(begun, isEnded = begun.headers > 0)
+            }
+            if (headerLine.matches(content)) {
+                addHeader(begun, content)
+                return identify(begun, isEnded = false)
+            }
+        }
+        val match = if (content.length < text.length) statusLine.find(text) else null
+        head = match?.let { newHead(text, it.range.first) }
+        return null
+    }
+
+    private fun startLine() {
+        if (head == null) return forgetHead()
+        line.clear()
+        lineStart = receivedBytes
+        byteBeforeLine = LINE_FEED
+    }
+
+    private fun forgetHead() {
+        head = null
+        line.clear()
+        matchedBytes = 0
+    }
+
+    private fun newHead(text: String, index: Int): Head {
+        val before = if (index == 0) byteBeforeLine?.toInt()?.toChar() else text[index - 1]
+        val content = text.substring(index).trimEnd()
+        return Head(content, lineStart + index, isDirectlyBehindText = before != null && isEndOfText(before))
+    }
+
+    private fun addHeader(head: Head, content: String) {
+        val name = content.substringBefore(':', "")
+        if (name.isEmpty()) return
+        head.headers++
+        val header = MultiMap.caseInsensitiveMultiMap().add(name, content.substringAfter(':').trim())
+        head.ids += protocol.responseRequestIds(header)
+    }
+
+    private fun identify(head: Head, isEnded: Boolean): ResponseIdentity.Foreign? =
+        ResponseIdentity.ofHeadInBody(head.statusLine, head.ids, head.isDirectlyBehindText, isEnded)
+
+    private fun isHeaderBeginning(text: String): Boolean =
+        text.isEmpty() || text == "\r" || headerBeginning.matches(text)
+
+    private class Head(val statusLine: String, val start: Long, val isDirectlyBehindText: Boolean) {
+        val ids = ArrayList<String>()
+        var headers = 0
+    }
+
+    companion object {
+        /** Maximum size of a head in bytes, as for the head of a first response. A longer one is a part of the body. */
+        const val MAXIMUM_HEAD_BYTES = WorkerConnection.MAXIMUM_HEADER_BYTES
+
+        private const val STATUS_LINE_START = ResponseIdentity.STATUS_LINE_START
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val BYTE_MASK = 0xFF
+        private const val LINE_END = "\r\n"
+
+        // Servers end the lines of a head with both characters. Text that quotes a head mostly has line feeds only.
+        private val statusLine = Regex("HTTP/1\\.\\d \\d{3}(?=[ \r])")
+
+        // Shorter beginnings, such as HTTP, are also the ends of names. A reason phrase is of words, escaped text is not.
+        private val begunStatusLine =
+            Regex("HTTP/(?:1(?:\\.(?:\\d(?: (?:\\d{0,3}|\\d{3} [A-Za-z0-9 '-]*))?)?)?)?\r?$")
+
+        // The fields of events are no headers: an event may quote a status line in front of its id.
+        private const val HEADER_NAME = "(?!(?:data|event|id|retry):)[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+        private val headerLine = Regex("$HEADER_NAME:[^\r\n]*")
+        private val headerBeginning = Regex("$HEADER_NAME(?::[^\r\n]*)?\r?")
+
+        // Quoted heads begin on a line or after a space, a quotation mark, an opening bracket or a tag.
+        private fun isEndOfText(character: Char): Boolean =
+            character in 'a'..'z' || character in 'A'..'Z' || character in '0'..'9' || character in ".)]}"
+    }
+}
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -126,7 +126,9 @@
     internal companion object {
         /** Reason for the loss of a connection that the worker has closed. */
         const val CLOSED = "Connection was closed"
-        private const val MAXIMUM_HEADER_BYTES = 65_536
+
+        /** Maximum size of the head of a response. */
+        const val MAXIMUM_HEADER_BYTES = 65_536
         private const val MAXIMUM_PART_BYTES = 65_536
 
         // A status 101 would end HTTP on the connection, which no request asks for.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -94,12 +94,16 @@
             is ResponsePart.Bytes -> onRead(part)
             is ResponsePart.ConnectionLost -> recorder.onNoResponse("connection_lost_in_body")
             is ResponsePart.Malformed -> recorder.onMalformedResponse(connection, part.reason)
+            is ResponsePart.Foreign -> onSecondResponse(part.identity)
             ResponsePart.End -> isComplete = true
             ResponsePart.TimedOut -> Unit
         }
         return part
     }
 
+    /** Records that the body contains the beginning of a second response, so that it isn't whole. */
+    fun onSecondResponse(identity: ResponseIdentity.Foreign) = recorder.onForeignResponse(connection, identity)
+
     /** Reads the whole body of up to [maximumBytes] within [timeoutMillis]. */
     suspend fun readAll(timeoutMillis: Long, maximumBytes: Int): BodyResult = try {
         withTimeoutOrNull(timeoutMillis) { collect(timeoutMillis, maximumBytes) }
@@ -120,6 +124,7 @@
                 ResponsePart.End -> return BodyResult.Complete(body)
                 is ResponsePart.ConnectionLost -> return BodyResult.Incomplete(part.reason, isConnectionLost = true)
                 is ResponsePart.Malformed -> return BodyResult.Incomplete(part.reason)
+                is ResponsePart.Foreign -> return BodyResult.Incomplete(part.identity.reason, hasSecondResponse = true)
                 ResponsePart.TimedOut -> return BodyResult.Incomplete("silent within the body")
             }
         }
@@ -133,6 +138,9 @@
     }
 
     private inner class Receiver(private val requestId: String) : ResponseReceiver {
+        private var finder: SecondResponseFinder? = null
+        private var isSecondResponse = false
+
         override fun onInterim(response: HttpResponse) {
             val headers = response.headers().toMultiMap()
             val status = response.status()
@@ -145,6 +153,7 @@
             isOtherThanEvents = HttpUtil.getMimeType(response)?.contentEquals(EVENT_STREAM, ignoreCase = true) == false
             isKeptAlive = HttpUtil.isKeepAlive(response)
             endsWithConnection = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
+            if (endsWithConnection) finder = SecondResponseFinder(forwarding.protocol)
             val status = response.status()
             val identity =
                 ResponseIdentity.of(requestId, status.code(), status.reasonPhrase(), headers, forwarding.protocol)
@@ -157,13 +166,21 @@
         }
 
         override fun onBody(bytes: Buffer) {
+            if (isSecondResponse) return
+            val second = finder?.add(bytes) ?: return addBody(bytes)
+            isSecondResponse = true
+            if (second.ownBytes > 0) addBody(bytes.getBuffer(0, second.ownBytes))
+            parts.trySend(ResponsePart.Foreign(second.identity))
+        }
+
+        private fun addBody(bytes: Buffer) {
             unreadBytes += bytes.length()
             if (unreadBytes > MAXIMUM_UNREAD_BYTES) connection.setReading(false)
             parts.trySend(ResponsePart.Bytes(bytes))
         }
 
         override fun onEnd() {
-            parts.trySend(ResponsePart.End)
+            parts.trySend(finder?.end()?.let { ResponsePart.Foreign(it) } ?: ResponsePart.End)
         }
 
         override fun onMalformed(reason: String) {
@@ -193,6 +210,14 @@
     /** The body was received completely. */
     class Complete(val bytes: Buffer) : BodyResult
 
-    /** The body was not received completely. */
-    data class Incomplete(val reason: String, val isConnectionLost: Boolean = false) : BodyResult
+    /**
+     * The body was not received completely.
+     *
+     * @property hasSecondResponse whether a second response follows the body, so that its status is in doubt as well
+     */
+    data class Incomplete(
+        val reason: String,
+        val isConnectionLost: Boolean = false,
+        val hasSecondResponse: Boolean = false,
+    ) : BodyResult
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -142,16 +142,11 @@
         try {
             return when (val status = response.head.status) {
                 OK -> collectOutput(attempt, session)
-                UNPROCESSABLE -> {
-                    discardBody(attempt)
-                    recordResult(isComplete = false, "worker_$status")
-                    true
-                }
-
                 else -> {
-                    discardBody(attempt)
-                    if (status == INTERNAL_ERROR) internalErrors++
-                    if (internalErrors >= proposal.maximumAttempts) {
+                    val isUsable = discardBody(attempt)
+                    if (isUsable && status == INTERNAL_ERROR) internalErrors++
+                    val isFinal = status == UNPROCESSABLE || internalErrors >= proposal.maximumAttempts
+                    if (isUsable && isFinal) {
                         recordResult(isComplete = false, "worker_$status")
                         return true
                     }
@@ -180,10 +175,12 @@
         retryMillis = forwarding.clock.millis() + RETRY_MILLIS
     }
 
-    private suspend fun discardBody(attempt: Attempt) {
+    /** Reads the body of an error response. Returns false if a second response follows, so that neither counts. */
+    private suspend fun discardBody(attempt: Attempt): Boolean {
         val body = attempt.exchange.readAll(ERROR_BODY_TIMEOUT_MILLIS, MAXIMUM_ERROR_BODY_BYTES)
         if (body is BodyResult.Incomplete) logger.debug { "batch: body of an error response not read: ${body.reason}" }
         attempt.close()
+        return body !is BodyResult.Incomplete || !body.hasSecondResponse
     }
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
