--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -169,7 +169,9 @@
          * those that end for other reasons, after four requests on average on a calm day.
          */
         const val MAXIMUM_REQUESTS = 256
-        private const val MAXIMUM_HEADER_BYTES = 65_536
+
+        /** Maximum size of the head of a response. */
+        const val MAXIMUM_HEADER_BYTES = 65_536
         private const val MAXIMUM_PART_BYTES = 65_536
 
         // A status 101 would end HTTP on the connection, which no request asks for.
