Let workers of the soak write two responses in any form

The response faults of the soak could not write a second response of another kind, framing or extent than a copy, and no response got two faults. A worker now writes a first and a second response, each a success, a failure, a refusal or an earlier response, with a length, in chunks or up to the end of the connection, with or without the id, whole or cut in head or body, at once, on the idle connection or with the next request; the connection can be reset afterwards. A worker that crashes resets responses that only the connection would end, because an orderly end is that of the body.

The record of a run holds the body of its first response. The checks tell the kinds of the users' record apart: another request's response (OWN_RESPONSE), another status than the run's (OWN_STATUS, before OWN_RESPONSE), a body that is framed as complete and is longer or shorter (WHOLE_BODY, before OWN_RESPONSE), no receipt (RECEIPT). Bodies of failures are compared as well. CallChecksTest: the cases of a failed run and of another failure expect OWN_STATUS instead of OWN_RESPONSE; no case was removed.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/Call.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/Call.kt
@@ -5,6 +5,8 @@
  *
  * @property waitMillis time in milliseconds for which a read of results may wait, or null
  * @property resumeAfter last event that the caller has, or null
+ * @property isChunked whether the body is sent in chunks
+ * @property leaveAfterMillis time in milliseconds after which the caller closes the connection, or null
  */
 class Call(
     val id: String,
@@ -16,4 +18,6 @@
     val deadlineMillis: Long = 5_000,
     val waitMillis: Long? = null,
     val resumeAfter: Int? = null,
+    val isChunked: Boolean = false,
+    val leaveAfterMillis: Long? = null,
 )
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/CallerClient.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/CallerClient.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
@@ -22,7 +23,8 @@
     /** Sends [call] to the node at [port] of [nodeHost] and waits for the response, or until its deadline has passed. */
     suspend fun send(call: Call, nodeHost: String, port: Int): CallResult {
         val response = PartialResponse(monotonicMillis())
-        val failure = withTimeoutOrNull(call.deadlineMillis + GRACE_MILLIS) { exchange(call, nodeHost, port, response) }
+        val waitMillis = call.leaveAfterMillis ?: (call.deadlineMillis + GRACE_MILLIS)
+        val failure = withTimeoutOrNull(waitMillis) { exchange(call, nodeHost, port, response) }
         if (response.isOpen) response.abandon()
         return response.toResult(failure ?: "no complete response in time".takeIf { !response.isComplete })
     }
@@ -42,11 +44,21 @@
             request.exceptionHandler { ended.complete("connection lost: ${it.message}") }
             request.response().onSuccess { receive(it, response, ended) }
                 .onFailure { ended.complete("connection lost: ${it.message}") }
-            request.end(Buffer.buffer(call.body))
+            send(request, call)
         }
         return ended.await()
     }
 
+    private fun send(request: HttpClientRequest, call: Call) {
+        if (!call.isChunked) {
+            request.end(Buffer.buffer(call.body))
+            return
+        }
+        request.setChunked(true)
+        call.body.chunked(CHUNK_CHARACTERS).forEach { request.write(it) }
+        request.end()
+    }
+
     private fun receive(received: HttpClientResponse, response: PartialResponse, ended: CompletableDeferred<String?>) {
         response.status = received.statusCode()
         response.stamp = received.getHeader(PlatformHeaders.STAMP)
@@ -81,6 +93,7 @@
 
     private companion object {
         const val CONNECT_MILLIS = 1_000
+        const val CHUNK_CHARACTERS = 7
         const val KEEP_ALIVE_SECONDS = 12
         const val CONNECTIONS_PER_NODE = 200
 
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
@@ -26,7 +26,8 @@
 
     /** Starts the process. Its log is appended to that of the one before. */
     fun start() {
-        val builder = ProcessBuilder(COMMAND + listOf("-jar", programFile.path, "serve"))
+        val processors = settings.processors?.let { listOf("-XX:ActiveProcessorCount=$it") }.orEmpty()
+        val builder = ProcessBuilder(COMMAND + processors + listOf("-jar", programFile.path, "serve"))
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
         builder.environment()["POPLARSHIFT_BOOT"] = settingsFile.path
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmSettings.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmSettings.kt
@@ -8,6 +8,7 @@
  * @property host loopback address of the VM
  * @property firstPort the first of four ports: callers, readiness, nodes, metrics
  * @property storeAddress address at which the VM reaches the store
+ * @property processors number of processors that the process uses, or null for all
  * @property directory where settings and logs are written
  */
 data class VmSettings(
@@ -17,6 +18,7 @@
     val firstPort: Int,
     val storeAddress: String,
     val directory: File,
+    val processors: Int? = null,
 ) {
     val callersPort: Int
         get() = firstPort
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
@@ -24,9 +24,10 @@
     private val chooseFault: (ReceivedRequest) -> ResponseFault,
     private val onRun: (WorkerRun) -> Unit,
 ) {
-    private val sockets = HashSet<NetSocket>()
+    private val connections = HashSet<WorkerConnection>()
     private var server: NetServer? = null
     private var runs = 0
+    private var newest: WorkerResponse? = null
 
     /** Number of requests that are running. */
     var running = 0
@@ -42,25 +43,31 @@
     var port = 0
         private set
 
-    /** Starts accepting connections; a restart uses the same port. */
-    suspend fun listen(host: String) {
-        val listening = vertx.createNetServer().connectHandler(::accept).listen(port, host).coAwait()
+    /** Whether the worker accepts connections. */
+    val isListening: Boolean
+        get() = server != null
+
+    /** Starts accepting connections at [atPort] or at any port; a restart uses the same port. */
+    suspend fun listen(host: String, atPort: Int = port) {
+        val listening = vertx.createNetServer().connectHandler(::accept).listen(atPort, host).coAwait()
         server = listening
         port = listening.actualPort()
     }
 
     /** Closes the listener and all connections, as a crash does. */
     suspend fun crash() {
-        server?.close()?.coAwait()
+        val closing = server
         server = null
-        sockets.toList().forEach { it.close() }
+        // The server would close the connections in an orderly way.
+        connections.toList().forEach { it.close(isReset = it.isUnframed) }
+        closing?.close()?.coAwait()
     }
 
     private fun accept(socket: NetSocket) {
-        sockets += socket
         val connection = WorkerConnection(socket)
+        connections += connection
         socket.closeHandler {
-            sockets -= socket
+            connections -= connection
             connection.isOpen = false
         }
         socket.exceptionHandler { connection.isOpen = false }
@@ -74,44 +81,71 @@
         val expected = request.headers[PlatformHeaders.EXPECTED_WORKER]
         val fault = chooseFault(request)
         when {
-            requestId == null -> connection.write(refusal(BAD_REQUEST, null))
-            expected != null && expected != id -> connection.write(refusal(MISDIRECTED, requestId))
-            running >= slots || fault == ResponseFault.Refusal -> {
-                connection.write(refusal(UNAVAILABLE, requestId))
-                if (fault is ResponseFault.Repeated) connection.writeAt(fault.moment, refusal(UNAVAILABLE, null))
-            }
-
+            requestId == null -> connection.write(refusal(BAD_REQUEST, null).text(WHOLE))
+            expected != null && expected != id -> connection.write(refusal(MISDIRECTED, requestId).text(WHOLE))
+            running >= slots || isRefusal(fault) -> refuse(connection, requestId, fault)
             else -> run(connection, request, requestId, fault)
         }
     }
 
+    private fun isRefusal(fault: ResponseFault): Boolean = fault == ResponseFault.Refusal ||
+        (fault is ResponseFault.Twice && fault.first.content == ResponseForm.Content.REFUSAL)
+
+    // A request that did not run is never followed by a response that says otherwise.
+    private fun refuse(connection: WorkerConnection, requestId: String, fault: ResponseFault) {
+        val refusal = refusal(UNAVAILABLE, requestId)
+        connection.write(refusal.text(WHOLE))
+        if (fault is ResponseFault.Twice) connection.writeAt(fault.moment, refusal.text(fault.second))
+        connection.remember(refusal)
+    }
+
     private fun run(connection: WorkerConnection, request: ReceivedRequest, requestId: String, fault: ResponseFault) {
         val run = WorkerRun(
             worker = id,
             requestId = requestId,
             stamp = "$id.${++runs}.$requestId",
             startMillis = monotonicMillis(),
+            isEngine = isEngine,
             organisation = request.headers[PlatformHeaders.ORGANISATION],
             resumeAfter = request.headers[PlatformHeaders.LAST_EVENT]?.toInt() ?: 0,
             request = request,
+            fault = fault,
         )
         running++
         onRun(run)
-        RunResponse(vertx, connection, run, isEngine, fault, ::head) { paceMillis }.send { running-- }
+        RunResponse(vertx, connection, run, ::response) { paceMillis }.send { running-- }
     }
 
-    private fun refusal(status: Int, requestId: String?): String =
-        head(status, requestId, "${PlatformHeaders.NOT_RUN}: 1\r\nContent-Length: 0\r\n")
+    private fun refusal(status: Int, requestId: String?) = WorkerResponse(
+        status = status,
+        requestId = requestId,
+        headers = "${headers()}${PlatformHeaders.NOT_RUN}: 1\r\n",
+        pieces = emptyList(),
+        isStream = false,
+    )
 
-    private fun head(status: Int, requestId: String?, headers: String): String = buildString {
-        append("HTTP/1.1 $status Status\r\n")
-        requestId?.let { append("${PlatformHeaders.REQUEST_ID}: $it\r\n") }
+    private fun headers(): String = buildString {
         append("${PlatformHeaders.WORKER}: $id\r\nX-Poplarshift-Server-Load: $running,0,$slots\r\n")
         if (isLeaving) append("Server-Leaving: 1\r\n")
-        append(headers).append("\r\n")
+    }
+
+    private fun response(connection: WorkerConnection, run: WorkerRun, content: ResponseForm.Content): WorkerResponse {
+        val headers = "${headers()}${PlatformHeaders.STAMP}: ${run.stamp}\r\n"
+        val success by lazy { WorkerResponse(OK, run.requestId, headers, run.pieces(), isEngine) }
+        return when (content) {
+            ResponseForm.Content.SUCCESS -> success.also { newest = it }
+            ResponseForm.Content.FAILURE ->
+                WorkerResponse(FAILED, run.requestId, headers, listOf(ResponseContent.failure(run.requestId)), false)
+
+            ResponseForm.Content.REFUSAL -> refusal(UNAVAILABLE, run.requestId)
+            ResponseForm.Content.EARLIER -> connection.earlier ?: newest ?: success
+        }
     }
 
     private companion object {
+        val WHOLE = ResponseForm(ResponseForm.Content.REFUSAL)
+        const val OK = 200
+        const val FAILED = 500
         const val BAD_REQUEST = 400
         const val MISDIRECTED = 421
         const val UNAVAILABLE = 503
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseContent.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseContent.kt
@@ -9,6 +9,9 @@
     /** Body of a response that is not a stream. */
     fun plain(requestId: String): String = "response to $requestId;".repeat(PLAIN_REPETITIONS)
 
+    /** Body of a failure. */
+    fun failure(requestId: String): String = "failure of $requestId"
+
     /** Number of events of a stream. */
     fun eventCount(requestId: String): Int = MINIMUM_EVENTS + Math.floorMod(requestId.hashCode(), EVENT_VARIATION)
 
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseFault.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/ResponseFault.kt
@@ -20,11 +20,20 @@
     /** Closes or resets the connection after a part of the head or of the body. */
     data class Cut(val isInHead: Boolean, val isReset: Boolean) : ResponseFault
 
-    /** Sends a response without length or chunks, which ends with its connection. */
-    data object Unframed : ResponseFault
-
-    /** Writes the complete response once more, with or without the id of its request. */
-    data class Repeated(val moment: Moment, val hasId: Boolean) : ResponseFault
+    /** Sends a response without length or chunks, which ends with its connection or a reset of it. */
+    data class Unframed(val isReset: Boolean = false) : ResponseFault
+
+    /**
+     * Answers twice. The connection is closed after the second response if the first one has no other end or is cut.
+     *
+     * @property isReset whether the connection is reset after the second response
+     */
+    data class Twice(
+        val first: ResponseForm = ResponseForm(ResponseForm.Content.SUCCESS),
+        val second: ResponseForm,
+        val moment: Moment,
+        val isReset: Boolean = false,
+    ) : ResponseFault
 
     /** Writes the beginning of another head after the complete response. */
     data class Fragment(val moment: Moment) : ResponseFault
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RunResponse.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RunResponse.kt
@@ -3,17 +3,14 @@
 import io.vertx.core.Vertx
 import org.poplarshift.standins.PlatformHeaders
 
-/** Writes the response of one run. */
+/** Writes the response of one run, and what follows it. */
 internal class RunResponse(
     private val vertx: Vertx,
     private val connection: WorkerConnection,
     private val run: WorkerRun,
-    private val isEngine: Boolean,
-    private val fault: ResponseFault,
-    private val head: (status: Int, requestId: String?, headers: String) -> String,
+    private val response: (WorkerConnection, WorkerRun, ResponseForm.Content) -> WorkerResponse,
     private val paceMillis: () -> Long,
 ) {
-    private val stampHeader = "${PlatformHeaders.STAMP}: ${run.stamp}\r\n"
     private var onEnd: () -> Unit = {}
 
     /** Writes the response and calls [onEnd] when the run has ended. */
@@ -23,116 +20,83 @@
     }
 
     private fun start() {
-        when (fault) {
-            ResponseFault.None, ResponseFault.Refusal, is ResponseFault.Repeated, is ResponseFault.Fragment ->
-                if (isEngine) sendStream() else sendPlain()
-
-            is ResponseFault.Failure -> {
-                val body = "failure of ${run.requestId}"
-                run.status = fault.status
-                finish(head(fault.status, run.requestId, "${stampHeader}Content-Length: ${body.length}\r\n") + body)
-            }
-
+        when (val fault = run.fault) {
+            ResponseFault.None, ResponseFault.Refusal -> respond(SUCCESS)
+            is ResponseFault.Failure -> respond(ResponseForm(ResponseForm.Content.FAILURE), status = fault.status)
             ResponseFault.Lost -> close(isReset = false)
             ResponseFault.Silence -> after(SILENCE_MILLIS) { close(isReset = false) }
-            is ResponseFault.Cut -> sendCut(fault)
-            ResponseFault.Unframed -> {
-                run.status = OK
-                connection.write(head(OK, run.requestId, stampHeader) + body())
-                run.isComplete = true
-                close(isReset = false)
+            is ResponseFault.Cut -> respond(SUCCESS.copy(extent = cutExtent(fault)), isReset = fault.isReset)
+            is ResponseFault.Unframed ->
+                respond(SUCCESS.copy(framing = ResponseForm.Framing.CLOSE), isReset = fault.isReset)
+
+            is ResponseFault.Fragment -> respond(SUCCESS, Following(FRAGMENT.format(run.stamp), fault.moment))
+            is ResponseFault.Twice -> {
+                val second = response(connection, run, fault.second.content).text(fault.second)
+                respond(fault.first, Following(second, fault.moment), fault.isReset)
             }
         }
     }
 
-    private fun body(): String = if (isEngine) {
-        ResponseContent.eventsAfter(run.requestId, run.resumeAfter)
-    } else {
-        ResponseContent.plain(run.requestId)
-    }
-
-    private fun sendPlain() {
-        run.status = OK
-        run.isComplete = true
-        finish(plainResponse(run.requestId))
-    }
-
-    private fun plainResponse(requestId: String?): String {
-        val body = body()
-        return head(OK, requestId, "${stampHeader}Content-Length: ${body.length}\r\n") + body
-    }
-
-    private fun sendStream() {
-        run.status = OK
-        connection.write(head(OK, run.requestId, STREAM_HEADERS + stampHeader))
-        sendEvent(run.resumeAfter + 1)
-    }
-
-    private fun sendEvent(number: Int) {
-        if (!connection.isOpen) return onEnd()
-        if (number > ResponseContent.eventCount(run.requestId)) {
-            run.isComplete = true
-            finish(LAST_CHUNK)
-        } else {
-            connection.write(chunk(ResponseContent.event(run.requestId, number)))
-            after(paceMillis()) { sendEvent(number + 1) }
-        }
-    }
-
-    private fun sendCut(cut: ResponseFault.Cut) {
-        run.status = OK
-        val whole = if (isEngine) {
-            head(OK, run.requestId, STREAM_HEADERS + stampHeader) + chunk(body())
-        } else {
-            plainResponse(run.requestId)
+    private fun cutExtent(cut: ResponseFault.Cut): ResponseForm.Extent =
+        if (cut.isInHead) ResponseForm.Extent.HeadBytes(HALF) else ResponseForm.Extent.BodyBytes(HALF)
+
+    private fun respond(
+        form: ResponseForm,
+        following: Following? = null,
+        isReset: Boolean = false,
+        status: Int? = null,
+    ) {
+        val first = response(connection, run, form.content).let { if (status == null) it else it.withStatus(status) }
+        val isWhole = form.extent == ResponseForm.Extent.Whole
+        val isClosed = isReset || !isWhole || first.framing(form) == ResponseForm.Framing.CLOSE
+        run.status = first.status
+        run.body = first.body
+        connection.remember(first)
+        connection.isUnframed = first.framing(form) == ResponseForm.Framing.CLOSE
+        val end = {
+            run.isComplete = isWhole && !isReset
+            onEnd()
+            after(IDLE_MILLIS) { follow(following, isClosed, isReset) }
         }
-        val headBytes = whole.indexOf("\r\n\r\n")
-        connection.write(whole.substring(0, if (cut.isInHead) headBytes / 2 else (headBytes + whole.length) / 2))
-        after(1) { close(cut.isReset) }
+        val parts = if (isWhole) first.parts(form) else listOf(first.text(form))
+        write(parts.dropLast(1) + (parts.last() + following?.atOnce.orEmpty()), end)
     }
 
-    private fun finish(response: String) {
-        when (fault) {
-            is ResponseFault.Repeated -> finish(response, fault.moment, copy(fault))
-            is ResponseFault.Fragment -> finish(response, fault.moment, "HTTP/1.1 200 OK\r\n${stampHeader}X-Other: ")
-            else -> connection.write(response)
-        }
-        onEnd()
+    private fun write(parts: List<String>, end: () -> Unit) {
+        if (!connection.isOpen) return onEnd()
+        connection.write(parts.first())
+        if (parts.size == 1) end() else after(paceMillis()) { write(parts.drop(1), end) }
     }
 
-    private fun finish(response: String, moment: ResponseFault.Moment, following: String) {
-        if (moment == ResponseFault.Moment.AT_ONCE) {
-            connection.write(response + following)
-        } else {
-            connection.write(response)
-            after(IDLE_MILLIS) { connection.writeAt(moment, following) }
+    private fun follow(following: Following?, isClosed: Boolean, isReset: Boolean) {
+        when {
+            following == null || following.moment == ResponseFault.Moment.AT_ONCE -> Unit
+            isClosed -> connection.write(following.text)
+            else -> connection.writeAt(following.moment, following.text)
         }
+        if (isClosed) connection.close(isReset)
     }
 
-    private fun copy(repeated: ResponseFault.Repeated): String = if (isEngine) {
-        head(OK, idOfCopy(repeated), STREAM_HEADERS + stampHeader) + chunk(body()) + LAST_CHUNK
-    } else {
-        plainResponse(idOfCopy(repeated))
-    }
-
-    private fun idOfCopy(repeated: ResponseFault.Repeated): String? = run.requestId.takeIf { repeated.hasId }
-
     private fun close(isReset: Boolean) {
         connection.close(isReset)
         onEnd()
     }
 
-    private fun chunk(text: String) = "${Integer.toHexString(text.length)}\r\n$text\r\n"
-
     private fun after(millis: Long, action: () -> Unit) {
         vertx.setTimer(maxOf(1, millis)) { action() }
     }
 
+    /** Bytes that belong to no request. */
+    private class Following(val text: String, val moment: ResponseFault.Moment) {
+        val atOnce: String
+            get() = text.takeIf { moment == ResponseFault.Moment.AT_ONCE }.orEmpty()
+    }
+
     private companion object {
-        const val OK = 200
+        val SUCCESS = ResponseForm(ResponseForm.Content.SUCCESS)
+        const val HALF = 0.5
         const val IDLE_MILLIS = 4L
         const val SILENCE_MILLIS = 8_000L
-        const val STREAM_HEADERS = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-        const val LAST_CHUNK = "0\r\n\r\n"
+        const val FRAGMENT = "HTTP/1.1 200 OK\r\n${PlatformHeaders.STAMP}: %s\r\nX-Other: "
     }
 }
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerConnection.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerConnection.kt
@@ -6,11 +6,25 @@
 
 /** A connection to a worker, which may write bytes that belong to no request. */
 internal class WorkerConnection(private val socket: NetSocket) {
+    private val responses = ArrayDeque<WorkerResponse>()
     private var pending: String? = null
 
+    /** The oldest response that is remembered, or null before the first one. */
+    val earlier: WorkerResponse?
+        get() = responses.firstOrNull()
+
+    /** Whether a response is being written that ends with the connection. An early end must then be a reset. */
+    var isUnframed = false
+
     /** Whether the connection has not been closed. */
     var isOpen = true
 
+    /** Records that [response] was written, so that it can be written again. */
+    fun remember(response: WorkerResponse) {
+        responses += response
+        if (responses.size > REMEMBERED) responses.removeFirst()
+    }
+
     /** Writes [text]. */
     fun write(text: String) {
         if (isOpen) socket.write(text)
@@ -43,4 +57,9 @@
         }
         socket.close()
     }
+
+    private companion object {
+        // With three, a response arrives again after another request: A, B, A.
+        const val REMEMBERED = 3
+    }
 }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
@@ -15,8 +15,7 @@
         when {
             status in SUCCESSES -> checkSuccess(call, result)
             status in IMPROPER && call.runs.none { it.status == status } -> checkDenied(call, status)
-            result.stamp != null && runOf(call, result)?.status != status ->
-                report(Promise.OWN_RESPONSE, "status $status is not that of the run", call)
+            result.stamp != null -> checkFailure(call, result)
         }
     }
 
@@ -29,24 +28,45 @@
 
     private fun checkSuccess(call: SentCall, result: CallResult) {
         val run = runOf(call, result)
-        if (run == null || run.status != result.status) {
-            return report(Promise.OWN_RESPONSE, "a success that is no run's, stamp ${result.stamp}", call)
+        when {
+            result.stamp == null -> report(Promise.RECEIPT, "a success without a receipt", call)
+            run == null -> report(Promise.OWN_RESPONSE, "a success that is no run's, stamp ${result.stamp}", call)
+            run.status != result.status -> report(Promise.OWN_STATUS, "a success where the run failed", call)
+            call.kind.isStream -> checkStream(call, result)
+            result.isComplete -> checkBody(call, result, ResponseContent.plain(call.call.id))
         }
-        if (call.kind.isStream) {
-            checkStream(call, result)
-        } else if (result.isComplete && result.body != ResponseContent.plain(call.call.id)) {
-            report(Promise.OWN_RESPONSE, "another body: ${result.body.take(EXCERPT)}", call)
+    }
+
+    private fun checkFailure(call: SentCall, result: CallResult) {
+        val run = runOf(call, result)
+        when {
+            run == null -> report(Promise.OWN_RESPONSE, "a failure that is no run's, stamp ${result.stamp}", call)
+            run.status != result.status -> report(Promise.OWN_STATUS, "not the status of the run", call)
+            result.isComplete -> run.body?.let { checkBody(call, result, it) }
+        }
+    }
+
+    // A body that has neither the beginning of the worker's nor begins with it is that of another response.
+    private fun checkBody(call: SentCall, result: CallResult, whole: String) {
+        val body = result.body
+        when {
+            body == whole -> Unit
+            body.startsWith(whole) ->
+                report(Promise.WHOLE_BODY, "longer: ${excerpt(body.drop(whole.length))}", call)
+
+            whole.startsWith(body) -> report(Promise.WHOLE_BODY, "${body.length} of ${whole.length} bytes", call)
+            else -> report(Promise.OWN_RESPONSE, "another body: ${excerpt(body)}", call)
         }
     }
 
     private fun checkStream(call: SentCall, result: CallResult) {
-        val whole = ResponseContent.eventsAfter(call.call.id, after = 0)
+        val whole = ResponseContent.eventsAfter(call.call.id, call.call.resumeAfter ?: 0)
         when {
             !whole.startsWith(result.body) ->
-                report(Promise.STREAM_ORDER, "other events: ${result.body.takeLast(EXCERPT)}", call)
+                report(Promise.STREAM_ORDER, "other events: ${excerpt(result.body.takeLast(EXCERPT))}", call)
 
             result.isComplete && result.body != whole ->
-                report(Promise.STREAM_ORDER, "ended as complete after ${result.body.takeLast(EXCERPT)}", call)
+                report(Promise.STREAM_ORDER, "ended as complete after ${excerpt(result.body.takeLast(EXCERPT))}", call)
         }
     }
 
@@ -64,12 +84,16 @@
             val result = call.result ?: continue
             val isCut = !result.isComplete && result.endMillis <= stop.toMillis + EXIT_MILLIS
             val isWorkersDoing = call.runs.any { !it.isComplete } || call.runs.isEmpty()
-            if (isCut && !isWorkersDoing && disturbances.isCalm(stop.node, call.sentMillis, stop.toMillis)) {
+            val isCallersDoing = call.call.leaveAfterMillis?.let { result.endMillis - result.sentMillis >= it } == true
+            val isExcused = isWorkersDoing || isCallersDoing
+            if (isCut && !isExcused && disturbances.isCalm(stop.node, call.sentMillis, stop.toMillis)) {
                 report(Promise.PLANNED_STOP, "cut off while ${stop.node} stopped", call)
             }
         }
     }
 
+    private fun excerpt(text: String) = text.take(EXCERPT).replace("\r", "\\r").replace("\n", "\\n")
+
     private fun runOf(call: SentCall, result: CallResult): WorkerRun? = call.runs.find { it.stamp == result.stamp }
 
     private fun report(promise: Promise, detail: String, call: SentCall) =
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultPlan.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultPlan.kt
@@ -3,6 +3,7 @@
 import org.poplarshift.standins.http.Outage
 import org.poplarshift.standins.store.StoreFaults
 import org.poplarshift.standins.worker.ResponseFault
+import org.poplarshift.standins.worker.ResponseForm
 import kotlin.random.Random
 
 /** Draws the faults of a soak and the pauses between them. */
@@ -46,11 +47,14 @@
         2 -> ResponseFault.Lost
         3 -> ResponseFault.Silence
         4, 5 -> ResponseFault.Cut(isInHead = random.nextBoolean(), isReset = random.nextBoolean())
-        6 -> ResponseFault.Unframed
+        6 -> ResponseFault.Unframed()
         7 -> ResponseFault.Fragment(ResponseFault.Moment.entries.random(random))
-        else -> ResponseFault.Repeated(ResponseFault.Moment.entries.random(random), hasId = random.nextBoolean())
+        else -> repeated(ResponseFault.Moment.entries.random(random), hasId = random.nextBoolean())
     }
 
+    private fun repeated(moment: ResponseFault.Moment, hasId: Boolean) =
+        ResponseFault.Twice(second = ResponseForm(ResponseForm.Content.SUCCESS, hasId = hasId), moment = moment)
+
     private fun duration(): Long = random.nextLong(MINIMUM_MILLIS, MAXIMUM_MILLIS)
 
     private companion object {
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SentCall.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SentCall.kt
@@ -16,7 +16,7 @@
         val received = result?.let {
             "${it.status} complete=${it.isComplete} ${it.failure.orEmpty()} at ${it.endMillis}"
         }
-        val ran = runs.joinToString { "${it.worker}@${it.startMillis}:${it.status}" }
+        val ran = runs.joinToString { "${it.worker}@${it.startMillis}:${it.status} ${it.fault}" }
         return "${call.id} $kind ${call.uri} at $node sent $sentMillis received [$received] runs [$ran]"
     }
 }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SubmissionChecks.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SubmissionChecks.kt
@@ -46,7 +46,11 @@
         val item = submission.items.find { it.id == entry.id }
             ?: return report(submission, "result of ${entry.id}, which is no item")
         if (entry.state == "complete") {
-            if (entry.output != ResponseContent.output(item.id)) report(submission, "other output of ${item.id}")
+            if (entry.output !=
+                ResponseContent.output(item.id)
+            ) {
+                report(submission, "other output of ${item.id}: ${item.runs.map { it.fault }}")
+            }
         } else if (!submission.isEndRequested &&
             item.runs.count { it.status == FAILED } < SoakOrganisations.MAXIMUM_ATTEMPTS
         ) {
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
@@ -5,9 +5,18 @@
 
 /** What callers and workers may rely on. */
 enum class Promise {
-    /** A response is the whole response of the worker to this request. */
+    /** A response is one of a run of this request. */
     OWN_RESPONSE,
 
+    /** A response has the status of its run; a success where the worker answered a failure is none. */
+    OWN_STATUS,
+
+    /** A body that ends as complete is the worker's whole body, no shorter and no longer. */
+    WHOLE_BODY,
+
+    /** A success has the receipt of its run. */
+    RECEIPT,
+
     /** A request that isn't idempotent runs at most once. */
     RUNS_ONCE,
 
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/CallChecksTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/CallChecksTest.kt
@@ -3,17 +3,15 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import io.vertx.core.MultiMap
 import org.poplarshift.standins.caller.Call
 import org.poplarshift.standins.caller.CallResult
-import org.poplarshift.standins.worker.ReceivedRequest
 import org.poplarshift.standins.worker.ResponseContent
-import org.poplarshift.standins.worker.WorkerRun
 
 /** Guards against checks that can't fail: each broken promise must be reported, and nothing else. */
 class CallChecksTest :
     FunSpec({
         val plain = ResponseContent.plain(ID)
+        val failure = ResponseContent.failure(ID)
         val stream = ResponseContent.eventsAfter(ID, after = 0)
 
         data class Case(
@@ -24,6 +22,8 @@
             val body: String,
             val isComplete: Boolean = true,
             val stampOfRun: Int? = 0,
+            val hasReceipt: Boolean = true,
+            val resumeAfter: Int? = null,
             val expected: Promise?,
         )
 
@@ -43,8 +43,58 @@
                     stampOfRun = null,
                     expected = Promise.OWN_RESPONSE,
                 ),
-                Case("failed run", CallKind.SAFE, listOf(500), 200, plain, expected = Promise.OWN_RESPONSE),
-                Case("other failure", CallKind.SAFE, listOf(500), 502, "", expected = Promise.OWN_RESPONSE),
+                Case("failed run", CallKind.SAFE, listOf(500), 200, plain, expected = Promise.OWN_STATUS),
+                Case("other failure", CallKind.SAFE, listOf(500), 502, "", expected = Promise.OWN_STATUS),
+                Case("longer body", CallKind.SAFE, listOf(200), 200, plain + "H", expected = Promise.WHOLE_BODY),
+                Case("shorter body", CallKind.SAFE, listOf(200), 200, plain.dropLast(1), expected = Promise.WHOLE_BODY),
+                Case("empty body", CallKind.SAFE, listOf(200), 200, "", expected = Promise.WHOLE_BODY),
+                Case(
+                    "no receipt",
+                    CallKind.SAFE,
+                    listOf(200),
+                    200,
+                    plain,
+                    hasReceipt = false,
+                    expected = Promise.RECEIPT,
+                ),
+                Case("whole failure", CallKind.SAFE, listOf(500), 500, failure, expected = null),
+                Case("longer failure", CallKind.SAFE, listOf(500), 500, failure + "H", expected = Promise.WHOLE_BODY),
+                Case(
+                    "failed run of a stream",
+                    CallKind.STREAM,
+                    listOf(500),
+                    200,
+                    "",
+                    isComplete = false,
+                    expected = Promise.OWN_STATUS,
+                ),
+                Case(
+                    "failure of another request",
+                    CallKind.SAFE,
+                    listOf(500),
+                    500,
+                    failure,
+                    stampOfRun = null,
+                    expected = Promise.OWN_RESPONSE,
+                ),
+                Case(
+                    "resumed stream",
+                    CallKind.RESUMABLE,
+                    listOf(200),
+                    200,
+                    ResponseContent.eventsAfter(ID, after = 2),
+                    resumeAfter = 2,
+                    expected = null,
+                ),
+                Case(
+                    "resumed stream from its start",
+                    CallKind.RESUMABLE,
+                    listOf(200),
+                    200,
+                    stream,
+                    resumeAfter = 2,
+                    expected = Promise.STREAM_ORDER,
+                ),
                 Case(
                     "two runs",
                     CallKind.UNSAFE,
@@ -79,12 +129,29 @@
                 ),
             ) { case ->
                 val ledger = SoakLedger()
-                val call =
-                    SentCall(Call(ID, "GET", "/x", "host", SoakOrganisations.LASTING_KEY), case.kind, "free", "node", 0)
+                val sent = Call(ID, "GET", "/x", "host", SoakOrganisations.LASTING_KEY, resumeAfter = case.resumeAfter)
+                val call = SentCall(sent, case.kind, "free", "node", 0)
                 ledger.onSent(call)
-                case.runStatuses.forEachIndexed { index, status -> call.runs += run(index).also { it.status = status } }
-                val stamp = case.stampOfRun?.let { call.runs[it].stamp } ?: "other".takeIf { case.status == 200 }
-                call.result = CallResult(case.status, stamp, case.body, case.isComplete, failure = null, 0, 0)
+                case.runStatuses.forEachIndexed { index, status ->
+                    call.runs += workerRun(ID, stamp = "stamp-$index").also {
+                        it.status = status
+                        it.body = failure.takeIf { status == 500 }
+                    }
+                }
+                val stamp =
+                    case.stampOfRun?.let { call.runs[it].stamp } ?: "other".takeIf { case.status in RUN_STATUSES }
+                call.result =
+                    CallResult(
+                        case.status,
+                        stamp.takeIf {
+                            case.hasReceipt
+                        },
+                        case.body,
+                        case.isComplete,
+                        failure = null,
+                        0,
+                        0,
+                    )
                 CallChecks(ledger, Disturbances()).check()
                 ledger.violations.map { it.promise } shouldBe listOfNotNull(case.expected)
             }
@@ -92,15 +159,6 @@
     }) {
     private companion object {
         const val ID = "id"
-
-        fun run(index: Int) = WorkerRun(
-            worker = "worker",
-            requestId = ID,
-            stamp = "stamp-$index",
-            startMillis = 0,
-            organisation = "free",
-            resumeAfter = 0,
-            request = ReceivedRequest("GET", "/x", MultiMap.caseInsensitiveMultiMap(), ByteArray(0)),
-        )
+        val RUN_STATUSES = setOf(200, 500)
     }
 }
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/DrainCheckTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/DrainCheckTest.kt
@@ -3,10 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import io.vertx.core.MultiMap
 import org.poplarshift.standins.caller.Call
-import org.poplarshift.standins.worker.ReceivedRequest
-import org.poplarshift.standins.worker.WorkerRun
 
 /** Guards against a check that can't fail: no run at a leaving worker was ever reported before. */
 class DrainCheckTest :
@@ -51,14 +48,6 @@
         const val LEAVING = "leaving"
         const val DRAIN_MILLIS = 10_000L
 
-        fun run(worker: String, startMillis: Long) = WorkerRun(
-            worker = worker,
-            requestId = ID,
-            stamp = "stamp",
-            startMillis = startMillis,
-            organisation = "free",
-            resumeAfter = 0,
-            request = ReceivedRequest("GET", "/x", MultiMap.caseInsensitiveMultiMap(), ByteArray(0)),
-        )
+        fun run(worker: String, startMillis: Long) = workerRun(ID, worker, startMillis = startMillis)
     }
 }
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/KeyCheckTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/KeyCheckTest.kt
@@ -3,10 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import io.vertx.core.MultiMap
 import org.poplarshift.standins.caller.Call
-import org.poplarshift.standins.worker.ReceivedRequest
-import org.poplarshift.standins.worker.WorkerRun
 
 /**
  * Guards against a check that excuses nearly every call: a build that honoured keys for ever was not found, because any
@@ -88,14 +85,6 @@
         const val WITHDRAWN_KEY = "key-0"
         const val WITHDRAWN_MILLIS = 10_000L
 
-        fun run(startMillis: Long) = WorkerRun(
-            worker = "worker",
-            requestId = ID,
-            stamp = "stamp",
-            startMillis = startMillis,
-            organisation = "free",
-            resumeAfter = 0,
-            request = ReceivedRequest("GET", "/x", MultiMap.caseInsensitiveMultiMap(), ByteArray(0)),
-        )
+        fun run(startMillis: Long) = workerRun(ID, startMillis = startMillis)
     }
 }
