--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
@@ -65,6 +65,9 @@
             key = key,
             body = if (hasBody) "body of $id" else "",
             deadlineMillis = DEADLINE_MILLIS,
+            resumeAfter = RESUMED_EVENT.takeIf { kind == CallKind.RESUMABLE && sent % RESUMED == 0 },
+            isChunked = hasBody && sent % 2 == 0,
+            leaveAfterMillis = (1 + sent % LONGEST_STAY_MILLIS).takeIf { sent % LEAVING == 0 },
         )
         val organisation =
             if (key == SoakOrganisations.LIMITED_KEY) SoakOrganisations.LIMITED else SoakOrganisations.FREE
@@ -75,6 +78,12 @@
 
     private companion object {
         const val CALLERS = 40
+
+        // One call in so many resumes a stream or leaves early; numbers without a common divisor, so that some do both.
+        const val RESUMED = 5
+        const val LEAVING = 23
+        const val RESUMED_EVENT = 2
+        const val LONGEST_STAY_MILLIS = 300L
         const val CALLS_PER_NODE = 40
         const val KEY_CHOICES = 8
         const val MAXIMUM_PAUSE_MILLIS = 600L
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
@@ -47,6 +47,7 @@
         is SoakFault.Responses -> disturbResponses(fault)
         SoakFault.WorkerCrash -> replace(crashWorker())
         is SoakFault.WorkerRestart -> restartWorker(fault)
+        SoakFault.AddressTaken -> fleet.workers.takeAddress(fleet.workers.running.random(random))
         SoakFault.WorkerDrain -> drainWorker()
         is SoakFault.WorkerSlow -> slowWorker(fault)
         SoakFault.ReplaceKey -> replaceKey()
@@ -158,7 +159,7 @@
         val worker = fleet.workers.running.random(random)
         worker.crash()
         delay(fault.downMillis)
-        worker.listen("127.0.0.1")
+        fleet.workers.restart(worker)
     }
 
     private suspend fun drainWorker() {
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -60,6 +60,7 @@
         val plan = FaultPlan(random, settings.nodes)
         val endMillis = SoakFleet.now() + settings.seconds * MILLIS_PER_SECOND
         scope.launch { injectLinkFaults(endMillis) }
+        if (settings.secondResponses > 0) scope.launch { injectSecondResponseFaults(endMillis) }
         while (SoakFleet.now() < endMillis) {
             delay(plan.nextPauseMillis())
             injector.inject(plan.next())
@@ -70,10 +71,19 @@
 
     private suspend fun injectLinkFaults(endMillis: Long) {
         val plan = LinkPlan(Random(settings.seed + LINK_SEED_OFFSET), settings.nodes)
+        injectUntil(endMillis, plan::nextPauseMillis, plan::next)
+    }
+
+    private suspend fun injectSecondResponseFaults(endMillis: Long) {
+        val plan = SecondResponseFaultPlan(Random(settings.seed + SECOND_RESPONSE_SEED_OFFSET))
+        injectUntil(endMillis, plan::nextPauseMillis, plan::next)
+    }
+
+    private suspend fun injectUntil(endMillis: Long, nextPauseMillis: () -> Long, next: () -> SoakFault) {
         while (true) {
-            delay(plan.nextPauseMillis())
+            delay(nextPauseMillis())
             if (SoakFleet.now() >= endMillis) return
-            injector.inject(plan.next())
+            injector.inject(next())
         }
     }
 
@@ -98,7 +108,7 @@
     private fun createReport(mustBeRefused: Int) = SoakReport(
         settings = settings,
         faults = injector.history.toList(),
-        calls = ledger.calls.size,
+        statuses = ledger.calls.groupingBy { it.result?.status }.eachCount(),
         served = ledger.calls.count { it.result?.status == OK && it.result?.isComplete == true },
         mustBeRefused = mustBeRefused,
         submissions = ledger.submissions.size,
@@ -109,8 +119,9 @@
     private companion object {
         const val OK = 200
 
-        // The store and the workers draw from the seed itself and the next one.
+        // The store and the workers draw from the seed itself and the next one, the second responses from the third.
         const val LINK_SEED_OFFSET = 2
+        const val SECOND_RESPONSE_SEED_OFFSET = 4
         const val MILLIS_PER_SECOND = 1_000L
         const val LONGEST_FAULT_MILLIS = 12_000L
         const val LONGEST_CALL_MILLIS = 6_000L
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakCommand.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakCommand.kt
@@ -24,6 +24,16 @@
     @Option(names = ["--nodes"], description = ["Number of nodes."], defaultValue = "5")
     private var nodes = 5
 
+    @Option(
+        names = ["--second-responses"],
+        description = ["Share of the requests that workers answer twice; default: 0."],
+        defaultValue = "0",
+    )
+    private var secondResponses = 0.0
+
+    @Option(names = ["--processors"], description = ["Number of processors that each node uses; default: all."])
+    private var processors: Int? = null
+
     @Option(names = ["--program"], description = ["Program of a node."])
     private var program = File("target/poplarshift-node/poplarshift-node.jar")
 
@@ -37,6 +47,8 @@
             nodes = nodes,
             directory = File(output, "seed-$seed"),
             program = program,
+            secondResponses = secondResponses,
+            processors = processors,
         )
         val report = runBlocking { Soak(settings).run() }
         println(report)
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFault.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFault.kt
@@ -41,6 +41,9 @@
     /** A worker crashes and is back at the same address under the same id. */
     data class WorkerRestart(val downMillis: Long) : SoakFault
 
+    /** A worker ends without notice and a worker of another service gets its address. */
+    data object AddressTaken : SoakFault
+
     /** A worker leaves as planned and a new one starts. */
     data object WorkerDrain : SoakFault
 
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
@@ -14,6 +14,7 @@
 import org.poplarshift.standins.store.StoreStandIn
 import org.poplarshift.standins.vm.VmProcess
 import org.poplarshift.standins.vm.VmSettings
+import org.poplarshift.standins.worker.ResponseFault
 import java.io.IOException
 import java.net.ServerSocket
 import kotlin.random.Random
@@ -21,9 +22,13 @@
 /** The nodes as processes, with the store and the workers in this process. Used on one event loop. */
 class SoakFleet(private val vertx: Vertx, private val settings: SoakSettings, val ledger: SoakLedger) {
     private val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(READINESS_MILLIS.toInt()))
+    private val secondResponses = settings.secondResponses.takeIf { it > 0 }
+        ?.let { SecondResponsePlan(Random(settings.seed + SECOND_RESPONSE_SEED_OFFSET), it) }
     private var isStopping = false
     val store = StoreStandIn(vertx, Random(settings.seed))
-    val workers = SoakWorkers(vertx, Random(settings.seed + 1), store, ledger)
+    val workers = SoakWorkers(vertx, Random(settings.seed + 1), store, ledger) {
+        secondResponses?.next() ?: ResponseFault.None
+    }
     val organisations = SoakOrganisations()
     val disturbances = Disturbances()
     val nodes = ArrayList<SoakNode>()
@@ -110,6 +115,7 @@
             firstPort = freePorts(),
             storeAddress = "$host:${link.listen()}",
             directory = settings.directory,
+            processors = settings.processors,
         )
         return SoakNode(vm, VmProcess(vm, settings.program), link)
     }
@@ -135,6 +141,7 @@
 
     companion object {
         private val logger = KotlinLogging.logger {}
+        private const val SECOND_RESPONSE_SEED_OFFSET = 3
         private const val ENGINES = 5
         private const val PLAIN_WORKERS = 3
         private const val START_MILLIS = 30_000L
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakLedger.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakLedger.kt
@@ -53,6 +53,7 @@
             request.uri == call.call.uri &&
             request.body.decodeToString() == call.call.body &&
             run.organisation == call.organisation &&
+            run.isEngine == call.kind.isStream &&
             call.call.key !in request.headers.entries().map { it.value }
         if (!isAsSent) report(Promise.AS_SENT, "changed: ${request.method} ${request.uri} of ${call.describe()}")
     }
@@ -60,7 +61,7 @@
     private fun onRun(submission: SentSubmission, run: WorkerRun) {
         val item = submission.items.first { it.id == run.requestId }
         item.runs += run
-        val isAsSent = run.request.uri == item.path && run.organisation == submission.organisation
+        val isAsSent = run.request.uri == item.path && run.organisation == submission.organisation && run.isEngine
         if (!isAsSent) report(Promise.AS_SENT, "changed: ${run.request.uri} of item ${item.id}")
     }
 }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
@@ -7,12 +7,17 @@
 import org.poplarshift.standins.worker.ResponseFault
 import kotlin.random.Random
 
-/** The workers of all services, which renew their entries in the store. Used on one event loop. */
+/**
+ * The workers of all services, which renew their entries in the store. Used on one event loop.
+ *
+ * @param usualFault how a worker responds to a request that no injected fault affects
+ */
 class SoakWorkers(
     private val vertx: Vertx,
     private val random: Random,
     private val store: StoreStandIn,
     private val ledger: SoakLedger,
+    private val usualFault: () -> ResponseFault = { ResponseFault.None },
 ) {
     private val members = ArrayList<Member>()
     private var started = 0
@@ -21,20 +26,29 @@
     /** Response faults that are in effect, each with the share of the requests that it affects. */
     val responseFaults = ArrayList<Pair<ResponseFault, Double>>()
 
-    /** The workers that run. */
+    /** The workers that run and accept connections. */
     val running: List<RegisteredWorker>
-        get() = members.filter { it.isRunning }.map { it.worker }
+        get() = members.filter { it.isRunning && it.worker.isListening }.map { it.worker }
 
-    /** Starts a worker of [service]. */
-    suspend fun start(service: String): RegisteredWorker {
+    /** Starts a worker of [service] at [port], or at any port if it is 0. */
+    suspend fun start(service: String, port: Int = 0): RegisteredWorker {
         val id = "i-${started++}"
         val isEngine = service == SoakOrganisations.ENGINE_SERVICE
         val worker = RegisteredWorker(vertx, id, isEngine, SLOTS, { chooseFault() }, ledger::onRun)
-        worker.listen(HOST)
+        worker.listen(HOST, port)
         members += Member(worker, service, ZONES[started % ZONES.size])
         return worker
     }
 
+    /** Ends [worker] and starts one of another service at its address. */
+    suspend fun takeAddress(worker: RegisteredWorker) {
+        crash(worker)
+        removeEntry(worker)
+        start((SERVICES - serviceOf(worker)).first(), worker.port)
+        start(serviceOf(worker))
+        renewEntries()
+    }
+
     /** Renews the entries of all running workers. */
     fun renewEntries() {
         sequence++
@@ -47,6 +61,11 @@
         worker.crash()
     }
 
+    /** Starts [worker] again at its address, unless it has ended for good or its address was taken meanwhile. */
+    suspend fun restart(worker: RegisteredWorker) {
+        if (member(worker).isRunning) worker.listen(HOST)
+    }
+
     /** Removes the entry of a crashed worker, as the platform does some time later. */
     fun removeEntry(worker: RegisteredWorker) = store.put(OperatorRecords.WORKER_TOPIC, worker.id, "")
 
@@ -75,7 +94,7 @@
             if (drawn < share) return fault
             drawn -= share
         }
-        return ResponseFault.None
+        return usualFault()
     }
 
     private class Member(val worker: RegisteredWorker, val service: String, val zone: String) {
@@ -86,6 +105,7 @@
     companion object {
         /** Availability zones of nodes and workers. */
         val ZONES = listOf("one", "two", "three")
+        private val SERVICES = listOf(SoakOrganisations.ENGINE_SERVICE, SoakOrganisations.PLAIN_SERVICE)
         private const val HOST = "127.0.0.1"
         private const val SLOTS = 8
     }
