Make successes for failed runs likelier to be found by the soak

The beginning of a head is completed by the next response only if it ends in the reason phrase or in a value, and the stand-in's values were a few bytes long: the heads now have a Server header, and 20% instead of 15% of the requests fail. Successes for failed runs (TRUE_SUCCESS) are told from other wrong statuses (OWN_STATUS), of which those soaks had four: the failure of another response with the receipt of the own run.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
@@ -124,7 +124,10 @@
         isStream = false,
     )
 
+    // The head of a second response that is cut in a value or in the reason phrase is completed by the next response; cut in a
+    // name, it is no head. Values as long as those of other servers make the first case as frequent as there.
     private fun headers(): String = buildString {
+        append("Server: registered-worker/1.0 (stand-in of the users' platform)\r\n")
         append("${PlatformHeaders.WORKER}: $id\r\nX-Poplarshift-Server-Load: $running,0,$slots\r\n")
         if (isLeaving) append("Server-Leaving: 1\r\n")
     }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
@@ -31,7 +31,7 @@
         when {
             result.stamp == null -> report(Promise.RECEIPT, "a success without a receipt", call)
             run == null -> report(Promise.OWN_RESPONSE, "a success that is no run's, stamp ${result.stamp}", call)
-            run.status != result.status -> report(Promise.OWN_STATUS, "a success where the run failed", call)
+            run.status != result.status -> report(Promise.TRUE_SUCCESS, "a success where the run failed", call)
             call.kind.isStream -> checkStream(call, result)
             result.isComplete -> checkBody(call, result, ResponseContent.plain(call.call.id))
         }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SecondResponsePlan.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SecondResponsePlan.kt
@@ -61,7 +61,7 @@
 
     private companion object {
         const val FAILED = 500
-        const val FAILED_SHARE = 0.15
+        const val FAILED_SHARE = 0.2
         const val RESET_SHARE = 0.01
         const val BROKEN = 8
         const val RESET = 10
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
@@ -8,7 +8,10 @@
     /** A response is one of a run of this request. */
     OWN_RESPONSE,
 
-    /** A response has the status of its run; a success where the worker answered a failure is none. */
+    /** A success is one of the worker's, not one where the worker answered a failure. */
+    TRUE_SUCCESS,
+
+    /** A failure with a receipt has the status of its run. */
     OWN_STATUS,
 
     /** A body that ends as complete is the worker's whole body, no shorter and no longer. */
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/CallChecksTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/CallChecksTest.kt
@@ -43,7 +43,7 @@
                     stampOfRun = null,
                     expected = Promise.OWN_RESPONSE,
                 ),
-                Case("failed run", CallKind.SAFE, listOf(500), 200, plain, expected = Promise.OWN_STATUS),
+                Case("failed run", CallKind.SAFE, listOf(500), 200, plain, expected = Promise.TRUE_SUCCESS),
                 Case("other failure", CallKind.SAFE, listOf(500), 502, "", expected = Promise.OWN_STATUS),
                 Case("longer body", CallKind.SAFE, listOf(200), 200, plain + "H", expected = Promise.WHOLE_BODY),
                 Case("shorter body", CallKind.SAFE, listOf(200), 200, plain.dropLast(1), expected = Promise.WHOLE_BODY),
@@ -66,7 +66,7 @@
                     200,
                     "",
                     isComplete = false,
-                    expected = Promise.OWN_STATUS,
+                    expected = Promise.TRUE_SUCCESS,
                 ),
                 Case(
                     "failure of another request",
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/SecondResponsePlanTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/SecondResponsePlanTest.kt
@@ -22,7 +22,7 @@
 
         test("the share of the requests is answered twice, and failures are drawn besides") {
             twice.size shouldBeInRange 2_700..3_300
-            drawn.count { it == ResponseFault.Failure(500) } shouldBeInRange 1_300..1_700
+            drawn.count { it == ResponseFault.Failure(500) } shouldBeInRange 1_750..2_250
         }
 
         test("a response is cut only in chunks when another one follows") {
