--- a/stand-ins/src/test/kotlin/org/poplarshift/standins/worker/SecondResponseTest.kt
+++ b/stand-ins/src/test/kotlin/org/poplarshift/standins/worker/SecondResponseTest.kt
@@ -117,14 +117,39 @@
                 worker.crash()
             }
         }
+
+        data class CrashCase(val framing: ResponseForm.Framing, val isReset: Boolean)
+
+        context("a crash in the middle of a stream ends the connection with a reset only if it would end the body") {
+            withData(
+                nameFn = { "${it.framing}" },
+                CrashCase(ResponseForm.Framing.CLOSE, isReset = true),
+                CrashCase(ResponseForm.Framing.CHUNKS, isReset = false),
+            ) { case ->
+                val fault = ResponseFault.Twice(success.copy(framing = case.framing), failure, Moment.IDLE)
+                val worker = RegisteredWorker(vertx, "w", isEngine = true, slots = 8, { fault }, onRun = {})
+                worker.paceMillis = 200
+                worker.listen("127.0.0.1")
+                val connection = RawConnection(vertx.createNetClient().connect(worker.port, "127.0.0.1").coAwait())
+                connection.exchange("a") shouldBe listOf("200 a")
+                worker.crash()
+                delay(250)
+                connection.isOpen shouldBe false
+                connection.isReset shouldBe case.isReset
+            }
+        }
     })
 
 /** A connection to a worker that shows which responses arrive. */
 private class RawConnection(private val socket: NetSocket) {
     private val received = StringBuilder()
-    private var isOpen = true
+    var isOpen = true
+        private set
+    var isReset = false
+        private set
 
     init {
+        socket.exceptionHandler { isReset = true }
         socket.handler { received.append(it.toString()) }
         socket.closeHandler { isOpen = false }
     }
