Find a second response that fills up a body of a stated length

A worker that broke a body off before its Content-Length was reached and then wrote a second response on the same connection gave its caller a success of the right length, with the text of the second response inside.

A body with a length was taken for whole as soon as it had that length. It now is not if it contains a head with the id of a request that was sent on the connection, or any head or the beginning of one if bytes are left over behind the body, which are the end of the second response. A quotation has neither: QuotedResponseTest passes bodies with a whole response and its id on unchanged.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -63,7 +63,7 @@
         }
 
         /**
-         * Identifies a head inside a body that ends with its connection; returns null if it is a part of the body.
+         * Identifies a head inside a body; returns null if it is a part of the body, such as a quotation.
          *
          * @param ids the request ids that the head states
          * @param isDirectlyBehindText whether a letter, a digit or a closing mark precedes the status line
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/SecondResponseFinder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/SecondResponseFinder.kt
@@ -4,14 +4,22 @@
 import io.vertx.core.buffer.Buffer
 
 /**
- * Finds a second response behind a body that has neither a length nor chunks.
+ * Finds a second response inside the body of a first one.
  *
- * By the protocol all bytes up to the end of the connection belong to such a body, so that a response which a worker
- * writes behind it would become a part of it. The finder reads the lines of the body; [ResponseIdentity] decides whether
- * they are the head of another response. It holds back no bytes, keeps at most one line of a possible head, and looks at
- * each byte a fixed number of times.
+ * All bytes up to the end of the connection belong to a body that has neither a length nor chunks, and a body that breaks
+ * off before its length is reached is filled up by what follows on the connection. A response which a worker writes there
+ * would become a part of the body. The finder reads the lines of the body; [ResponseIdentity] decides whether they are the
+ * head of another response. It holds back no bytes, keeps at most one line of a possible head, and looks at each byte a
+ * fixed number of times.
+ *
+ * @param endsWithConnection whether the body has neither a length nor chunks
+ * @param mayHaveSent whether the request with an id may have been sent on the connection
  */
-internal class SecondResponseFinder(private val protocol: WorkerProtocol) {
+internal class SecondResponseFinder(
+    private val protocol: WorkerProtocol,
+    private val endsWithConnection: Boolean,
+    private val mayHaveSent: (id: String) -> Boolean,
+) {
     /**
      * A second response.
      *
@@ -26,6 +34,7 @@
     private var head: Head? = null
     private var receivedBytes = 0L
     private var lineStart = 0L
+    private var suspected: ResponseIdentity.Foreign? = null
 
     /** Number of bytes of the body that are kept. */
     val keptBytes: Int
@@ -44,16 +53,27 @@
         return null
     }
 
-    /** Returns the second response if the body ends inside its head. */
-    fun end(): ResponseIdentity.Foreign? {
+    /**
+     * Returns the second response that only the end of the body shows.
+     *
+     * @param isFollowed whether bytes that belong to no response follow the body. A body of the stated length that contains
+     *   a head is then not whole: its own last bytes are missing, and those of the second response are left over.
+     */
+    fun end(isFollowed: Boolean): ResponseIdentity.Foreign? = when {
+        endsWithConnection -> unfinishedHead()
+        isFollowed -> suspected ?: unfinishedHead()
+        else -> null
+    }
+
+    private fun unfinishedHead(): ResponseIdentity.Foreign? {
         val unfinished = if (isInLine) line.toString() else STATUS_LINE_START.take(matchedBytes)
         val begun = head
         if (begun != null && isHeaderBeginning(unfinished)) {
             addHeader(begun, unfinished)
-            return identify(begun, isEnded = true)
+            return headInBody(begun, isEnded = true)
         }
         return begunStatusLine.find(unfinished)?.let { match ->
-            identify(newHead(unfinished, match.range.first), isEnded = true)
+            headInBody(newHead(unfinished, match.range.first), isEnded = true)
         }
     }
 
@@ -132,7 +152,14 @@
         head.ids += protocol.responseRequestIds(header)
     }
 
-    private fun identify(head: Head, isEnded: Boolean): ResponseIdentity.Foreign? =
+    private fun identify(head: Head, isEnded: Boolean): ResponseIdentity.Foreign? {
+        val foreign = headInBody(head, isEnded) ?: return null
+        if (endsWithConnection || head.ids.any(mayHaveSent)) return foreign
+        suspected = suspected ?: foreign
+        return null
+    }
+
+    private fun headInBody(head: Head, isEnded: Boolean): ResponseIdentity.Foreign? =
         ResponseIdentity.ofHeadInBody(head.statusLine, head.ids, head.isDirectlyBehindText, isEnded)
 
     private fun isHeaderBeginning(text: String): Boolean =
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -43,6 +43,10 @@
     val isUnused: Boolean
         get() = lastRequest == null
 
+    /** Whether the connection was closed because of bytes that belong to no request. */
+    var hasForeignBytes = false
+        private set
+
     /** Whether either side has closed the connection. */
     var isClosed = false
         private set
@@ -92,7 +96,10 @@
      *
      * A late copy of the response to an earlier request with the same id could arrive after any number of other responses.
      */
-    fun canIdentify(id: String): Boolean = !sentIds.isFull && !sentIds.mayContain(id)
+    fun canIdentify(id: String): Boolean = !sentIds.isFull && !mayHaveSent(id)
+
+    /** Whether a request with [id] may have been sent on this connection. */
+    fun mayHaveSent(id: String): Boolean = sentIds.mayContain(id)
 
     /** Stops or continues reading, so that a response is not received faster than it is forwarded. */
     fun setReading(isReading: Boolean) {
@@ -150,6 +157,7 @@
 
     private fun closeForeign(found: String) {
         if (isClosed) return
+        hasForeignBytes = true
         close()
         onForeignBytes(this, found)
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -153,7 +153,7 @@
             isOtherThanEvents = HttpUtil.getMimeType(response)?.contentEquals(EVENT_STREAM, ignoreCase = true) == false
             isKeptAlive = HttpUtil.isKeepAlive(response)
             endsWithConnection = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
-            if (endsWithConnection) finder = SecondResponseFinder(forwarding.protocol)
+            finder = SecondResponseFinder(forwarding.protocol, endsWithConnection, connection::mayHaveSent)
             val status = response.status()
             val identity =
                 ResponseIdentity.of(requestId, status.code(), status.reasonPhrase(), headers, forwarding.protocol)
@@ -180,7 +180,8 @@
         }
 
         override fun onEnd() {
-            parts.trySend(finder?.end()?.let { ResponsePart.Foreign(it) } ?: ResponsePart.End)
+            val second = finder?.end(isFollowed = connection.hasForeignBytes)
+            parts.trySend(second?.let { ResponsePart.Foreign(it) } ?: ResponsePart.End)
         }
 
         override fun onMalformed(reason: String) {
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/SecondResponseFinderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/SecondResponseFinderTest.kt
@@ -38,7 +38,7 @@
             test("a head ${case.name} is found across any border between two segments") {
                 val text = case.body + case.second
                 for (border in 0..text.length) {
-                    val finder = SecondResponseFinder(PlainWorkerProtocol)
+                    val finder = SecondResponseFinder(PlainWorkerProtocol, endsWithConnection = true) { false }
                     val first = finder.add(buffer(text.take(border)))
                     val found = first ?: finder.add(buffer(text.drop(border)))
                     val offset = if (first == null) maxOf(0, case.body.length - border) else case.body.length
@@ -63,7 +63,7 @@
             test("a large body of $name is read with bounded memory and in a bounded time") {
                 val text = unit.repeat(maxOf(1, LARGE_BYTES / unit.length))
                 val blocks = text.chunked(blockBytes).map { buffer(it) }
-                val finder = SecondResponseFinder(PlainWorkerProtocol)
+                val finder = SecondResponseFinder(PlainWorkerProtocol, endsWithConnection = true) { false }
                 val millis = measureTimeMillis {
                     for (block in blocks) {
                         finder.add(block) shouldBe null
