--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -180,7 +180,7 @@
     }
 
     private suspend fun connectTo(worker: FleetWorker): WorkerConnection? {
-        val connection = forwarding.connections.acquire(worker, plan.id)
+        val connection = forwarding.connections.acquire(worker, plan.id, plan.mayRepeat)
         connectionLabel = connection?.let { "@${it.number}#${it.sentRequests}" }.orEmpty()
         return connection
     }
@@ -210,6 +210,7 @@
 
         // Not counted as a crash of the worker, which is still there.
         is ExchangeResult.UnusableResponse -> {
+            forwarding.connections.onUnusableResponse(slot.target.worker.id)
             slot.target.onConnectionLost()
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/AttemptTraceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/AttemptTraceTest.kt
@@ -59,7 +59,7 @@
         val refusal = Response("HTTP/1.1 503 Unavailable\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
         val stream = Response("HTTP/1.1 200 OK\r\nId: ID\r\nStamp: 1\r\nContent-Length: 15\r\n\r\nid: 1\ndata: 1\n\n")
         val secondHead = Response(
-            "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: 1\r\nContent-Length: 35\r\n\r\nid: 1\ndata: 1\n\nHTTP/1.1 500 Error\n\n",
+            "HTTP/1.1 200 OK\r\nId: ID\r\nStamp: 1\r\nContent-Length: 31\r\n\r\nid: 1\ndata: 1\n\nHTTP/1.1 500 X\n\n",
         )
         val safe = RouteKind.SAFE
         val cases = listOf(
@@ -168,10 +168,10 @@
                             id, route, "s", null, HttpMethod.POST, "/", headers, body, clock.millis(), end, 0, null,
                         )
                         val attempts = if (route.mayRepeat) 2 else 1
-                        val session = AttemptSession(
-                            AttemptPlan(id, "s", null, HttpMethod.POST, "/", headers, body, end, attempts),
-                            forwarding,
+                        val plan = AttemptPlan(
+                            id, "s", null, HttpMethod.POST, "/", headers, body, end, attempts, route.mayRepeat,
                         )
+                        val session = AttemptSession(plan, forwarding)
                         OnlineForwarder(forwarding).serve(online, session, RecordingSink())
                         session.trace.map { it.replace(Regex("\\+\\d+$"), "+T") } to session.hasUnusableResponse
                     }
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
@@ -41,7 +41,8 @@
     @Synchronized
     fun start() {
         if (isClosed) return
-        val builder = ProcessBuilder(COMMAND + listOf("-jar", programFile.path, "serve"))
+        val processors = settings.processors?.let { listOf("-XX:ActiveProcessorCount=$it") }.orEmpty()
+        val builder = ProcessBuilder(COMMAND + processors + listOf("-jar", programFile.path, "serve"))
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
         builder.environment()["POPLARSHIFT_BOOT"] = settingsFile.path
