--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -104,20 +104,7 @@
     }
 
     private suspend fun forward(call: OnlineCall, sink: HttpCallerSink, record: CallRecord): Refusal? {
-        val attempts = if (call.route.mayRepeat) call.route.maximumAttempts else 1
-        val plan = AttemptPlan(
-            id = call.id,
-            service = call.service,
-            organisation = call.organisation,
-            method = call.method,
-            uri = call.uri,
-            headers = call.headers,
-            body = call.body,
-            deadlineMillis = call.deadlineMillis,
-            maximumAttempts = attempts,
-            mayRepeat = call.route.mayRepeat,
-        )
-        val session = AttemptSession(plan, forwarding)
+        val session = AttemptSession(planOf(call), forwarding)
         record.attempts = session.trace
         record.promptParts = session.sharedPromptParts
         val outcome = try {
@@ -129,11 +116,28 @@
             null
         } finally {
             record.waitedMillis = session.waitedMillis
+            record.hasUnusableResponse = session.hasUnusableResponse
         }
         val reason = if (record.isStopped) Refusal.SHUTTING_DOWN.reason else "time is up"
         return conclude(outcome ?: interrupted(reason, sink, session), sink, record)
     }
 
+    private fun planOf(call: OnlineCall): AttemptPlan {
+        val attempts = if (call.route.mayRepeat) call.route.maximumAttempts else 1
+        return AttemptPlan(
+            id = call.id,
+            service = call.service,
+            organisation = call.organisation,
+            method = call.method,
+            uri = call.uri,
+            headers = call.headers,
+            body = call.body,
+            deadlineMillis = call.deadlineMillis,
+            maximumAttempts = attempts,
+            mayRepeat = call.route.mayRepeat,
+        )
+    }
+
     private fun interrupted(reason: String, sink: HttpCallerSink, session: AttemptSession): OnlineOutcome = when {
         sink.status != null -> OnlineOutcome.Aborted(reason)
         session.possibleRuns == 0 && !session.isInFlight -> OnlineOutcome.Refused(reason)
