Find a second response inside a body that is shorter than its length

Callers of plain requests received a body of the stated length whose last bytes were the beginning of a second response: a worker that breaks a body off and writes another response behind it completes the body with that one's head. The bytes that follow the body were noticed and closed the connection, but the response counted as whole.

A body with a length is now read for a second head by the same signs as one without. It is not whole if it contains one and other bytes follow it in the same segment. A body that quotes a response and is followed by nothing is passed on. In chunks, bytes of a second response are malformed already.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -63,7 +63,8 @@
         }
 
         /**
-         * Identifies a head inside a body that ends with its connection; returns null if it is a part of the body.
+         * Identifies a head inside a body that ends with its connection, or that other bytes follow; returns null if it is
+         * a part of the body.
          *
          * @param ids the request ids that the head states
          * @param isDirectlyBehindText whether a letter, a digit or a closing mark precedes the status line
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -39,6 +39,10 @@
     var isClosed = false
         private set
 
+    /** Whether the connection was closed because of bytes that belong to no request. */
+    var hasForeignBytes = false
+        private set
+
     /** Whether the connection is in the pool and available for another request. */
     var isIdle = false
         internal set
@@ -120,6 +124,7 @@
     private fun closeForeign(found: String) {
         if (isClosed) return
         close()
+        hasForeignBytes = true
         onForeignBytes(this, found)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -46,6 +46,9 @@
     private var isKeptAlive = false
     private var responseHead: ResponseHead? = null
 
+    // The second response whose head or the beginning of it the body contains, unless the body quotes it.
+    private var headInBody: ResponseIdentity.Foreign? = null
+
     /** Whether the connection can be used for another request. */
     val isReusable: Boolean
         get() = isComplete && isKeptAlive && responseHead?.closesConnection == false && !endsWithConnection
@@ -89,7 +92,8 @@
 
     /** Returns the next part of the body; waits up to [timeoutMillis]. */
     suspend fun next(timeoutMillis: Long): ResponsePart {
-        val part = withTimeoutOrNull(timeoutMillis) { parts.receive() } ?: return ResponsePart.TimedOut
+        val received = withTimeoutOrNull(timeoutMillis) { parts.receive() } ?: return ResponsePart.TimedOut
+        val part = if (received == ResponsePart.End) endOfBody() else received
         when (part) {
             is ResponsePart.Bytes -> onRead(part)
             is ResponsePart.ConnectionLost -> recorder.onNoResponse("connection_lost_in_body")
@@ -131,6 +135,11 @@
         return BodyResult.Incomplete("body of over $maximumBytes bytes")
     }
 
+    // A body with a length may quote a response. If bytes follow it, its last ones are the beginning of a second response.
+    private fun endOfBody(): ResponsePart =
+        headInBody?.takeIf { endsWithConnection || connection.hasForeignBytes }?.let { ResponsePart.Foreign(it) }
+            ?: ResponsePart.End
+
     private fun onRead(part: ResponsePart.Bytes) {
         val before = unreadBytes
         unreadBytes -= part.bytes.length()
@@ -153,7 +162,8 @@
             isOtherThanEvents = HttpUtil.getMimeType(response)?.contentEquals(EVENT_STREAM, ignoreCase = true) == false
             isKeptAlive = HttpUtil.isKeepAlive(response)
             endsWithConnection = !HttpUtil.isTransferEncodingChunked(response) && !HttpUtil.isContentLengthSet(response)
-            if (endsWithConnection) finder = SecondResponseFinder(forwarding.protocol)
+            // In chunks, the bytes of a second response are malformed.
+            if (!HttpUtil.isTransferEncodingChunked(response)) finder = SecondResponseFinder(forwarding.protocol)
             val status = response.status()
             val identity =
                 ResponseIdentity.of(requestId, status.code(), status.reasonPhrase(), headers, forwarding.protocol)
@@ -168,6 +178,9 @@
         override fun onBody(bytes: Buffer) {
             if (isSecondResponse) return
             val second = finder?.add(bytes) ?: return addBody(bytes)
+            headInBody = second.identity
+            finder = null
+            if (!endsWithConnection) return addBody(bytes)
             isSecondResponse = true
             if (second.ownBytes > 0) addBody(bytes.getBuffer(0, second.ownBytes))
             parts.trySend(ResponsePart.Foreign(second.identity))
@@ -180,7 +193,8 @@
         }
 
         override fun onEnd() {
-            parts.trySend(finder?.end()?.let { ResponsePart.Foreign(it) } ?: ResponsePart.End)
+            finder?.end()?.let { headInBody = it }
+            parts.trySend(ResponsePart.End)
         }
 
         override fun onMalformed(reason: String) {
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/QuotedResponseTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/QuotedResponseTest.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.forward
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import org.poplarshift.serving.fixture.FaultyWorkerFleet
@@ -108,8 +109,10 @@
             test("${case.name} is passed on unchanged with ${framing.name} to a caller of the kind $kind") {
                 val service = services.getValue(combination)
                 val id = "b-${service.name}"
-                fleet.call(service, id) shouldBe CallerResponse(200, case.body, isComplete = true)
-                service.faulty.requests.map { it.id } shouldBe listOf(id)
+                val response = fleet.call(service, id)
+                withClue("second responses") { fleet.unusableResponses("second_response") shouldBe 0 }
+                withClue("the quoting worker got it") { service.faulty.requests.map { it.id } shouldBe listOf(id) }
+                response shouldBe CallerResponse(200, case.body, isComplete = true)
             }
         }
     })
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/SecondResponseFinderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/SecondResponseFinderTest.kt
@@ -47,6 +47,27 @@
             }
         }
 
+        val quotations = listOf(
+            "$unnamed\r\nas it was down.",
+            "The server wrote:\r\n$unnamed",
+            "It wrote \"$unnamed\".",
+            "good" + second.replace("\r\n", "\n"),
+            second.lines().joinToString("\r\n") { "> $it" },
+            "It speaks HTTP/1.1",
+        )
+        quotations.forEachIndexed { index, text ->
+            test("quotation $index is a part of the body across any border between two segments") {
+                for (border in 0..text.length) {
+                    val finder = SecondResponseFinder(PlainWorkerProtocol)
+                    withClue("border at $border") {
+                        finder.add(buffer(text.take(border))) shouldBe null
+                        finder.add(buffer(text.drop(border))) shouldBe null
+                        finder.end() shouldBe null
+                    }
+                }
+            }
+        }
+
         val blockBytes = 64 * 1024
         val bodies = mapOf(
             "letters" to "H",
