Keep tokens in transit as an amount and a time

The lender kept a loan with durations of zero where an amount and the end of the time on the way are enough.

--- a/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
@@ -27,15 +27,16 @@
         fun remaining(nowMillis: Long): Double = loan.remaining(nowMillis - sinceMillis)
     }
 
+    /** Lent tokens for which the borrower has room, as long as they may be on their way. */
+    private class Transit(val tokens: Double, val endMillis: Long)
+
     private var refilledMillis = nowMillis
     private var tokens = minOf(capacity(), ratePerSecond / nodes * MINIMUM_RESTART_SECONDS)
 
     // Room that this node has lent and that has not returned yet.
     private var lent = capacity() - tokens
 
-    // Lent tokens for which the borrowers have room, as long as they may be on their way.
-    private val inTransit = ArrayList<DatedLoan>()
-
+    private val inTransit = ArrayList<Transit>()
     private val borrowed = ArrayList<DatedLoan>()
 
     /** Returns the available tokens after refilling up to [nowMillis]. */
@@ -87,8 +88,7 @@
         val loan = TokenLoan(amount, transit, millisToRefill(lent), millisToRefill(amount - transit))
         tokens -= amount
         lent += amount - transit
-        val transitLoan = TokenLoan(transit, transit, holdMillis = 0.0, returnMillis = 0.0)
-        if (transit > 0) inTransit += DatedLoan(transitLoan, nowMillis)
+        if (transit > 0) inTransit += Transit(transit, nowMillis + TokenLoan.TRANSIT_MILLIS)
         return loan
     }
 
@@ -106,17 +106,9 @@
         if (borrowed.size > MAXIMUM_BORROWED) borrowed.removeFirst()
     }
 
-    /** Returns the milliseconds until one token is available without a transfer from another node. */
-    fun millisUntilToken(nowMillis: Long): Long {
-        refill(nowMillis)
-        if (tokens >= 1.0) return 0
-        if (ratePerSecond <= 0) return Long.MAX_VALUE
-        return millisToRefill(1.0 - tokens).toLong() + 1
-    }
-
     private fun capacity(): Double = capacity(burst, nodes)
 
-    private fun ownRoom(): Double = maxOf(0.0, capacity() - lent - inTransit.sumOf { it.loan.amount })
+    private fun ownRoom(): Double = maxOf(0.0, capacity() - lent - inTransit.sumOf { it.tokens })
 
     private fun room(nowMillis: Long): Double = ownRoom() + borrowed.sumOf { it.remaining(nowMillis) }
 
@@ -127,7 +119,7 @@
         refilledMillis += elapsed
         val refilled = ratePerSecond / nodes * elapsed / MILLIS_PER_SECOND
         lent = maxOf(0.0, lent - refilled)
-        inTransit.removeIf { it.remaining(nowMillis) <= 0 }
+        inTransit.removeIf { it.endMillis < nowMillis }
         borrowed.removeIf { it.remaining(nowMillis) <= 0 }
         tokens = minOf(tokens + refilled, room(nowMillis))
     }
