Reserve a range of ports for each soak

A soak now keeps the first port of its range bound until its end, and takes ports from that range only.

--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFleet.kt
@@ -16,7 +16,6 @@
 import org.poplarshift.standins.vm.VmSettings
 import org.poplarshift.standins.worker.ResponseFault
 import java.io.IOException
-import java.net.ServerSocket
 import kotlin.random.Random
 
 /** The nodes as processes, with the store and the workers in this process. Used on one event loop. */
@@ -31,6 +30,7 @@
     val organisations = SoakOrganisations()
     val disturbances = Disturbances()
     val nodes = ArrayList<SoakNode>()
+    private val ports = PortRange.reserve()
     private val supervisor = NodeSupervisor(nodes, disturbances, ledger, ::now)
 
     /** Starts everything and waits until the nodes are ready. */
@@ -69,7 +69,10 @@
     }
 
     /** Kills all processes. None is started afterwards. */
-    fun stop() = supervisor.stop()
+    fun stop() {
+        supervisor.stop()
+        ports.close()
+    }
 
     private suspend fun checkReadiness() = nodes.forEach { it.isReady = it.process.isAlive && isReady(it) }
 
@@ -95,7 +98,7 @@
             name = name,
             zone = SoakWorkers.ZONES[index % SoakWorkers.ZONES.size],
             host = host,
-            firstPort = freePorts(),
+            firstPort = ports.take(PORTS_PER_NODE),
             storeAddress = "$host:${link.listen()}",
             directory = settings.directory,
             processors = settings.processors,
@@ -103,25 +106,6 @@
         return SoakNode(vm, VmProcess(vm, settings.program), link)
     }
 
-    // Below the range from which the system takes the ports of outgoing connections. Soaks that run at the same time must
-    // not take the ports of a process that is down for a moment.
-    private fun freePorts(): Int {
-        val used = nodes.map { it.settings.firstPort }
-        return generateSequence(FIRST_PORT + (ProcessHandle.current().pid() % PORT_RANGES).toInt() * PORTS_PER_SOAK) {
-            it +
-                PORTS_PER_NODE
-        }.first { first ->
-            first !in used && (first until first + PORTS_PER_NODE).all { isFree(it) }
-        }
-    }
-
-    private fun isFree(port: Int): Boolean = try {
-        ServerSocket(port).close()
-        true
-    } catch (_: IOException) {
-        false
-    }
-
     companion object {
         private val logger = KotlinLogging.logger {}
         private const val SECOND_RESPONSE_SEED_OFFSET = 3
@@ -130,9 +114,6 @@
         private const val START_MILLIS = 30_000L
         private const val READINESS_MILLIS = 300L
         private const val RENEWAL_ROUNDS = 4
-        private const val FIRST_PORT = 16_000
-        private const val PORT_RANGES = 40
-        private const val PORTS_PER_SOAK = 400
         private const val PORTS_PER_NODE = 4
         private const val OK = 200
 
