Divide limits by the last known number of nodes while the members are read anew

A node whose records of the members could not be applied, for want of memory, drops the members and reads them again. Until that read succeeds it took itself for the only node: a new version of the configuration then gave it the whole rate of every organisation.

FleetMembers keeps the size from before the restart until it has caught up. The start itself was already right: a node that has not read the members divides limits among 100 nodes, which FleetMembersTest now shows by the tokens that it spends as well.

--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -41,19 +41,28 @@
     private var readTimeMillis = 0L
     private var caughtUpMillis: Long? = null
 
+    // The size when the members were last read, while they are read anew.
+    private var sizeBeforeRestart: Int? = UNREAD_SIZE
+
     /** Number of nodes in the fleet, including this one. */
     val size: Int
         get() = entries.size + if (self.name in entries) 0 else 1
 
-    /** Number of nodes among which limits are divided: a large number as long as the members have not been read. */
+    /**
+     * Number of nodes among which limits are divided: a large number as long as the members have not been read, and the
+     * number before while they are read anew.
+     */
     val assumedSize: Int
-        get() = if (caughtUpMillis == null) UNREAD_SIZE else size
+        get() = sizeBeforeRestart ?: size
 
     /** The other nodes of the fleet. */
     val peers: List<FleetMember>
         get() = entries.values.map { it.member }.filter { it.name != self.name }
 
-    override fun onRestart() = entries.clear()
+    override fun onRestart() {
+        sizeBeforeRestart = assumedSize
+        entries.clear()
+    }
 
     override fun onRecord(record: LogRecord) {
         if (record.value.isEmpty()) {
@@ -74,6 +83,7 @@
         readTimeMillis += minOf(now - (caughtUpMillis ?: now), MAXIMUM_READ_GAP_MILLIS)
         caughtUpMillis = now
         entries.values.removeIf { readTimeMillis - it.readTimeMillis > EXPIRY_MILLIS }
+        sizeBeforeRestart = null
         onChange()
     }
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
@@ -1,7 +1,9 @@
 package org.poplarshift.serving.fleet
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
+import org.poplarshift.core.allowance.TokenBucketShare
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.log.LogRecord
@@ -63,10 +65,59 @@
             fixture.members.assumedSize shouldBe 2
         }
 
+        // A partition is read anew after records could not be applied. Until that succeeds, all records are missing.
+        test("a node that can't read the members anew does not take itself for the only one") {
+            val fixture = Fixture()
+            listOf("a", "b", "c").forEach { fixture.renew(it) }
+            fixture.members.onCaughtUp()
+            repeat(2) {
+                fixture.members.onRestart()
+                fixture.now += 3_600_000
+                fixture.members.assumedSize shouldBe 3
+            }
+            listOf("a", "b").forEach { fixture.renew(it) }
+            fixture.members.assumedSize shouldBe 3
+            fixture.members.onCaughtUp()
+            fixture.members.assumedSize shouldBe 2
+        }
+
+        data class Spending(val name: String, val isRead: Boolean, val nodes: Int)
+        listOf(
+            Spending("before the first read", isRead = false, nodes = FleetMembers.UNREAD_SIZE),
+            Spending("while the members are read anew", isRead = true, nodes = 3),
+        ).forEach { case ->
+            test("a node that can't read the members spends its share of a rate limit only: ${case.name}") {
+                val fixture = Fixture()
+                if (case.isRead) {
+                    listOf("a", "b", "c").forEach { fixture.renew(it) }
+                    fixture.members.onCaughtUp()
+                }
+                fixture.members.onRestart()
+                val share = TokenBucketShare(RATE, BURST, fixture.members.assumedSize, fixture.now)
+                val endMillis = fixture.now + SECONDS * 1_000
+                var spent = 0
+                while (fixture.now < endMillis) {
+                    fixture.now++
+                    // As when a new version of the configuration is applied.
+                    share.update(RATE, BURST, fixture.members.assumedSize, fixture.now)
+                    if (share.tryConsume(fixture.now)) spent++
+                }
+                val refilled = (SECONDS * RATE / case.nodes).toInt()
+                val allowed = ((BURST + SECONDS * RATE) / case.nodes).toInt()
+                spent shouldBeInRange refilled..allowed
+            }
+        }
+
         test("a node that has left is no member any more") {
             val fixture = Fixture()
             listOf("a", "b").forEach { fixture.renew(it) }
             fixture.members.onRecord(LogRecord(1, "b", ByteArray(0)))
             fixture.members.size shouldBe 1
         }
-    })
+    }) {
+    private companion object {
+        const val RATE = 200.0
+        const val BURST = 300.0
+        const val SECONDS = 10
+    }
+}
