Don't report streams that a second response has ended as cut off by a stop

The node breaks such a stream off whether it stops or not. Such a run now counts as one that the worker has not ended, so that the check looks at the stop only. Other cut requests are reported as before.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RunResponse.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RunResponse.kt
@@ -54,7 +54,7 @@
         connection.remember(first)
         connection.isUnframed = first.framing(form) == ResponseForm.Framing.CLOSE
         val end = {
-            run.isComplete = isWhole && !isReset
+            run.isComplete = isWhole && !isReset && !(isClosed && following != null)
             onEnd()
             after(IDLE_MILLIS) { follow(following, isClosed, isReset) }
         }
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerRun.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerRun.kt
@@ -34,6 +34,9 @@
     /** Whole body of the first response, as far as the worker meant to write it, or null when it has not answered. */
     var body: String? = null
 
-    /** Whether the worker has written its whole response. */
+    /**
+     * Whether the worker has written its whole response, and its end can be known. Bytes behind a body that ends with its
+     * connection leave no other way than to break the response off.
+     */
     var isComplete = false
 }
--- a/stand-ins/src/test/kotlin/org/poplarshift/standins/worker/SecondResponseTest.kt
+++ b/stand-ins/src/test/kotlin/org/poplarshift/standins/worker/SecondResponseTest.kt
@@ -76,6 +76,7 @@
                     ResponseFault.Twice(success.copy(framing = close), failure, Moment.IDLE),
                     listOf("200 a", "500 a"),
                     emptyList(),
+                    isComplete = false,
                 ),
                 Case(
                     "a stream twice",
