Wait for the worker's end of a connection before replacing it

A worker that had answered twice and was at its limit of connections reset the new connection that takes the place of a used one, because it had not seen the end of the used one yet. The caller got 502, and the worker counted as unreachable, so that the callers after it got 503 until it was probed.

Cause: since the pool closes the used connection and connects at once. Nothing orders the two at the worker.

The node shuts down its side and connects when the worker has closed its own, which takes one round trip. A worker that keeps its side open costs 50 ms for each such request.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.serving.forward
 
 import io.netty.buffer.ByteBufUtil
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpObject
@@ -10,6 +11,8 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.internal.net.NetSocketInternal
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * A connection to the worker with the id [worker] at [address], used for one request at a time.
@@ -34,6 +37,7 @@
     private var interimResponses = 0
     private var lastMethod: HttpMethod? = null
     private val sentIds = SentRequestIds(MAXIMUM_REQUESTS)
+    private val closed = CompletableDeferred<Unit>()
 
     /** Id of the latest request, or null before the first one. */
     var lastRequest: String? = null
@@ -68,7 +72,10 @@
             .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::reportEnd, ::onLost))
         // Failures are reported by the handler of responses.
         socket.exceptionHandler { }
-        socket.closeHandler { isClosed = true }
+        socket.closeHandler {
+            isClosed = true
+            closed.complete(Unit)
+        }
     }
 
     /** Sends [request]; its response and the loss of the connection are passed to [receiver]. */
@@ -106,6 +113,22 @@
         socket.close()
     }
 
+    /**
+     * Closes the connection and waits up to [timeoutMillis] until the worker has closed it as well.
+     *
+     * A worker at the limit of its connections accepts another one only when it has seen the end of this one.
+     */
+    suspend fun closeOnBothSides(timeoutMillis: Long) {
+        receiver = null
+        isClosed = true
+        try {
+            (socket.channelHandlerContext().channel() as DuplexChannel).shutdownOutput()
+            withTimeoutOrNull(timeoutMillis) { closed.await() }
+        } finally {
+            socket.close()
+        }
+    }
+
     private fun onMessage(message: HttpObject) {
         val receiver = receiver ?: return
         if (message.decoderResult().isFailure) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -51,7 +51,7 @@
         val mayLoseResponse = !mayRepeat && !reused.isUnused
         if (!mayLoseResponse || !misattributions.isSuspect(worker.id)) return reused
         // The new connection takes the place of the old one, because workers limit the number of their connections.
-        reused.close()
+        reused.closeOnBothSides(CLOSE_TIMEOUT_MILLIS)
         return connect(worker)
     }
 
@@ -164,6 +164,9 @@
         // packet, because it is retransmitted only after a second.
         const val CONNECT_TIMEOUT_MILLIS = 400L
 
+        // More than ten times the network delay between zones. A worker that keeps its side open costs this time.
+        const val CLOSE_TIMEOUT_MILLIS = 50L
+
         // Applies when the worker does not state its keep-alive time.
         const val DEFAULT_KEEP_ALIVE_MILLIS = 4_000L
 
