--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/TokenCollector.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/TokenCollector.kt
@@ -131,13 +131,13 @@
         // A shortage of this time is no more than the delay of messages.
         const val MAXIMUM_WAIT_MILLIS = 20L
 
-        // A part of the loans returns while the messages are on their way.
+        // The loans begin to return while the messages are on their way, at most at the rate of all nodes.
         const val SURPLUS_SECONDS = 0.01
 
         // Smaller loans cost more messages than the even refill is worth.
         const val MINIMUM_PART = 0.02
 
-        // A share of a third of a fleet of 91 nodes in each round, so that three rounds reach all of them.
+        // About a third of a fleet of 91 nodes, so that three rounds reach all of them.
         const val MAXIMUM_LENDERS = 32
 
         // The time for which a request waits for other nodes.
