Find a second response without an id behind any visible character that introduces no quotation

A second response without an id behind a body that ends with a semicolon, a question mark and the like became a part of the body: only letters, digits and closing marks counted as the end of a text. Now all visible characters count that introduce no quotation.

SecondResponseFinderTest: the two cases behind a semicolon and a question mark failed before; quotations behind a colon and an equals sign are passed on.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -66,7 +66,7 @@
          * Identifies a head inside a body; returns null if it is a part of the body, such as a quotation.
          *
          * @param ids the request ids that the head states
-         * @param isDirectlyBehindText whether a letter, a digit or a closing mark precedes the status line
+         * @param isDirectlyBehindText whether a character precedes the status line that ends a text and introduces no quotation
          * @param isEnded whether no more headers follow, because the head or the body ends
          */
         fun ofHeadInBody(
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/SecondResponseFinder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/SecondResponseFinder.kt
@@ -191,8 +191,11 @@
         private val headerLine = Regex("$HEADER_NAME:[^\r\n]*")
         private val headerBeginning = Regex("$HEADER_NAME(?::[^\r\n]*)?\r?")
 
-        // Quoted heads begin on a line or after a space, a quotation mark, an opening bracket or a tag.
+        // Quoted heads begin on a line, or behind a space or one of these. Letters of other scripts may be opening marks.
+        private const val MARKS_BEFORE_QUOTATIONS = "\"'`([{<>:|-*#=,"
+        private val visibleCharacters = '!'..'~'
+
         private fun isEndOfText(character: Char): Boolean =
-            character in 'a'..'z' || character in 'A'..'Z' || character in '0'..'9' || character in ".)]}"
+            character in visibleCharacters && character !in MARKS_BEFORE_QUOTATIONS
     }
 }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/SecondResponseFinderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/SecondResponseFinderTest.kt
@@ -33,6 +33,8 @@
             Case("at the beginning of the body", "", second),
             Case("without an id behind text", "good", unnamed),
             Case("without an id behind an object", "{\"a\":1}", unnamed),
+            Case("without an id behind a semicolon", "good;", unnamed),
+            Case("without an id behind a question mark", "good?", unnamed),
         )
         cases.forEach { case ->
             test("a head ${case.name} is found across any border between two segments") {
@@ -54,6 +56,8 @@
             "good" + second.replace("\r\n", "\n"),
             second.lines().joinToString("\r\n") { "> $it" },
             "It speaks HTTP/1.1",
+            "The server wrote:$unnamed",
+            "status=$unnamed",
         )
         quotations.forEachIndexed { index, text ->
             test("quotation $index is a part of the body across any border between two segments") {
