--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SecondResponsePlan.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SecondResponsePlan.kt
@@ -35,12 +35,11 @@
         isReset = random.nextInt(RESET) == 0,
     )
 
-    // Only in chunks can a first response be cut: with a length, the second one fills it up, and with neither, the end
-    // of the connection is that of the body.
+    // Without a length and chunks a first response can't be cut: the end of the connection is that of the body.
     private fun first(): ResponseForm {
         val content = FIRST_CONTENTS.random(random)
         return if (random.nextInt(BROKEN) == 0) {
-            ResponseForm(content, ResponseForm.Framing.CHUNKS, extent = bodyBytes())
+            ResponseForm(content, CUT_FRAMINGS.random(random), extent = bodyBytes())
         } else {
             ResponseForm(content, framing())
         }
@@ -67,6 +66,8 @@
         const val RESET = 10
         const val EXTENTS = 6
 
+        val CUT_FRAMINGS = listOf(ResponseForm.Framing.CHUNKS, ResponseForm.Framing.LENGTH)
+
         // Successes are the most frequent, so that enough requests are served.
         val FIRST_CONTENTS = listOf(
             ResponseForm.Content.SUCCESS,
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/SecondResponsePlanTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/SecondResponsePlanTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.datatest.withData
 import io.kotest.matchers.booleans.shouldBeTrue
 import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import org.poplarshift.standins.worker.ResponseFault
@@ -25,10 +26,13 @@
             drawn.count { it == ResponseFault.Failure(500) } shouldBeInRange 1_750..2_250
         }
 
-        test("a response is cut only in chunks when another one follows") {
-            twice.filter { it.first.extent != ResponseForm.Extent.Whole }.all {
-                it.first.framing == ResponseForm.Framing.CHUNKS
-            }.shouldBeTrue()
+        test(
+            "a response that another one follows is cut in chunks and with a length, but not where the connection ends it",
+        ) {
+            twice.filter {
+                it.first.extent != ResponseForm.Extent.Whole
+            }.map { it.first.framing }.distinct() shouldContainExactlyInAnyOrder
+                listOf(ResponseForm.Framing.CHUNKS, ResponseForm.Framing.LENGTH)
         }
 
         data class Case(val name: String, val matches: (ResponseFault.Twice) -> Boolean)
