Use responses with a header that states a protocol version

All responses of a worker behind a gateway that adds "Via: HTTP/1.1 NAME" were refused as joined heads: callers got 502, or the response of another worker.

Cause: the check for a second status line looked for "HTTP/1." anywhere in the values of headers. It now looks for a version and a status, which a whole status line has; the status line of a head that was joined is always whole.

The new case of ResponseIdentityTest failed for all 5 kinds of requests before. Its 275 cases and the 90 of ForeignBytesTest pass, with those of joined heads.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -25,6 +25,9 @@
         /** The text that every status line begins with. */
         const val STATUS_LINE_START = "HTTP/1."
 
+        // A gateway may state a protocol version in the header Via, which no status follows.
+        private val statusLine = Regex("HTTP/1\\.\\d \\d{3}")
+
         /** Identifies the response with [status], [reasonPhrase] and [headers], received while [requestId] waits. */
         fun of(
             requestId: String,
@@ -84,6 +87,6 @@
 
         private fun hasSecondStatusLine(reasonPhrase: String, headers: MultiMap): Boolean =
             STATUS_LINE_START in reasonPhrase ||
-                headers.any { (name, value) -> STATUS_LINE_START in name || STATUS_LINE_START in value }
+                headers.any { (name, value) -> STATUS_LINE_START in name || statusLine.containsMatchIn(value) }
     }
 }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/ResponseIdentityTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/ResponseIdentityTest.kt
@@ -147,6 +147,9 @@
             Case("several interim responses") { request, _ ->
                 write("$interimHead\r\n" + head(request, "103 Early Hints") + "$interimHead\r\n" + sound(request))
             },
+            Case("the protocol version of a gateway") { request, _ ->
+                write(sound(request).replaceFirst(STAMP, STAMP + "Via: HTTP/1.1 gateway\r\n"))
+            },
             Case("the response twice") { request, _ -> write(sound(request) + sound(request)) },
             Case("the response twice, late") { request, _ -> beforeOwn(request, sound(request)) },
         )
