Break a stream off at an event that contains the head of another response

A worker that broke a stream off inside an event of a chunk and wrote a second response without an id gave its caller an event with the second status line in its data; a resumable stream and an item then went on after that event and ended as complete.

A status line was looked for at the beginning of events and, in streams without a length, of lines. An event now also breaks the stream off if a line with the beginning of a status line is followed by a line that is no field of an event.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventSplitter.kt
@@ -81,8 +81,16 @@
  * @property id the event id, or null when the event has no numeric id
  * @property data the values of the data lines joined by line feeds, or null when the event has none
  * @property statusLine the first line that begins a response, which no field of an event does, or null
+ * @property containsHead whether a line that contains the beginning of a response is followed by one that is no field of an
+ *   event, as in an event that was broken off and continued by the head of another response
  */
-class StreamEvent(val bytes: Buffer, val id: Long?, val data: String?, val statusLine: String? = null) {
+class StreamEvent(
+    val bytes: Buffer,
+    val id: Long?,
+    val data: String?,
+    val statusLine: String? = null,
+    val containsHead: Boolean = false,
+) {
     /** Whether the event has neither an id nor data, such as a comment that keeps the connection open. */
     val isEmpty: Boolean
         get() = id == null && data == null
@@ -97,8 +105,12 @@
         fun parse(bytes: Buffer): StreamEvent {
             var id: Long? = null
             var statusLine: String? = null
+            var containsHead = false
+            var isBehindStart = false
             val data = ArrayList<String>(1)
             for (line in bytes.toString(Charsets.UTF_8).lineSequence()) {
+                containsHead = containsHead || (isBehindStart && isForeign(line))
+                isBehindStart = ResponseIdentity.STATUS_LINE_START in line
                 if (statusLine == null && line.startsWith(ResponseIdentity.STATUS_LINE_START)) statusLine = line
                 val value = line.substringAfter(':', "").removePrefix(" ")
                 when (line.substringBefore(':')) {
@@ -106,7 +118,13 @@
                     "data" -> data += value
                 }
             }
-            return StreamEvent(bytes, id, data.takeIf { it.isNotEmpty() }?.joinToString("\n"), statusLine)
+            val text = data.takeIf { it.isNotEmpty() }?.joinToString("\n")
+            return StreamEvent(bytes, id, text, statusLine, containsHead)
         }
+
+        // An empty field name begins a comment.
+        private fun isForeign(line: String): Boolean = line.isNotEmpty() && line.substringBefore(':') !in FIELD_NAMES
+
+        private val FIELD_NAMES = setOf("", "data", "event", "id", "retry")
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/EventStreamReader.kt
@@ -93,7 +93,7 @@
     private fun failureAt(event: StreamEvent): EventStreamPart? {
         val previous = lastEventId
         return when {
-            event.isResponseHead || (event.statusLine != null && exchange.endsWithConnection) -> {
+            event.isResponseHead || event.containsHead || (event.statusLine != null && exchange.endsWithConnection) -> {
                 exchange.onSecondResponse(ResponseIdentity.secondResponse("${event.statusLine} inside a stream"))
                 EventStreamPart.BrokenOff("another response inside the stream", isConnectionLost = false)
             }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/FilledBodyTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/FilledBodyTest.kt
@@ -53,10 +53,12 @@
         } + seconds.filterKeys { "an id" !in it && "another node" !in it }.map { (name, second) ->
             Case(name, missing = null, second = second)
         }
+        val streamKinds = RequestKind.entries.filter { !it.isPlain }
+        fun onlyHead(response: String) = response.substringBefore("\r\n\r\n") + "\r\n\r\n"
         val streams = listOf(
-            Case("an error inside a chunk", missing = 400, kinds = RequestKind.entries.filter { !it.isPlain }) {
-                error(it, 500) + "x".repeat(400)
-            },
+            Case("an error inside a chunk", missing = 400, kinds = streamKinds) { error(it, 500) + "x".repeat(400) },
+            Case("the head of an error", missing = null, kinds = streamKinds) { onlyHead(error(it, 500)) },
+            Case("the head of an error without an id", missing = null, kinds = streamKinds) { onlyHead(nameless(it)) },
         )
 
         fun plainSteps(request: RawRequest, case: Case): List<RawStep> {
@@ -67,10 +69,10 @@
         }
 
         fun streamSteps(request: RawRequest, case: Case): List<RawStep> {
-            val own = soundBody(request.id, isPlain = false)
+            val own = soundBody(request.id, isPlain = false).dropLast(CUT_BYTES)
             val second = case.second(request)
             val size = Integer.toHexString(own.length + (case.missing ?: second.length))
-            return listOf(Write(head(request, more = STAMP + CHUNKED) + "$size\r\n$own"), Write(second))
+            return listOf(Write(head(request, more = STAMP + CHUNKED) + "$size\r\n$own"), Write(second + "bad"))
         }
 
         val fleet = FaultyWorkerFleet()
@@ -104,10 +106,19 @@
                     withClue("the faulty worker got it") { service.faulty.requests.any { it.id == id } shouldBe true }
                     when {
                         kind.mayRepeat -> response shouldBe fleet.ownResponse(service, id)
-                        response.status == 200 -> response.isComplete shouldBe false
+                        response.status == 200 -> {
+                            response.isComplete shouldBe false
+                            response.body shouldBe soundBody(id, isPlain = false).take(response.body.length)
+                        }
+
                         else -> response.status shouldBe 502
                     }
                 }
             }
         }
-    })
+    }) {
+    private companion object {
+        // The end of the last event and the last letters of its text.
+        const val CUT_BYTES = 4
+    }
+}
