Don't count an item's error whose body is malformed

An item was given up after an error whose body broke off inside a chunk and was followed by a second response, a success: it is not known which of the two is the worker's word. That held already where the second response was found; bytes that made the body malformed counted as the end of a usable error.

SecondItemResponseTest: both new cases failed before.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -123,8 +123,8 @@
 
                 ResponsePart.End -> return BodyResult.Complete(body)
                 is ResponsePart.ConnectionLost -> return BodyResult.Incomplete(part.reason, isConnectionLost = true)
-                is ResponsePart.Malformed -> return BodyResult.Incomplete(part.reason)
-                is ResponsePart.Foreign -> return BodyResult.Incomplete(part.identity.reason, hasSecondResponse = true)
+                is ResponsePart.Malformed -> return BodyResult.Incomplete(part.reason, isStatusInDoubt = true)
+                is ResponsePart.Foreign -> return BodyResult.Incomplete(part.identity.reason, isStatusInDoubt = true)
                 ResponsePart.TimedOut -> return BodyResult.Incomplete("silent within the body")
             }
         }
@@ -214,11 +214,12 @@
     /**
      * The body was not received completely.
      *
-     * @property hasSecondResponse whether a second response follows the body, so that its status is in doubt as well
+     * @property isStatusInDoubt whether other bytes follow the beginning of the body, so that the worker may have answered
+     *   twice
      */
     data class Incomplete(
         val reason: String,
         val isConnectionLost: Boolean = false,
-        val hasSecondResponse: Boolean = false,
+        val isStatusInDoubt: Boolean = false,
     ) : BodyResult
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -175,12 +175,12 @@
         retryMillis = forwarding.clock.millis() + RETRY_MILLIS
     }
 
-    /** Reads the body of an error response. Returns false if a second response follows, so that neither counts. */
+    /** Reads the body of an error response. Returns false if other bytes follow it, so that the error does not count. */
     private suspend fun discardBody(attempt: Attempt): Boolean {
         val body = attempt.exchange.readAll(ERROR_BODY_TIMEOUT_MILLIS, MAXIMUM_ERROR_BODY_BYTES)
         if (body is BodyResult.Incomplete) logger.debug { "batch: body of an error response not read: ${body.reason}" }
         attempt.close()
-        return body !is BodyResult.Incomplete || !body.hasSecondResponse
+        return body !is BodyResult.Incomplete || !body.isStatusInDoubt
     }
 
     private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SecondItemResponseTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SecondItemResponseTest.kt
@@ -3,9 +3,12 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import org.poplarshift.serving.fixture.FaultyWorkerFleet
+import org.poplarshift.serving.fixture.RawRequest
+import org.poplarshift.serving.fixture.RawResponses.CHUNKED
 import org.poplarshift.serving.fixture.RawResponses.error
 import org.poplarshift.serving.fixture.RawResponses.head
 import org.poplarshift.serving.fixture.RawResponses.sound
+import org.poplarshift.serving.fixture.RawResponses.withIdLines
 import org.poplarshift.serving.fixture.RawStep
 import org.poplarshift.serving.fixture.RawStep.Write
 import org.poplarshift.serving.fixture.RequestKind
@@ -16,8 +19,23 @@
  */
 class SecondItemResponseTest :
     FunSpec({
-        data class Case(val name: String, val status: Int)
-        val cases = listOf(Case("a failed run", 500), Case("an item that can't be done", 422))
+        fun nameless(request: RawRequest) = withIdLines(sound(request), "")
+
+        data class Case(
+            val name: String,
+            val status: Int,
+            val framing: String = "",
+            val chunk: String = "",
+            val second: (RawRequest) -> String = {
+                sound(it)
+            },
+        )
+        val cases = listOf(
+            Case("a failed run", 500),
+            Case("an item that can't be done", 422),
+            Case("a failed run whose body is cut inside a chunk", 500, CHUNKED, "40\r\n", ::nameless),
+            Case("an item that can't be done, whose body is cut inside a chunk,", 422, CHUNKED, "40\r\n", ::nameless),
+        )
         val fleet = FaultyWorkerFleet()
         val services = HashMap<Case, FaultyWorkerFleet.Service>()
 
@@ -31,8 +49,9 @@
                     // One counted error, which together with another one would reach the limit of two.
                     respondElsewhere = { listOf(Write(error(it, 500))).takeIf { runsElsewhere++ == 0 } },
                 ) { request ->
-                    val first = head(request, "${case.status} Error", "Stamp: 1\r\n") + "bad ${request.id}"
-                    listOf(Write(first + sound(request)), RawStep.Close).takeIf { runs++ == 0 }
+                    val start = head(request, "${case.status} Error", "Stamp: 1\r\n" + case.framing)
+                    val first = "$start${case.chunk}bad ${request.id}"
+                    listOf(Write(first + case.second(request)), RawStep.Close).takeIf { runs++ == 0 }
                 }
             }
             fleet.start()
