--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/SentRequestIds.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/SentRequestIds.kt
@@ -9,7 +9,10 @@
  */
 internal class SentRequestIds(private val limit: Int) {
     private var hashCodes = IntArray(INITIAL_CAPACITY)
-    private var size = 0
+
+    /** Number of remembered ids. */
+    var size = 0
+        private set
 
     /** Whether another id can be remembered. */
     val isFull: Boolean
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -44,12 +44,12 @@
         private set
 
     /** Number of requests that were sent on the connection. */
-    var sentRequests = 0
-        private set
+    val sentRequests: Int
+        get() = sentIds.size
 
     /** Whether no request was sent yet. */
     val isUnused: Boolean
-        get() = lastRequest == null
+        get() = sentRequests == 0
 
     /** Whether the connection was closed because of bytes that belong to no request. */
     var hasForeignBytes = false
@@ -88,7 +88,6 @@
 
     /** Sends [request]; its response and the loss of the connection are passed to [receiver]. */
     fun send(request: OutgoingRequest, receiver: ResponseReceiver) {
-        sentRequests++
         lastRequest = request.id
         sentIds.add(request.id)
         lastMethod = request.method
