--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
@@ -19,7 +19,7 @@
         val leaving: List<WorkerIncarnation> = emptyList(),
     ) : NodeMessage
 
-    /** Asks for a slot. See [SlotRequest]. */
+    /** Asks for a slot. See [SlotRequest]. A request with [needsToken] also asks for a token of its organisation's rate limit. */
     @Serializable
     @SerialName("acquire")
     data class Acquire(
@@ -29,12 +29,26 @@
         val onTimeInMillis: Long,
         val excludedWorkers: Set<String> = emptySet(),
         val mayRedirect: Boolean = true,
+        val organisation: String? = null,
+        val needsToken: Boolean = false,
+        val route: String? = null,
+        val size: RequestSize? = null,
+        val waitInMillis: Long? = null,
     ) : NodeMessage
 
-    /** Gives a slot up, or stops waiting for one. */
+    /** Gives a slot up, or stops waiting for one. [run] describes the run that used the slot, if there was one. */
     @Serializable
     @SerialName("release")
-    data class Release(val number: Long, val outcome: SlotOutcome = SlotOutcome.USED) : NodeMessage
+    data class Release(
+        val number: Long,
+        val outcome: SlotOutcome = SlotOutcome.USED,
+        val run: RunObservation? = null,
+    ) : NodeMessage
+
+    /** Work at [worker] takes [percent] of its usual time at this moment, as the worker states. */
+    @Serializable
+    @SerialName("slowness")
+    data class WorkerSlowness(val worker: String, val percent: Int) : NodeMessage
 
     /** The rate limit that [worker] has stated differs from the one in the grant; null if there is none any more. */
     @Serializable
@@ -95,6 +109,16 @@
     @SerialName("noWorker")
     data class NoWorker(val number: Long) : SchedulerMessage
 
+    /** The request is refused, because it could not get a slot in time. The caller may retry after [retryMillis]. */
+    @Serializable
+    @SerialName("refused")
+    data class Refused(val number: Long, val retryMillis: Long) : SchedulerMessage
+
+    /** The request exceeds the rate limit of its organisation. The caller may retry after [retryMillis]. */
+    @Serializable
+    @SerialName("rateExceeded")
+    data class RateExceeded(val number: Long, val retryMillis: Long) : SchedulerMessage
+
     /** The batch item that uses the slot must give it up. */
     @Serializable
     @SerialName("preempted")
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotRequest.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotRequest.kt
@@ -26,6 +26,10 @@
  *   the target latency, for batch items the time at which the result is due
  * @property excludedWorkers ids of workers that must not be chosen
  * @property mayRedirect whether the request may be sent to another availability zone
+ * @property organisation the organisation that the request belongs to, or null if it is not known
+ * @property route name of the route, or null if it is not known
+ * @property size the size of a request to an inference engine, or null
+ * @property waitUntilMillis monotonic time in milliseconds until which the request waits, or null if it is not known
  */
 data class SlotRequest(
     val key: SlotKey,
@@ -34,6 +38,10 @@
     val onTimeUntilMillis: Long,
     val excludedWorkers: Set<String> = emptySet(),
     val mayRedirect: Boolean = true,
+    val organisation: String? = null,
+    val route: String? = null,
+    val size: RequestSize? = null,
+    val waitUntilMillis: Long? = null,
 )
 
 /** A slot that is in use. */
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
@@ -71,7 +71,7 @@
             is NodeMessage.Release -> onRelease(SlotKey(node, message.number), message.outcome, nowMillis)
             is NodeMessage.RateLimit -> workers.state(message.worker)?.onRateLimit(message.requestsPerSecond, nowMillis)
             is NodeMessage.Leaving -> onLeaving(listOf(message.worker))
-            is NodeMessage.Hello, NodeMessage.Alive -> Unit
+            is NodeMessage.WorkerSlowness, is NodeMessage.Hello, NodeMessage.Alive -> Unit
         }
     }
 
@@ -105,6 +105,10 @@
             onTimeUntilMillis = nowMillis + message.onTimeInMillis,
             excludedWorkers = message.excludedWorkers,
             mayRedirect = message.mayRedirect,
+            organisation = message.organisation,
+            route = message.route,
+            size = message.size,
+            waitUntilMillis = message.waitInMillis?.let { nowMillis + it },
         )
         when (val decision = queue.submit(request, nowMillis)) {
             is SlotDecision.Granted -> send(node, decision.toMessage(message.number))
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
@@ -13,6 +13,8 @@
  * @property mayRepeat whether the request goes on at another worker when one may have run it
  * @property mayCrashWorkers whether the request may be the cause when workers crash while they run it, so that it is
  *   refused after several crashes
+ * @property route name of the route, or null
+ * @property isRateLimited whether the request needs a token of its organisation's rate limit
  */
 class AttemptPlan(
     val id: String,
@@ -26,6 +28,8 @@
     val maximumAttempts: Int,
     val mayRepeat: Boolean,
     val mayCrashWorkers: Boolean = true,
+    val route: String? = null,
+    val isRateLimited: Boolean = false,
 ) {
     /** Identifies the request when it is repeated with another id. */
     val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { RequestFingerprint.of(organisation, uri, body) }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptResult.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptResult.kt
@@ -8,7 +8,10 @@
     class Responded(val attempt: Attempt, val head: ResponseHead, val headers: MultiMap) : AttemptResult
 
     /** No worker ran the request in this attempt. */
-    data class NotRun(val reason: String) : AttemptResult
+    data class NotRun(val reason: String, val retryMillis: Long? = null) : AttemptResult
+
+    /** The request exceeds the rate limit of its organisation and was not sent. */
+    data class RateExceeded(val retryMillis: Long) : AttemptResult
 
     /** The request has crashed several workers and was not sent. */
     data object Quarantined : AttemptResult
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.poplarshift.core.dispatch.FleetWorker
+import org.poplarshift.core.dispatch.RequestSize
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.core.quarantine.SuspectStatus
@@ -17,6 +18,7 @@
     private var headMillis = 0L
     private var connectionLabel = ""
     private var isAnswered = false
+    private var hasToken = false
 
     /** Number of attempts after which a worker may have run the request. */
     var possibleRuns = 0
@@ -47,6 +49,8 @@
         forwarding.protocol.sharedPromptParts(plan.headers)
     }
 
+    private val size: RequestSize? by lazy(LazyThreadSafetyMode.NONE) { forwarding.protocol.requestSize(plan.headers) }
+
     /** Whether the maximum number of attempts has not been reached. */
     val hasAttemptsLeft: Boolean
         get() = possibleRuns < plan.maximumAttempts
@@ -67,15 +71,11 @@
         val waitDeadlineMillis = clock.millis() + request.waitMillis
         var refusals = 0
         while (true) {
-            val waitMillis = minOf(waitDeadlineMillis, plan.deadlineMillis) - clock.millis()
-            val dispatchRequest = request.copy(
-                excludedWorkers = excludedWorkers + request.excludedWorkers,
-                waitMillis = waitMillis,
-            )
-            val slot = when (val result = acquire(dispatchRequest)) {
+            val slot = when (val result = acquire(request, waitDeadlineMillis)) {
                 is DispatchResult.Assigned -> result.slot
                 DispatchResult.NoWorker -> return notAssigned(if (refusals > 0) "workers_full" else "no_worker")
-                DispatchResult.NoCapacity -> return notAssigned("no_room")
+                is DispatchResult.NoCapacity -> return notAssigned("no_room", result.retryMillis)
+                is DispatchResult.RateExceeded -> return rateExceeded(result.retryMillis)
             }
             if (isRefused()) {
                 forwarding.dispatcher.release(slot, SlotOutcome.UNUSED)
@@ -126,9 +126,20 @@
         return true
     }
 
-    private suspend fun acquire(request: DispatchRequest): DispatchResult {
+    private suspend fun acquire(request: DispatchRequest, waitDeadlineMillis: Long): DispatchResult {
         val startMillis = clock.millis()
-        return forwarding.dispatcher.acquire(request).also { waitedMillis += clock.millis() - startMillis }
+        val dispatchRequest = request.copy(
+            excludedWorkers = excludedWorkers + request.excludedWorkers,
+            waitMillis = minOf(waitDeadlineMillis, plan.deadlineMillis) - startMillis,
+            organisation = plan.organisation,
+            needsToken = plan.isRateLimited && !hasToken,
+            route = plan.route,
+            size = size,
+        )
+        return forwarding.dispatcher.acquire(dispatchRequest).also {
+            waitedMillis += clock.millis() - startMillis
+            if (it is DispatchResult.Assigned) hasToken = true
+        }
     }
 
     private fun recordConnectionLoss(worker: FleetWorker) = forwarding.crashTracker.onConnectionLost(
@@ -143,9 +154,14 @@
         ),
     )
 
-    private fun notAssigned(reason: String): AttemptResult {
+    private fun rateExceeded(retryMillis: Long): AttemptResult {
+        notAssigned("rate")
+        return AttemptResult.RateExceeded(retryMillis)
+    }
+
+    private fun notAssigned(reason: String, retryMillis: Long? = null): AttemptResult {
         trace += "$reason(${forwarding.dispatcher.describe(plan.service)})"
-        return AttemptResult.NotRun(reason)
+        return AttemptResult.NotRun(reason, retryMillis)
     }
 
     private suspend fun sendTo(slot: AssignedSlot, headTimeoutMillis: Long, resumeAfter: Long?): AttemptResult {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -1,5 +1,7 @@
 package org.poplarshift.serving.forward
 
+import org.poplarshift.core.dispatch.RequestSize
+import org.poplarshift.core.dispatch.RunObservation
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.dispatch.WorkerState
@@ -13,6 +15,10 @@
  * @property onTimeUntilMillis latest monotonic time in milliseconds of a dispatch that meets the target latency, or the
  *   time at which a batch item is due
  * @property onPreempt called when a batch item must give up its slot
+ * @property organisation the organisation that the request belongs to, or null
+ * @property needsToken whether the request needs a token of its organisation's rate limit
+ * @property route name of the route, or null
+ * @property size the size of a request to an inference engine, or null
  */
 data class DispatchRequest(
     val service: String,
@@ -22,6 +28,10 @@
     val excludedWorkers: Set<String> = emptySet(),
     val onTimeUntilMillis: Long = Long.MAX_VALUE / 2,
     val onPreempt: () -> Unit = {},
+    val organisation: String? = null,
+    val needsToken: Boolean = false,
+    val route: String? = null,
+    val size: RequestSize? = null,
 )
 
 /** The outcome of a [DispatchRequest]. */
@@ -32,8 +42,11 @@
     /** The service has no worker that could serve the request, even after waiting. */
     data object NoWorker : DispatchResult
 
-    /** No worker had a free slot within the wait time. */
-    data object NoCapacity : DispatchResult
+    /** No worker had a free slot within the wait time, or none can be expected. The caller may retry after [retryMillis]. */
+    data class NoCapacity(val retryMillis: Long? = null) : DispatchResult
+
+    /** The request exceeds the rate limit of its organisation. The caller may retry after [retryMillis]. */
+    data class RateExceeded(val retryMillis: Long) : DispatchResult
 }
 
 /**
@@ -65,8 +78,8 @@
     /** Reserves a slot at a worker; waits up to [DispatchRequest.waitMillis] when all workers are full. */
     suspend fun acquire(request: DispatchRequest): DispatchResult
 
-    /** Releases [slot] and reports the [outcome] of its use. */
-    fun release(slot: AssignedSlot, outcome: SlotOutcome = SlotOutcome.USED)
+    /** Releases [slot] and reports the [outcome] of its use and the [run], if there was one. */
+    fun release(slot: AssignedSlot, outcome: SlotOutcome = SlotOutcome.USED, run: RunObservation? = null)
 
     /** Records the rate limit in requests per second that the worker of [slot] states, or null if it states none. */
     fun onRateLimit(slot: AssignedSlot, requestsPerSecond: Double?)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -57,8 +57,11 @@
     /** The worker's complete response was forwarded. */
     data class Delivered(val status: Int, val worker: String) : OnlineOutcome
 
-    /** No worker has run the request, and none will. */
-    data class Refused(val reason: String) : OnlineOutcome
+    /** No worker has run the request, and none will. The caller may retry after [retryMillis], if it is known. */
+    data class Refused(val reason: String, val retryMillis: Long? = null) : OnlineOutcome
+
+    /** The request exceeds the rate limit of its organisation, and no worker has run it or will. */
+    data class RateExceeded(val retryMillis: Long) : OnlineOutcome
 
     /** A worker may have run the request; no response was started. */
     data class Failed(val reason: String, val isTimeout: Boolean) : OnlineOutcome
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -26,7 +26,8 @@
                 onTimeUntilMillis = dispatchDeadlineMillis(call),
             )
             when (val result = session.attempt(request, headTimeoutMillis(call, session), resumeAfter = null)) {
-                is AttemptResult.NotRun -> return notRunOutcome(session, result.reason)
+                is AttemptResult.NotRun -> return notRunOutcome(session, result.reason, result.retryMillis)
+                is AttemptResult.RateExceeded -> return OnlineOutcome.RateExceeded(result.retryMillis)
                 AttemptResult.Quarantined -> return notRunOutcome(session, OnlineOutcome.QUARANTINED)
                 is AttemptResult.MayHaveRun ->
                     if (!canRetry(call, session)) return OnlineOutcome.Failed(result.reason, result.isTimeout)
@@ -85,11 +86,12 @@
     private fun canRetry(call: OnlineCall, session: AttemptSession): Boolean =
         call.route.mayRepeat && session.hasAttemptsLeft && session.remainingMillis > MINIMUM_ATTEMPT_MILLIS
 
-    private fun notRunOutcome(session: AttemptSession, reason: String): OnlineOutcome = if (session.possibleRuns == 0) {
-        OnlineOutcome.Refused(reason)
-    } else {
-        OnlineOutcome.Failed(reason, isTimeout = false)
-    }
+    private fun notRunOutcome(session: AttemptSession, reason: String, retryMillis: Long? = null): OnlineOutcome =
+        if (session.possibleRuns == 0) {
+            OnlineOutcome.Refused(reason, retryMillis)
+        } else {
+            OnlineOutcome.Failed(reason, isTimeout = false)
+        }
 
     private fun queueWaitMillis(session: AttemptSession): Long = (session.remainingMillis * QUEUE_WAIT_SHARE).toLong()
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -29,7 +29,8 @@
                 onTimeUntilMillis = OnlineForwarder.dispatchDeadlineMillis(call),
             )
             when (val result = session.attempt(request, headTimeoutMillis(), lastEventId)) {
-                is AttemptResult.NotRun -> return failureOutcome(result.reason, isTimeout = false)
+                is AttemptResult.NotRun -> return failureOutcome(result.reason, isTimeout = false, result.retryMillis)
+                is AttemptResult.RateExceeded -> return OnlineOutcome.RateExceeded(result.retryMillis)
                 AttemptResult.Quarantined -> return failureOutcome(OnlineOutcome.QUARANTINED, isTimeout = false)
                 is AttemptResult.MayHaveRun ->
                     if (!canResume()) return failureOutcome(result.reason, result.isTimeout)
@@ -113,9 +114,9 @@
         return OnlineOutcome.Delivered(status, worker)
     }
 
-    private fun failureOutcome(reason: String, isTimeout: Boolean): OnlineOutcome = when {
+    private fun failureOutcome(reason: String, isTimeout: Boolean, retryMillis: Long? = null): OnlineOutcome = when {
         isStreamStarted -> OnlineOutcome.Aborted(reason)
-        session.possibleRuns == 0 -> OnlineOutcome.Refused(reason)
+        session.possibleRuns == 0 -> OnlineOutcome.Refused(reason, retryMillis)
         else -> OnlineOutcome.Failed(reason, isTimeout)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -1,6 +1,7 @@
 package org.poplarshift.serving.forward
 
 import io.vertx.core.MultiMap
+import org.poplarshift.core.dispatch.RequestSize
 
 /** Maps the headers of requests and responses between nodes and workers. */
 interface WorkerProtocol {
@@ -15,6 +16,9 @@
      */
     fun sharedPromptParts(headers: MultiMap): List<String>
 
+    /** Returns the size that [headers] state for a request to an inference engine, or null if they state none. */
+    fun requestSize(headers: MultiMap): RequestSize? = null
+
     /** Returns all values of the header that states the id of the request that a response belongs to. */
     fun responseRequestIds(headers: MultiMap): List<String>
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -135,6 +135,7 @@
             deadlineMillis = call.deadlineMillis,
             maximumAttempts = attempts,
             mayRepeat = call.route.mayRepeat,
+            route = call.route.name,
         )
     }
 
@@ -160,9 +161,11 @@
             if (outcome.reason == OnlineOutcome.QUARANTINED) {
                 Refusal.QUARANTINED
             } else {
-                Refusal.workersUnavailable(outcome.reason)
+                Refusal.workersUnavailable(outcome.reason, outcome.retryMillis)
             }
 
+        is OnlineOutcome.RateExceeded -> Refusal.rateExceeded(outcome.retryMillis)
+
         is OnlineOutcome.Failed -> Refusal(if (outcome.isTimeout) GATEWAY_TIMEOUT else BAD_GATEWAY, outcome.reason)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
@@ -23,7 +23,8 @@
         val OUTCOME_UNKNOWN = Refusal(504, "outcome_unknown")
 
         /** All workers are full or can't be reached. */
-        fun workersUnavailable(reason: String) = Refusal(503, reason, WORKERS_UNAVAILABLE_RETRY_MILLIS)
+        fun workersUnavailable(reason: String, retryMillis: Long? = null) =
+            Refusal(503, reason, retryMillis ?: WORKERS_UNAVAILABLE_RETRY_MILLIS)
 
         /** The organisation has exceeded its rate limit. */
         fun rateExceeded(retryMillis: Long) = Refusal(429, "rate", retryMillis)
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.NodeMessage
+import org.poplarshift.core.dispatch.RunObservation
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.SlotUse
@@ -57,8 +58,10 @@
         var hops = 0
         while (true) {
             if (!workers.hasWorker(request.service, excluded)) return DispatchResult.NoWorker
-            val message = message(request, excluded, mayRedirect = hops < MAXIMUM_HOPS)
             val waitMillis = deadlineMillis - clock.millis()
+            // The scheduler that redirects a request has taken the token.
+            val needsToken = request.needsToken && hops == 0
+            val message = message(request, excluded, waitMillis, mayRedirect = hops < MAXIMUM_HOPS, needsToken)
             when (val result = link(zone, request.service).acquire(message, waitMillis)) {
                 is LinkResult.Granted -> {
                     use(zone, request, message.number, result)?.let { return DispatchResult.Assigned(it) }
@@ -70,25 +73,23 @@
                     zone = result.zone
                 }
 
-                LinkResult.NoCapacity -> return DispatchResult.NoCapacity
-                LinkResult.NoWorker ->
-                    if (zone == self.zone) return acquireAlone(request, excluded, waitMillis) else zone = self.zone
-
-                LinkResult.Unavailable -> {
+                is LinkResult.NoCapacity -> return DispatchResult.NoCapacity(result.retryMillis)
+                is LinkResult.RateExceeded -> return DispatchResult.RateExceeded(result.retryMillis)
+                LinkResult.NoWorker, LinkResult.Unavailable -> {
                     if (zone == self.zone) return acquireAlone(request, excluded, waitMillis)
                     zone = self.zone
-                    hops = MAXIMUM_HOPS
+                    if (result == LinkResult.Unavailable) hops = MAXIMUM_HOPS
                 }
             }
         }
     }
 
-    override fun release(slot: AssignedSlot, outcome: SlotOutcome) {
+    override fun release(slot: AssignedSlot, outcome: SlotOutcome, run: RunObservation?) {
         if (slot.zone == null) {
-            ownSchedulers.getValue(slot.service).link.release(slot.number, outcome)
+            ownSchedulers.getValue(slot.service).link.release(slot.number, outcome, run)
         } else {
             slot.target.onEnded(slot.isBatch)
-            link(slot.zone, slot.service).release(slot.number, outcome)
+            link(slot.zone, slot.service).release(slot.number, outcome, run)
         }
     }
 
@@ -131,7 +132,7 @@
     ): DispatchResult {
         val own = ownSchedulers.getOrPut(request.service) { OwnScheduler(request.service) }
         own.onRequest()
-        val message = message(request, excluded, mayRedirect = false)
+        val message = message(request, excluded, waitMillis, mayRedirect = false, needsToken = false)
         return when (val result = own.link.acquire(message, waitMillis)) {
             is LinkResult.Granted -> {
                 val state = checkNotNull(workers.state(result.worker))
@@ -140,7 +141,9 @@
             }
 
             LinkResult.NoWorker, LinkResult.Unavailable -> DispatchResult.NoWorker
-            LinkResult.NoCapacity, is LinkResult.Redirected -> DispatchResult.NoCapacity
+            is LinkResult.RateExceeded -> DispatchResult.RateExceeded(result.retryMillis)
+            is LinkResult.NoCapacity -> DispatchResult.NoCapacity(result.retryMillis)
+            is LinkResult.Redirected -> DispatchResult.NoCapacity()
         }
     }
 
@@ -161,13 +164,24 @@
     private fun DispatchRequest.toSlot(number: Long, worker: String) =
         UsedSlot(number, use, worker, onTimeUntilMillis, onPreempt)
 
-    private fun message(request: DispatchRequest, excluded: Set<String>, mayRedirect: Boolean) = NodeMessage.Acquire(
+    private fun message(
+        request: DispatchRequest,
+        excluded: Set<String>,
+        waitMillis: Long,
+        mayRedirect: Boolean,
+        needsToken: Boolean,
+    ) = NodeMessage.Acquire(
         number = ++lastNumber,
         use = request.use,
         priority = request.priority,
         onTimeInMillis = request.onTimeUntilMillis - clock.millis(),
         excludedWorkers = excluded + unavailable(request.service),
         mayRedirect = mayRedirect,
+        organisation = request.organisation,
+        needsToken = needsToken,
+        route = request.route,
+        size = request.size,
+        waitInMillis = waitMillis,
     )
 
     // Schedulers know from the registry which workers are draining.
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.dispatch.HeldSlot
 import org.poplarshift.core.dispatch.NodeMessage
+import org.poplarshift.core.dispatch.RunObservation
 import org.poplarshift.core.dispatch.SchedulerMessage
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotScheduler
@@ -26,8 +27,11 @@
     /** No worker could serve the request. */
     data object NoWorker : LinkResult
 
-    /** No slot became free within the wait time. */
-    data object NoCapacity : LinkResult
+    /** No slot became free within the wait time, or none can be expected. The caller may retry after [retryMillis]. */
+    data class NoCapacity(val retryMillis: Long? = null) : LinkResult
+
+    /** The request exceeds the rate limit of its organisation. */
+    data class RateExceeded(val retryMillis: Long) : LinkResult
 
     /** The scheduler does not respond. */
     data object Unavailable : LinkResult
@@ -103,7 +107,7 @@
             if (!isAcknowledged) onSilence()
             val result = withTimeoutOrNull(waitMillis.coerceAtLeast(1)) { entry.result.await() }
             isDecided = result != null
-            return result ?: LinkResult.NoCapacity
+            return result ?: LinkResult.NoCapacity()
         } finally {
             pending.remove(request.number)
             if (!isDecided) channel?.let { send(it, NodeMessage.Release(request.number, SlotOutcome.UNUSED)) }
@@ -116,9 +120,9 @@
     }
 
     /** Gives up the slot [number]. */
-    fun release(number: Long, outcome: SlotOutcome) {
+    fun release(number: Long, outcome: SlotOutcome, run: RunObservation? = null) {
         slots.remove(number)
-        channel?.let { send(it, NodeMessage.Release(number, outcome)) }
+        channel?.let { send(it, NodeMessage.Release(number, outcome, run)) }
     }
 
     /** Tells the scheduler the rate limit of [worker]. */
@@ -208,6 +212,8 @@
             is SchedulerMessage.Granted -> onGranted(message)
             is SchedulerMessage.Queued -> pending[message.number]?.acknowledged?.complete(Unit)
             is SchedulerMessage.Redirected -> decide(message.number, LinkResult.Redirected(message.zone))
+            is SchedulerMessage.Refused -> decide(message.number, LinkResult.NoCapacity(message.retryMillis))
+            is SchedulerMessage.RateExceeded -> decide(message.number, LinkResult.RateExceeded(message.retryMillis))
             is SchedulerMessage.NoWorker -> decide(message.number, LinkResult.NoWorker)
             is SchedulerMessage.Preempted -> slots[message.number]?.onPreempt?.invoke()
             is SchedulerMessage.Leaving, SchedulerMessage.Alive -> Unit
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -109,7 +109,7 @@
         val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
         isWaiting = false
         when (result) {
-            is AttemptResult.NotRun, AttemptResult.Quarantined -> retryLater()
+            is AttemptResult.NotRun, is AttemptResult.RateExceeded, AttemptResult.Quarantined -> retryLater()
             is AttemptResult.MayHaveRun -> logger.debug {
                 "batch: item ${item.proposed.id} may have run: ${session.trace}"
             }
@@ -319,6 +319,7 @@
             maximumAttempts = proposal.maximumAttempts,
             mayRepeat = true,
             mayCrashWorkers = false,
+            route = proposal.route,
         )
         return AttemptSession(plan, forwarding)
     }
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -217,7 +217,7 @@
                         fixture.connections.last().receive(SchedulerMessage.Alive)
                     }
                 }
-                fixture.acquire() shouldBe DispatchResult.NoCapacity
+                fixture.acquire() shouldBe DispatchResult.NoCapacity()
                 val cancelled = launch(start = CoroutineStart.UNDISPATCHED) { fixture.acquire() }
                 runCurrent()
                 cancelled.cancelAndJoin()
