--- a/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/allowance/TokenBucketShare.kt
@@ -3,8 +3,8 @@
 /**
  * One node's share of an organisation's token bucket.
  *
- * Each node refills at an equal share of the organisation's rate up to an equal share of its burst, so that all nodes
- * together stay within both. Tokens move between nodes as loans. Where the borrower has no room for them within its own
+ * Each node refills at its share of the organisation's rate up to its share of the burst, so that all nodes together
+ * stay within both if their shares sum to at most 1. Tokens move between nodes as loans. Where the borrower has no room for them within its own
  * share, the room moves too: it lowers the lender's room, returns to it at the rate of its refill, and raises the
  * borrower's by what has not returned yet. Tokens for which the borrower has no room any more are dropped. The room of all
  * nodes together is therefore never more than the burst, also if a message is lost or late.
@@ -14,12 +14,12 @@
  *
  * @param ratePerSecond tokens per second of all nodes together
  * @param burst maximum number of tokens that all nodes together hold
- * @param nodes number of nodes that share the limit
+ * @param share the part of the limit that this node uses, from 0 to 1
  */
 class TokenBucketShare(
     private var ratePerSecond: Double,
     private var burst: Double,
-    private var nodes: Int,
+    private var share: Double,
     nowMillis: Long,
 ) {
     /** A loan and the time from which it counts. */
@@ -31,7 +31,7 @@
     private class Transit(val tokens: Double, val endMillis: Long)
 
     private var refilledMillis = nowMillis
-    private var tokens = minOf(capacity(), ratePerSecond / nodes * MINIMUM_RESTART_SECONDS)
+    private var tokens = minOf(capacity(), ratePerSecond * share * MINIMUM_RESTART_SECONDS)
 
     // Room that this node has lent and that has not returned yet.
     private var lent = capacity() - tokens
@@ -49,15 +49,19 @@
      * Changes the limits. If the share of this node becomes smaller, tokens above it are dropped. If it becomes larger,
      * the added room is available at the rate of the refill, because other nodes may still use it.
      */
-    fun update(ratePerSecond: Double, burst: Double, nodes: Int, nowMillis: Long) {
+    fun update(ratePerSecond: Double, burst: Double, share: Double, nowMillis: Long) {
         refill(nowMillis)
-        val isLower = ratePerSecond < this.ratePerSecond || burst < this.burst || nodes > this.nodes
+        val isLower = ratePerSecond < this.ratePerSecond || burst < this.burst || share < this.share
         val previousCapacity = capacity()
         this.ratePerSecond = ratePerSecond
         this.burst = burst
-        this.nodes = nodes
+        this.share = share
         val growth = capacity() - previousCapacity
-        lent = if (growth > 0) lent + growth else lent * capacity() / previousCapacity
+        lent = when {
+            growth > 0 -> lent + growth
+            growth < 0 -> lent * capacity() / previousCapacity
+            else -> lent
+        }
         if (isLower) {
             borrowed.clear()
             tokens = minOf(tokens, ownRoom())
@@ -67,24 +71,28 @@
     /** Consumes one token and returns true, or returns false if less than one token is available. */
     fun tryConsume(nowMillis: Long): Boolean {
         refill(nowMillis)
-        if (tokens < 1.0) return false
-        tokens -= 1.0
+        if (tokens < 1.0 - ROUNDING) return false
+        tokens = maxOf(0.0, tokens - 1.0)
         return true
     }
 
+    /** Returns a token that was consumed for a request which has not run. It is dropped if there is no room for it. */
+    fun giveBack(nowMillis: Long) {
+        refill(nowMillis)
+        tokens = minOf(tokens + 1.0, room(nowMillis))
+    }
+
     /**
-     * Lends up to [requested] tokens to a node that has room for [borrowerRoom] tokens of its own, or returns null if the
-     * loan would be too small.
+     * Lends tokens for [demand], or returns null if the loan would be too small.
      *
-     * A loan is at most half of the available tokens. A node with less than one token lends all, because it could not admit
-     * a request with them.
+     * Both nodes hold equally many afterwards, or the borrower holds more if requests wait there.
      */
-    fun lend(requested: Double, borrowerRoom: Double, nowMillis: Long): TokenLoan? {
+    fun lend(demand: TokenDemand, nowMillis: Long): TokenLoan? {
         refill(nowMillis)
-        val lendable = if (tokens < 1.0) tokens else tokens / 2
-        val amount = minOf(requested, lendable, ownRoom())
-        if (amount < MINIMUM_TRANSFER || ratePerSecond <= 0) return null
-        val transit = borrowerRoom.coerceIn(0.0, amount)
+        val lendable = maxOf(minOf(tokens, demand.needed), (tokens - demand.held) / 2)
+        val amount = minOf(demand.wanted, lendable, ownRoom())
+        if (amount < MINIMUM_TRANSFER || ratePerSecond <= 0 || share <= 0) return null
+        val transit = demand.room.coerceIn(0.0, amount)
         val loan = TokenLoan(amount, transit, millisToRefill(lent), millisToRefill(amount - transit))
         tokens -= amount
         lent += amount - transit
@@ -106,18 +114,18 @@
         if (borrowed.size > MAXIMUM_BORROWED) borrowed.removeFirst()
     }
 
-    private fun capacity(): Double = capacity(burst, nodes)
+    private fun capacity(): Double = capacity(burst, share)
 
     private fun ownRoom(): Double = maxOf(0.0, capacity() - lent - inTransit.sumOf { it.tokens })
 
     private fun room(nowMillis: Long): Double = ownRoom() + borrowed.sumOf { it.remaining(nowMillis) }
 
-    private fun millisToRefill(amount: Double): Double = amount * nodes / ratePerSecond * MILLIS_PER_SECOND
+    private fun millisToRefill(amount: Double): Double = amount / share / ratePerSecond * MILLIS_PER_SECOND
 
     private fun refill(nowMillis: Long) {
         val elapsed = maxOf(0, nowMillis - refilledMillis)
         refilledMillis += elapsed
-        val refilled = ratePerSecond / nodes * elapsed / MILLIS_PER_SECOND
+        val refilled = ratePerSecond * share * elapsed / MILLIS_PER_SECOND
         lent = maxOf(0.0, lent - refilled)
         inTransit.removeIf { it.endMillis < nowMillis }
         borrowed.removeIf { it.remaining(nowMillis) <= 0 }
@@ -130,14 +138,16 @@
         // A killed process serves no requests for at least this long until its successor has started.
         private const val MINIMUM_RESTART_SECONDS = 0.5
 
-        // At 91 nodes the share of a burst of 10 is 0.11 tokens. Smaller loans would not sum up to one token.
+        // Less is not worth a message.
         private const val MINIMUM_TRANSFER = 0.005
 
-        // A node that needs many loans spends their tokens at once, so it does not need the room of the older ones. A
-        // node that collects fractions of a token has a few loans of each node of a fleet of 91.
+        // A node that needs many loans spends their tokens at once, so it does not need the room of the older ones.
         private const val MAXIMUM_BORROWED = 256
 
-        /** Returns the most tokens that each of [nodes] holds. A burst below one token would never admit a request. */
-        fun capacity(burst: Double, nodes: Int): Double = maxOf(1.0, burst) / nodes
+        // Sums of fractions that make up a whole token may be lower by the rounding of floating-point numbers.
+        private const val ROUNDING = 1e-6
+
+        /** Returns the most tokens that a [share] holds. A burst below one token would never admit a request. */
+        fun capacity(burst: Double, share: Double): Double = maxOf(1.0, burst) * share
     }
 }
--- a/core/src/test/kotlin/org/poplarshift/core/allowance/TokenBucketShareTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/allowance/TokenBucketShareTest.kt
@@ -14,7 +14,7 @@
                 val random = Random(seed)
                 val rate = 40.0
                 val burst = 40.0
-                val buckets = List(10) { TokenBucketShare(rate, burst, nodes = 10, nowMillis = 0) }
+                val buckets = List(10) { TokenBucketShare(rate, burst, share = 0.1, nowMillis = 0) }
                 val consumedMillis = ArrayList<Long>()
                 for (now in 0L..20_000L step 5) {
                     repeat(3) {
@@ -24,7 +24,10 @@
                         val lender = buckets[random.nextInt(10)]
                         val isLost = random.nextInt(10) == 0
                         val borrower = buckets[random.nextInt(10)]
-                        val loan = lender.lend(requested = 4.0, borrower.freeRoom(now), now)
+                        val loan = lender.lend(
+                            TokenDemand(4.0, needed = random.nextDouble(4.0), room = borrower.freeRoom(now)),
+                            now,
+                        )
                         if (loan != null && !isLost) borrower.deposit(loan, now, now)
                     }
                 }
@@ -38,33 +41,33 @@
         }
 
         test("a transfer is at most half of the available tokens and is deducted from the sender") {
-            val bucket = TokenBucketShare(ratePerSecond = 10.0, burst = 10.0, nodes = 1, nowMillis = 0)
+            val bucket = TokenBucketShare(ratePerSecond = 10.0, burst = 10.0, share = 1.0, nowMillis = 0)
             bucket.tokens(1_000) shouldBe 10.0
-            bucket.lend(requested = 100.0, borrowerRoom = 0.0, nowMillis = 1_000)?.amount shouldBe 5.0
+            bucket.lend(TokenDemand(wanted = 100.0), nowMillis = 1_000)?.amount shouldBe 5.0
             bucket.tokens(1_000) shouldBe 5.0
         }
 
         test("a lower limit drops tokens above the new share") {
-            val bucket = TokenBucketShare(ratePerSecond = 100.0, burst = 100.0, nodes = 2, nowMillis = 0)
+            val bucket = TokenBucketShare(ratePerSecond = 100.0, burst = 100.0, share = 0.5, nowMillis = 0)
             bucket.tokens(10_000) shouldBe 50.0
-            bucket.update(ratePerSecond = 10.0, burst = 10.0, nodes = 2, nowMillis = 10_000)
+            bucket.update(ratePerSecond = 10.0, burst = 10.0, share = 0.5, nowMillis = 10_000)
             bucket.tokens(10_000) shouldBe 5.0
         }
 
         listOf(11, 91).forEach { nodes ->
             test("$nodes nodes that learn of each other after their start hold no more than the burst") {
-                val buckets = List(nodes) { TokenBucketShare(RATE, BURST, nodes = 1, nowMillis = 0) }
+                val buckets = List(nodes) { TokenBucketShare(RATE, BURST, share = 1.0, nowMillis = 0) }
                 var known = 1
                 for (now in 0L..3_000L step 250) {
                     known = minOf(nodes, known * 3)
-                    buckets.forEach { it.update(RATE, BURST, known, now) }
+                    buckets.forEach { it.update(RATE, BURST, 1.0 / known, now) }
                 }
                 buckets.sumOf { it.tokens(3_000) } shouldBeLessThanOrEqual BURST + ROUNDING
             }
         }
 
         test("a restarted process has no more tokens than its share refills during the restart") {
-            TokenBucketShare(ratePerSecond = 40.0, burst = 400.0, nodes = 10, nowMillis = 0).tokens(0) shouldBe 2.0
+            TokenBucketShare(ratePerSecond = 40.0, burst = 400.0, share = 0.1, nowMillis = 0).tokens(0) shouldBe 2.0
         }
     }) {
     private companion object {
--- a/core/src/test/kotlin/org/poplarshift/core/allowance/TokenTransferTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/allowance/TokenTransferTest.kt
@@ -79,11 +79,11 @@
         }
 
         test("a loan that is not used returns to the lender at the rate of its refill") {
-            val lender = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, nodes = 2, nowMillis = 0)
-            val borrower = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, nodes = 2, nowMillis = 0)
+            val lender = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, share = 0.5, nowMillis = 0)
+            val borrower = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, share = 0.5, nowMillis = 0)
             lender.tokens(10_000) shouldBe 20.0
             borrower.tokens(10_000) shouldBe 20.0
-            borrower.deposit(lender.lend(5.0, borrowerRoom = 0.0, 10_000).shouldNotBeNull(), 10_000, 10_000)
+            borrower.deposit(lender.lend(TokenDemand(5.0), 10_000).shouldNotBeNull(), 10_000, 10_000)
             listOf(10_000L to 5.0, 10_250L to 2.5, 10_500L to 0.0).forEach { (now, onLoan) ->
                 lender.tokens(now) shouldBe 20.0 - onLoan
                 borrower.tokens(now) shouldBe 20.0 + onLoan
@@ -91,29 +91,29 @@
         }
 
         test("a second loan is held until the first one has returned") {
-            val lender = TokenBucketShare(ratePerSecond = 10.0, burst = 20.0, nodes = 1, nowMillis = 0)
+            val lender = TokenBucketShare(ratePerSecond = 10.0, burst = 20.0, share = 1.0, nowMillis = 0)
             lender.tokens(10_000)
-            lender.lend(5.0, borrowerRoom = 0.0, 10_000) shouldBe
+            lender.lend(TokenDemand(5.0), 10_000) shouldBe
                 TokenLoan(5.0, 0.0, holdMillis = 0.0, returnMillis = 500.0)
-            lender.lend(2.0, borrowerRoom = 0.0, 10_200) shouldBe
+            lender.lend(TokenDemand(2.0), 10_200) shouldBe
                 TokenLoan(2.0, 0.0, holdMillis = 300.0, returnMillis = 200.0)
         }
 
         test("a restarted lender does not use the room that its predecessor lent") {
             val nodes =
-                MutableList(2) { TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, nodes = 2, nowMillis = 0) }
+                MutableList(2) { TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, share = 0.5, nowMillis = 0) }
             nodes.forEach { it.tokens(10_000) shouldBe 20.0 }
-            repeat(3) { nodes[1].deposit(nodes[0].lend(20.0, 0.0, 10_000).shouldNotBeNull(), 10_000, 10_000) }
-            nodes[0] = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, nodes = 2, nowMillis = 10_500)
+            repeat(3) { nodes[1].deposit(nodes[0].lend(TokenDemand(20.0), 10_000).shouldNotBeNull(), 10_000, 10_000) }
+            nodes[0] = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, share = 0.5, nowMillis = 10_500)
             val room = nodes[0].freeRoom(10_500)
-            nodes[0].deposit(nodes[1].lend(20.0, room, 10_500).shouldNotBeNull(), 10_500, 10_500)
+            nodes[0].deposit(nodes[1].lend(TokenDemand(20.0, room = room), 10_500).shouldNotBeNull(), 10_500, 10_500)
             for (now in 10_500L..13_000L step 100) {
                 nodes.sumOf { it.tokens(now) } shouldBeLessThanOrEqual 40.0 + ROUNDING
             }
         }
 
         test("a loan that arrives after its end adds no token") {
-            val borrower = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, nodes = 2, nowMillis = 0)
+            val borrower = TokenBucketShare(ratePerSecond = 20.0, burst = 40.0, share = 0.5, nowMillis = 0)
             borrower.tokens(10_000)
             repeat(20) { borrower.tryConsume(10_000) }
             borrower.deposit(TokenLoan(5.0, 0.0, holdMillis = 100.0, returnMillis = 500.0), 9_400, 10_000)
@@ -124,7 +124,7 @@
 
     private class Fleet(val nodes: Int, val rate: Double, val burst: Double, val random: Random) {
         var now = 0L
-        val buckets = MutableList(nodes) { TokenBucketShare(rate, burst, nodes, nowMillis = 0) }
+        val buckets = MutableList(nodes) { TokenBucketShare(rate, burst, 1.0 / nodes, nowMillis = 0) }
         private val messages = ArrayList<Message>()
         private val unavailableUntilMillis = LongArray(nodes)
         private val stoppedUntilMillis = LongArray(nodes)
@@ -137,10 +137,13 @@
                 messages.sumOf { it.loan.remaining(now - it.requestedMillis) }
 
         fun lend(lender: Int, borrower: Int, delayMillis: Int) {
-            val loan = buckets[lender].lend(4.0, buckets[borrower].freeRoom(now), now) ?: return
+            val loan = buckets[lender].lend(demand(buckets[borrower].freeRoom(now)), now) ?: return
             messages += Message(loan, borrower, now, now + delayMillis)
         }
 
+        // Requests that need all of the tokens, some of them or none.
+        private fun demand(room: Double) = TokenDemand(4.0, needed = random.nextInt(3) * 2.0, room = room)
+
         fun deliver() {
             val arrived = messages.filter { it.arrivalMillis <= now && isAvailable(it.borrower) }
             messages.removeAll(arrived)
@@ -172,7 +175,7 @@
             val lender = random.nextInt(nodes)
             if (lender == borrower || !isAvailable(lender)) return
             val delayMillis = if (random.nextInt(10) == 0) random.nextInt(3_000) else random.nextInt(20)
-            val loan = buckets[lender].lend(4.0, borrowerRoom(borrower), now) ?: return
+            val loan = buckets[lender].lend(demand(borrowerRoom(borrower)), now) ?: return
             val requestedMillis = now - random.nextInt(20)
             val isLost = random.nextInt(10) == 0
             if (!isLost) messages += Message(loan, borrower, requestedMillis, now + delayMillis)
@@ -185,7 +188,7 @@
         private fun restart(node: Int) {
             messages.removeAll { it.borrower == node }
             val startMillis = now + MINIMUM_RESTART_MILLIS + random.nextLong(2_000)
-            buckets[node] = TokenBucketShare(rate, burst, nodes, startMillis)
+            buckets[node] = TokenBucketShare(rate, burst, 1.0 / nodes, startMillis)
             unavailableUntilMillis[node] = startMillis
             stoppedUntilMillis[node] = startMillis
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -32,10 +32,14 @@
 import org.poplarshift.serving.peer.PeerServer
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.ratelimit.PeerTokenSource
+import org.poplarshift.serving.ratelimit.RateLimitCounters
 import org.poplarshift.serving.ratelimit.RateLimiter
+import org.poplarshift.serving.ratelimit.ShareDirectory
+import org.poplarshift.serving.ratelimit.ShareGuard
 import org.poplarshift.serving.scheduling.FleetDispatcher
 import org.poplarshift.serving.scheduling.SchedulerDirectory
 import org.poplarshift.serving.scheduling.SchedulerHost
+import org.poplarshift.serving.scheduling.TokenGate
 import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
 import org.poplarshift.serving.submission.BatchRunner
 import org.poplarshift.serving.submission.ContentCache
@@ -71,17 +75,23 @@
         ownMember,
         onChange = {
             directory.onMembersChanged()
-            updateRateLimits()
+            shares.onMembersChanged(members.isMember)
+            rateLimiter.updateShares()
         },
     )
     private val directory: SchedulerDirectory = SchedulerDirectory(ownMember, members)
 
     // Timeouts of token requests are too short to tell schedulers that a node can't be reached.
     private val tokenReachability = PeerReachability(clock)
-    private val tokenSource = PeerTokenSource(ownMember.name, peerClient, members, tokenReachability)
-    private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
+    private val shares: ShareDirectory = ShareDirectory(ownMember, clock, settings.zones.keys, directory)
+    private val tokenSource = PeerTokenSource(peerClient, members, shares, tokenReachability)
+    private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource, RateLimitCounters(metrics))
+    private val shareGuard = ShareGuard(clock, settings.zone, members, shares, tokenSource::isResponding) {
+        rateLimiter.updateShares()
+    }
+    private val tokenGate = TokenGate(tasks, clock, rateLimiter)
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
+    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability, tokenGate)
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -90,6 +100,7 @@
         directory,
         reachability,
         WebSocketSchedulerConnector(ownMember, peerClient, schedulerHost),
+        tokenGate,
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
@@ -121,7 +132,7 @@
         mayRun = { NodeDuty.ITEMS !in tasks.suspendedDuties },
     )
     private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
-    private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
+    private val handlers = CallHandlers(clock, configuration, forwarding, submissions)
     private val callerServer =
         CallerServer(vertx, tasks, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
     private val readinessServer =
@@ -164,11 +175,12 @@
         store.partitions.forEach {
             tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { it.follower.run() }
         }
-        // Nodes that do not know of this one would divide rate limits among too few.
+        // Without its record, other nodes do not ask this one for slots, and it holds no share of rate limits.
         tasks.launch("members", setOf(NodeDuty.CALLERS)) { members.run() }
+        tasks.launch("rate limit shares") { shareGuard.run() }
         tasks.launch("registry", ALL_DUTIES) { registry.run() }
         tasks.launch("maintenance") { runMaintenance() }
-        tokenSource.serve(peerServer, rateLimiter::lend, rateLimiter::consumeForPeer)
+        tokenSource.serve(peerServer, rateLimiter::lend)
         schedulerHost.serve(peerServer)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
@@ -229,8 +241,6 @@
         override fun onCaughtUp() = members.onCaughtUp()
     }
 
-    private fun updateRateLimits() = rateLimiter.update(configuration.current)
-
     private fun onWorkersChanged() {
         schedulerHost.update(loadBalancer.workers)
         evictUnusableConnections()
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/FleetMembers.kt
@@ -41,6 +41,14 @@
     private var readTimeMillis = 0L
     private var caughtUpMillis: Long? = null
 
+    /** Monotonic time in milliseconds before the last append that renewed this node's record. */
+    var renewedMillis = clock.millis()
+        private set
+
+    /** Whether this node has read its own record. */
+    val isMember: Boolean
+        get() = self.name in entries
+
     // The size when the members were last read, while they are read anew.
     private var sizeBeforeRestart: Int? = UNREAD_SIZE
 
@@ -90,9 +98,14 @@
     /** Announces this node and renews its record until cancelled. */
     suspend fun run() {
         while (true) {
+            val startedMillis = clock.millis()
             val value = Json.encodeToString(FleetMember.serializer(), self).encodeToByteArray()
             val result = log.append(topic, PARTITION, listOf(KeyedValue(self.name, value)))
-            if (result !is AppendResult.Appended) logger.info { "fleet: this node is not announced yet: $result" }
+            if (result is AppendResult.Appended) {
+                renewedMillis = startedMillis
+            } else {
+                logger.info { "fleet: this node is not announced yet: $result" }
+            }
             delay(if (result is AppendResult.Appended) RENEWAL_INTERVAL_MILLIS else RETRY_MILLIS)
         }
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -13,6 +13,7 @@
  * @property deadlineMillis monotonic time in milliseconds at which the timeout of the caller or the route expires
  * @property priority position in the queue; smaller values are dispatched first
  * @property resumeAfter id of the last event that the caller has received, or null
+ * @property isRateLimited whether the request needs a token of its organisation's rate limit
  */
 class OnlineCall(
     val id: String,
@@ -27,6 +28,7 @@
     val deadlineMillis: Long,
     val priority: Int,
     val resumeAfter: Long?,
+    val isRateLimited: Boolean = false,
 )
 
 /** Writes the response to a caller. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -18,15 +18,12 @@
 import org.poplarshift.serving.forward.OnlineForwarder
 import org.poplarshift.serving.forward.OnlineOutcome
 import org.poplarshift.serving.observe.CallRecord
-import org.poplarshift.serving.ratelimit.RateLimitResult
-import org.poplarshift.serving.ratelimit.RateLimiter
 import org.poplarshift.serving.submission.SubmissionService
 
 /** Handles decoded calls. Each handler returns the refusal to send, or null when the response has been sent. */
 class CallHandlers(
     private val clock: MonotonicClock,
     private val configuration: ConfigurationHolder,
-    private val rateLimiter: RateLimiter,
     private val forwarding: ForwardingContext,
     private val submissions: SubmissionService,
     private val random: () -> Double = Math::random,
@@ -67,15 +64,6 @@
         if (!route.isPublic) requireKnownKey(current, organisation)?.let { return it }
         val id = head.requestId ?: return Refusal.BAD_REQUEST
         if (route.kind == RouteKind.BATCH) return submissions.submit(id, route, organisation, incoming, sink, record)
-        if (organisation != null) {
-            when (val result = rateLimiter.acquire(organisation)) {
-                RateLimitResult.Allowed -> Unit
-                is RateLimitResult.Exceeded -> {
-                    record.attempts = listOf(result.bucketState)
-                    return Refusal.rateExceeded(result.retryMillis)
-                }
-            }
-        }
         return forward(onlineCall(id, route, organisation, incoming, record), sink, record)
     }
 
@@ -100,6 +88,7 @@
             deadlineMillis = record.receivedMillis + minOf(timeoutMillis, route.timeoutMillis),
             priority = organisation?.priority ?: route.priority,
             resumeAfter = incoming.operation.head.resumeAfter,
+            isRateLimited = organisation != null && organisation.ratePerSecond > 0,
         )
     }
 
@@ -136,6 +125,7 @@
             maximumAttempts = attempts,
             mayRepeat = call.route.mayRepeat,
             route = call.route.name,
+            isRateLimited = call.isRateLimited,
         )
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/PeerTokenSource.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/PeerTokenSource.kt
@@ -3,22 +3,32 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.poplarshift.core.allowance.TokenDemand
 import org.poplarshift.core.allowance.TokenLoan
+import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerMessages
 import org.poplarshift.serving.peer.PeerReachability
 import org.poplarshift.serving.peer.PeerServer
 
-/** Lends and borrows rate-limit tokens between nodes. */
+/** Lends and borrows rate-limit tokens between coordinators. */
 class PeerTokenSource(
-    override val ownName: String,
     private val client: PeerClient,
     private val members: FleetMembers,
+    private val shares: ShareDirectory,
     private val reachability: PeerReachability,
 ) : TokenSource {
+    // A node of an earlier release reads the first three fields only.
     @Serializable
-    private data class TokenRequest(val organisation: String, val wanted: Double, val room: Double = 0.0)
+    private data class TokenRequest(
+        val organisation: String,
+        val wanted: Double,
+        val room: Double = 0.0,
+        val needed: Double = 0.0,
+        val held: Double = 0.0,
+        val requests: Int = 0,
+    )
 
     // A node of an earlier release states no times and keeps no room free, so that its loans end at once.
     @Serializable
@@ -27,80 +37,70 @@
         val transit: Double = 0.0,
         val holdMillis: Double = 0.0,
         val returnMillis: Double = 0.0,
+        val spent: Int = 0,
+        val left: Double = 0.0,
     )
 
-    @Serializable
-    private data class ConsumeRequest(val organisation: String)
-
-    @Serializable
-    private data class ConsumeResponse(val isConsumed: Boolean, val waitMillis: Long = 0)
-
-    override val peers: List<String>
-        get() = members.peers.map { it.name }
+    override fun ownShare(organisation: IngressOrganisation): Double = shares.ownShare(organisation)
 
-    override fun isSuspect(peer: String): Boolean = reachability.isSuspect(peer)
+    override fun holders(organisation: IngressOrganisation): List<TokenHolder> =
+        shares.holders(organisation).filterNot { reachability.isSuspect(it.node) }
 
-    /** Serves requests of other nodes with the loans that [lend] grants and the tokens that [consume] consumes. */
-    fun serve(
-        server: PeerServer,
-        lend: (String, Double, Double) -> TokenLoan?,
-        consume: suspend (String) -> PeerConsumption,
-    ) {
-        server.on(CONSUME_PATH) { body ->
-            PeerMessages.decode(ConsumeRequest.serializer(), body, COMPONENT)?.let { request ->
-                val response = when (val result = consume(request.organisation)) {
-                    PeerConsumption.Consumed -> ConsumeResponse(isConsumed = true)
-                    is PeerConsumption.Refused -> ConsumeResponse(isConsumed = false, result.waitMillis)
-                    PeerConsumption.Unanswered -> ConsumeResponse(isConsumed = false)
-                }
-                Json.encodeToString(ConsumeResponse.serializer(), response)
-            }
-        }
+    /** Serves requests of other nodes with what [lend] grants. */
+    fun serve(server: PeerServer, lend: suspend (String, TokenDemand, Int) -> TokenGrant) {
         server.on(PATH) { body ->
             PeerMessages.decode(TokenRequest.serializer(), body, COMPONENT)?.let { request ->
-                val response = lend(request.organisation, request.wanted, request.room)
-                    ?.let { TokenResponse(it.amount, it.transitAmount, it.holdMillis, it.returnMillis) }
-                Json.encodeToString(TokenResponse.serializer(), response ?: TokenResponse(granted = 0.0))
+                val demand = TokenDemand(request.wanted, request.needed, request.held, request.room)
+                val grant = lend(request.organisation, demand, request.requests)
+                Json.encodeToString(TokenResponse.serializer(), responseOf(grant))
             }
         }
     }
 
-    // Tokens that a peer lends after the timeout are lost, which only lowers the total.
-    override suspend fun borrow(peer: String, organisation: String, wanted: Double, room: Double): TokenLoan? {
-        val body = Json.encodeToString(TokenRequest.serializer(), TokenRequest(organisation, wanted, room))
-        val response = post(peer, PATH, body, REQUEST_TIMEOUT_MILLIS) ?: return null
-        return PeerMessages.decode(TokenResponse.serializer(), response, COMPONENT)
-            ?.let { TokenLoan(it.granted, it.transit, it.holdMillis, it.returnMillis) }
-            ?.takeIf { it.amount > 0 }
+    private fun responseOf(grant: TokenGrant): TokenResponse {
+        val loan = grant.loan ?: return TokenResponse(granted = 0.0, spent = grant.spent, left = grant.left)
+        return TokenResponse(
+            loan.amount,
+            loan.transitAmount,
+            loan.holdMillis,
+            loan.returnMillis,
+            grant.spent,
+            grant.left,
+        )
     }
 
-    override suspend fun consume(peer: String, organisation: String): PeerConsumption {
-        val body = Json.encodeToString(ConsumeRequest.serializer(), ConsumeRequest(organisation))
-        val response = post(peer, CONSUME_PATH, body, CONSUME_TIMEOUT_MILLIS)
-            ?.let { PeerMessages.decode(ConsumeResponse.serializer(), it, COMPONENT) }
-        return when {
-            response == null -> PeerConsumption.Unanswered
-            response.isConsumed -> PeerConsumption.Consumed
-            else -> PeerConsumption.Refused(response.waitMillis)
+    // Tokens that a holder gives after the timeout are lost, which only lowers the total.
+    override suspend fun borrow(node: String, organisation: String, demand: TokenDemand, requests: Int): TokenGrant? {
+        val request = TokenRequest(organisation, demand.wanted, demand.room, demand.needed, demand.held, requests)
+        val timeoutMillis = if (requests > 0) SPENDING_TIMEOUT_MILLIS else LOAN_TIMEOUT_MILLIS
+        val response = post(node, request, timeoutMillis)
+        if (response == null) reachability.onFailure(node)
+        return response?.let {
+            val loan = TokenLoan(it.granted, it.transit, it.holdMillis, it.returnMillis)
+            TokenGrant(loan.takeIf { granted -> granted.amount > 0 }, it.spent, it.left)
         }
     }
 
-    private suspend fun post(peer: String, path: String, body: String, timeoutMillis: Long): String? {
-        val member = members.peers.firstOrNull { it.name == peer } ?: return null
-        val response = client.post(member, path, body, timeoutMillis)
-        if (response == null) reachability.onFailure(peer)
-        return response
+    /** Whether [node] responds to a request that asks for nothing. */
+    suspend fun isResponding(node: String): Boolean =
+        post(node, TokenRequest(organisation = "", wanted = 0.0), PROBE_TIMEOUT_MILLIS) != null
+
+    private suspend fun post(node: String, request: TokenRequest, timeoutMillis: Long): TokenResponse? {
+        val member = members.peers.firstOrNull { it.name == node } ?: return null
+        val body = Json.encodeToString(TokenRequest.serializer(), request)
+        return client.post(member, PATH, body, timeoutMillis)
+            ?.let { PeerMessages.decode(TokenResponse.serializer(), it, COMPONENT) }
     }
 
     private companion object {
         const val COMPONENT = "allowance"
         const val PATH = "/tokens"
-        const val CONSUME_PATH = "/tokens/consume"
 
         // Several times the network delay between zones.
-        const val REQUEST_TIMEOUT_MILLIS = 25L
+        const val LOAN_TIMEOUT_MILLIS = 25L
 
-        // The peer may first borrow from others.
-        const val CONSUME_TIMEOUT_MILLIS = 40L
+        // The holder may first borrow from others.
+        const val SPENDING_TIMEOUT_MILLIS = 45L
+        const val PROBE_TIMEOUT_MILLIS = 500L
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/TokenSource.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/TokenSource.kt
@@ -1,24 +1,31 @@
 package org.poplarshift.serving.ratelimit
 
+import org.poplarshift.core.allowance.TokenDemand
 import org.poplarshift.core.allowance.TokenLoan
+import org.poplarshift.core.ingress.IngressOrganisation
 
-/** Access to the tokens that other nodes hold. */
-interface TokenSource {
-    /** Name of this node. */
-    val ownName: String
+/** A node that holds the part [share] of an organisation's rate limit. */
+data class TokenHolder(val node: String, val share: Double)
+
+/**
+ * What a holder has given.
+ *
+ * @property spent number of waiting requests of the borrower for which the holder has consumed a token
+ * @property left number of tokens that the holder has kept
+ */
+data class TokenGrant(val loan: TokenLoan?, val spent: Int = 0, val left: Double = 0.0)
 
-    /** Names of the other nodes. */
-    val peers: List<String>
+/** Access to the tokens of the nodes that hold shares. */
+interface TokenSource {
+    /** Returns the share of this node in the limit of [organisation] at this moment. */
+    fun ownShare(organisation: IngressOrganisation): Double
 
-    /** Whether [peer] did not respond a short time ago. */
-    fun isSuspect(peer: String): Boolean
+    /** Returns the other nodes that hold a share and are not known to be out of reach. */
+    fun holders(organisation: IngressOrganisation): List<TokenHolder>
 
     /**
-     * Requests up to [wanted] tokens of [organisation] from [peer], for [room] of which this node has room within its share.
-     * Returns null if the peer has none or does not respond.
+     * Asks [node] for a loan of [demand] and for one consumed token for each of [requests] that wait at this node.
+     * Returns null if it does not respond.
      */
-    suspend fun borrow(peer: String, organisation: String, wanted: Double, room: Double): TokenLoan?
-
-    /** Asks [peer] to consume one token of [organisation] for a request at this node. */
-    suspend fun consume(peer: String, organisation: String): PeerConsumption
+    suspend fun borrow(node: String, organisation: String, demand: TokenDemand, requests: Int): TokenGrant?
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -35,6 +35,7 @@
     private val directory: SchedulerDirectory,
     private val reachability: PeerReachability,
     private val connector: SchedulerConnector,
+    private val tokenGate: TokenGate,
 ) : Dispatcher {
     private val links = HashMap<Pair<String, String>, SchedulerLink>()
     private val ownSchedulers = HashMap<String, OwnScheduler>()
@@ -76,7 +77,7 @@
                 is LinkResult.NoCapacity -> return DispatchResult.NoCapacity(result.retryMillis)
                 is LinkResult.RateExceeded -> return DispatchResult.RateExceeded(result.retryMillis)
                 LinkResult.NoWorker, LinkResult.Unavailable -> {
-                    if (zone == self.zone) return acquireAlone(request, excluded, waitMillis)
+                    if (zone == self.zone) return acquireAlone(request, excluded, waitMillis, needsToken, result)
                     zone = self.zone
                     if (result == LinkResult.Unavailable) hops = MAXIMUM_HOPS
                 }
@@ -129,10 +130,14 @@
         request: DispatchRequest,
         excluded: Set<String>,
         waitMillis: Long,
+        neededToken: Boolean,
+        failure: LinkResult,
     ): DispatchResult {
+        // A scheduler that has no worker has taken the token, one that does not respond has not.
+        val needsToken = neededToken && failure == LinkResult.Unavailable
         val own = ownSchedulers.getOrPut(request.service) { OwnScheduler(request.service) }
         own.onRequest()
-        val message = message(request, excluded, waitMillis, mayRedirect = false, needsToken = false)
+        val message = message(request, excluded, waitMillis, mayRedirect = false, needsToken)
         return when (val result = own.link.acquire(message, waitMillis)) {
             is LinkResult.Granted -> {
                 val state = checkNotNull(workers.state(result.worker))
@@ -209,7 +214,7 @@
 
     private fun link(zone: String, service: String): SchedulerLink = links.getOrPut(zone to service) {
         SchedulerLink(tasks, clock, self.name, service, connector, reachability, statements) {
-            directory.preferred(zone, service, reachability)
+            directory.preferred(zone, reachability)
         }
     }
 
@@ -221,7 +226,7 @@
             clock,
             self.name,
             service,
-            { _, _, hello, receiver -> LocalSchedulerChannel(scheduler, clock, hello, receiver) },
+            { _, _, hello, receiver -> LocalSchedulerChannel(scheduler, tokenGate, hello, receiver) },
             PeerReachability(clock),
             WorkerStatements.None,
         ) { self }
@@ -234,7 +239,7 @@
                 workers.workerStates.forEach { it.restartPacing(now) }
                 logger.atInfo {
                     message = "dispatch: this node assigns slots without a scheduler"
-                    payload = mapOf("service" to service, "members" to directory.order(self.zone, service).size)
+                    payload = mapOf("service" to service, "members" to directory.order(self.zone).size)
                 }
             }
             lastRequestMillis = now
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -34,6 +34,7 @@
     private val directory: SchedulerDirectory,
     private val client: PeerClient,
     private val reachability: PeerReachability,
+    private val tokenGate: TokenGate,
 ) {
     @Serializable
     private data class Announcement(
@@ -78,14 +79,14 @@
 
     /** Connects this node to its own scheduler of [service]. */
     fun connectLocally(service: String, hello: NodeMessage.Hello, receiver: SchedulerReceiver): SchedulerChannel =
-        LocalSchedulerChannel(schedulerOf(service).scheduler, clock, hello, receiver)
+        LocalSchedulerChannel(schedulerOf(service).scheduler, tokenGate, hello, receiver)
 
     /** Updates the schedulers and announces their capacity until cancelled. */
     suspend fun run() {
         while (true) {
             delay(UPDATE_INTERVAL_MILLIS)
             val now = clock.millis()
-            zoneWorkers.keys.filter { directory.isFirst(self, it) }.forEach { schedulerOf(it) }
+            if (directory.isFirst(self)) zoneWorkers.keys.forEach { schedulerOf(it) }
             hosted.forEach { (service, entry) -> maintain(service, entry, now) }
         }
     }
@@ -97,7 +98,7 @@
             entry.aliveMillis = now
             entry.scheduler.sendAlive()
         }
-        if (isInUse || directory.isFirst(self, service)) announce(service, entry, now)
+        if (isInUse || directory.isFirst(self)) announce(service, entry, now)
     }
 
     private fun announce(service: String, entry: HostedScheduler, now: Long) {
@@ -110,7 +111,7 @@
         entry.announcedMillis = now
         val body = Json.encodeToString(Announcement.serializer(), Announcement(self.zone, service, capacity, leaving))
         for (zone in directory.otherZones(self.zone)) {
-            val target = directory.order(zone, service).firstOrNull { !reachability.isSuspect(it.name) } ?: continue
+            val target = directory.preferred(zone, reachability) ?: continue
             tasks.launchOnce("capacity announcement", onFailed = { reachability.onFailure(target.name) }) {
                 val response = client.post(target, CAPACITY_PATH, body, ANNOUNCEMENT_TIMEOUT_MILLIS)
                 if (response == null) reachability.onFailure(target.name)
@@ -137,33 +138,32 @@
 
             override fun close() = socket.close()
         }
-        var node: String? = null
+        var session: TokenGate.Session? = null
         socket.onMessage { text ->
             val message = PeerMessages.decode(NodeMessage.serializer(), text, COMPONENT)
-            val sender = node
+            val current = session
             when {
                 message is NodeMessage.Hello -> {
-                    node = message.node
-                    scheduler.onConnected(message, clock.millis(), connection)
+                    current?.onClosed()
+                    session = tokenGate.connect(scheduler, message, connection)
                 }
 
-                message == null || sender == null -> socket.close()
-                else -> scheduler.onMessage(sender, message, clock.millis())
+                message == null || current == null -> socket.close()
+                else -> current.onMessage(message)
             }
         }
-        socket.onClose { node?.let { scheduler.onDisconnected(it, connection) } }
+        socket.onClose { session?.onClosed() }
     }
 
     private fun schedulerOf(service: String): HostedScheduler = hosted.getOrPut(service) {
-        val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) })
+        val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred()) })
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
         HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service)))
     }
 
-    /** Whether this node's requests for [service] use the scheduler that runs here. */
-    private fun isPreferred(service: String): Boolean =
-        directory.preferred(self.zone, service, reachability)?.name == self.name
+    /** Whether this node's requests use the schedulers that run here. */
+    private fun isPreferred(): Boolean = directory.preferred(self.zone, reachability)?.name == self.name
 
     private fun capacitiesOf(service: String): ZoneCapacities = capacities.getOrPut(service) { ZoneCapacities() }
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/TaskOwnershipTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/TaskOwnershipTest.kt
@@ -24,7 +24,7 @@
             Case(
                 "a value",
                 "coroutines\\.async",
-                setOf("BackgroundTasks.kt", "RateLimiter.kt", "TokenCollector.kt", "TopicFollower.kt"),
+                setOf("BackgroundTasks.kt", "OrganisationTokens.kt", "ShareGuard.kt", "TopicFollower.kt"),
             ),
         ).forEach { case ->
             test("only the files that are listed use ${case.name}") {
--- a/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
@@ -93,13 +93,13 @@
                     fixture.members.onCaughtUp()
                 }
                 fixture.members.onRestart()
-                val share = TokenBucketShare(RATE, BURST, fixture.members.assumedSize, fixture.now)
+                val share = TokenBucketShare(RATE, BURST, 1.0 / fixture.members.assumedSize, fixture.now)
                 val endMillis = fixture.now + SECONDS * 1_000
                 var spent = 0
                 while (fixture.now < endMillis) {
                     fixture.now++
                     // As when a new version of the configuration is applied.
-                    share.update(RATE, BURST, fixture.members.assumedSize, fixture.now)
+                    share.update(RATE, BURST, 1.0 / fixture.members.assumedSize, fixture.now)
                     if (share.tryConsume(fixture.now)) spent++
                 }
                 val refilled = (SECONDS * RATE / case.nodes).toInt()
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
@@ -27,6 +28,9 @@
 import org.poplarshift.serving.forward.DispatchResult
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.peer.PeerReachability
+import org.poplarshift.serving.ratelimit.FakeTokenSources
+import org.poplarshift.serving.ratelimit.RateLimitCounters
+import org.poplarshift.serving.ratelimit.RateLimiter
 
 /**
  * Guards against requests that wait for a scheduler which is gone, silent or cut off, and against slots that a node
@@ -52,6 +56,13 @@
             fun lose() = receiver.onClosed()
         }
 
+        fun tokenGate(scope: TestScope, clock: MonotonicClock): TokenGate {
+            val tasks = TestTasks.of(scope.backgroundScope)
+            val limiter =
+                RateLimiter(tasks, clock, FakeTokenSources(1).of(0), RateLimitCounters(SimpleMeterRegistry()))
+            return TokenGate(tasks, clock, limiter)
+        }
+
         class Fixture(val scope: TestScope, vararg others: String) {
             val clock = MonotonicClock { scope.testScheduler.currentTime }
             val connections = ArrayList<Connection>()
@@ -89,6 +100,7 @@
                     directory,
                     PeerReachability(clock),
                     connector,
+                    tokenGate(scope, clock),
                 )
 
             init {
