Balance the shares of coordinators with the announcements of capacity

A full share does not refill, so an organisation lost tokens while its load was uneven. Coordinators now state with each announcement what they have room for, and get tokens in the response, without further messages.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/OrganisationTokens.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/OrganisationTokens.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.allowance.TokenBucketShare
 import org.poplarshift.core.allowance.TokenDemand
+import org.poplarshift.core.allowance.TokenLoan
 import org.poplarshift.core.ingress.IngressOrganisation
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
@@ -94,6 +95,35 @@
         return TokenGrant(loan, spent, tokens)
     }
 
+    /**
+     * Returns what this node asks each other holder for when it announces its capacity, or null if its share is almost full.
+     *
+     * A full share does not refill. Equal levels keep the refill of all shares in use.
+     */
+    fun balanceRequest(): BalanceRequest? {
+        val now = clock.millis()
+        val room = bucket.freeRoom(now)
+        if (source.ownShare(organisation) <= 0 || room < MINIMUM_BALANCED_TOKENS) return null
+        val holders = source.holders(organisation).size + 1
+        return BalanceRequest(organisation.name, room / holders, bucket.tokens(now))
+    }
+
+    /** Lends tokens to a holder that has less than this node. */
+    fun lendBalance(request: BalanceRequest): BalanceResponse {
+        val demand = TokenDemand(request.wanted, held = request.held, room = request.wanted)
+        val loan = if (waiters.isEmpty()) bucket.lend(demand, clock.millis()) else null
+        return BalanceResponse(organisation.name, loan?.amount ?: 0.0, tokens)
+    }
+
+    /** Adds the tokens that [node] has lent for the request of [requestedMillis]. */
+    fun onBalanced(node: String, response: BalanceResponse, requestedMillis: Long) {
+        levels.onLevel(node, response.left, clock.millis())
+        if (response.granted <= 0) return
+        val loan = TokenLoan(response.granted, response.granted, holdMillis = 0.0, returnMillis = 0.0)
+        bucket.deposit(loan, requestedMillis, clock.millis())
+        serveWaiters()
+    }
+
     /** Returns the time in milliseconds until all holders together probably have a token. */
     fun millisUntilToken(): Double {
         val now = clock.millis()
@@ -203,6 +233,9 @@
         const val MILLIS_PER_SECOND = 1_000.0
         const val ROUNDING = 1e-6
 
+        // Each request is a part of a message that is sent anyway.
+        const val MINIMUM_BALANCED_TOKENS = 0.5
+
         // A shortage of this time is not much longer than the delay of messages.
         const val MAXIMUM_PAUSE_MILLIS = 20L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/RateLimiter.kt
@@ -69,6 +69,17 @@
     suspend fun lend(organisation: String, demand: TokenDemand, requests: Int): TokenGrant =
         organisations[organisation]?.lend(demand, requests) ?: TokenGrant(loan = null)
 
+    /** Returns what this node asks each other coordinator for, to keep the levels of their shares equal. */
+    fun balanceRequests(): List<BalanceRequest> = organisations.values.mapNotNull { it.balanceRequest() }
+
+    /** Lends tokens to a coordinator that has less of them than this one. */
+    fun lendBalance(requests: List<BalanceRequest>): List<BalanceResponse> =
+        requests.mapNotNull { organisations[it.organisation]?.lendBalance(it) }
+
+    /** Adds the tokens that [node] has lent for the requests that were made at [requestedMillis]. */
+    fun onBalanced(node: String, responses: List<BalanceResponse>, requestedMillis: Long) =
+        responses.forEach { organisations[it.organisation]?.onBalanced(node, it, requestedMillis) }
+
     /** Applies the limits of [configuration] and the current share of this node. */
     fun update(configuration: IngressConfiguration?) {
         if (configuration == null) return
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -21,6 +21,8 @@
 import org.poplarshift.serving.peer.PeerReachability
 import org.poplarshift.serving.peer.PeerServer
 import org.poplarshift.serving.peer.PeerSocket
+import org.poplarshift.serving.ratelimit.BalanceRequest
+import org.poplarshift.serving.ratelimit.BalanceResponse
 
 /**
  * Runs the schedulers that this node has been asked to run, and announces their capacity and their leaving workers to the other zones.
@@ -42,8 +44,13 @@
         val service: String,
         val capacity: ServiceCapacity,
         val leaving: List<WorkerIncarnation> = emptyList(),
+        val balance: List<BalanceRequest> = emptyList(),
     )
 
+    // A node of an earlier release responds with an empty text.
+    @Serializable
+    private data class AnnouncementResponse(val balance: List<BalanceResponse> = emptyList())
+
     private class HostedScheduler(val workers: LoadBalancer, val scheduler: SlotScheduler) {
         var announced: ServiceCapacity? = null
         var announcedLeaving = emptyList<WorkerIncarnation>()
@@ -53,6 +60,8 @@
 
     private val hosted = HashMap<String, HostedScheduler>()
     private val capacities = HashMap<String, ZoneCapacities>()
+    private val rateLimiter = tokenGate.rateLimiter
+    private var balancedMillis = Long.MIN_VALUE / 2
     private var zoneWorkers = mapOf<String, List<FleetWorker>>()
 
     /** Registers the handlers for schedulers and announcements at [server]. */
@@ -63,11 +72,17 @@
                 capacitiesOf(announcement.service)
                     .onAnnouncement(announcement.zone, announcement.capacity, clock.millis())
                 hosted[announcement.service]?.scheduler?.onLeaving(announcement.leaving)
-                ""
+                respond(announcement)
             }
         }
     }
 
+    private fun respond(announcement: Announcement): String {
+        if (announcement.balance.isEmpty()) return ""
+        val response = AnnouncementResponse(rateLimiter.lendBalance(announcement.balance))
+        return Json.encodeToString(AnnouncementResponse.serializer(), response)
+    }
+
     /** Replaces the registered workers. */
     fun update(workers: Collection<FleetWorker>) {
         zoneWorkers = workers.filter { it.zone == self.zone }.groupBy { it.service }
@@ -109,16 +124,30 @@
         entry.announcedLeaving = leaving
         entry.announced = capacity
         entry.announcedMillis = now
-        val body = Json.encodeToString(Announcement.serializer(), Announcement(self.zone, service, capacity, leaving))
+        val announcement = Announcement(self.zone, service, capacity, leaving, balanceRequests(now))
+        val body = Json.encodeToString(Announcement.serializer(), announcement)
         for (zone in directory.otherZones(self.zone)) {
             val target = directory.preferred(zone, reachability) ?: continue
             tasks.launchOnce("capacity announcement", onFailed = { reachability.onFailure(target.name) }) {
                 val response = client.post(target, CAPACITY_PATH, body, ANNOUNCEMENT_TIMEOUT_MILLIS)
-                if (response == null) reachability.onFailure(target.name)
+                if (response == null) reachability.onFailure(target.name) else onResponse(target.name, response, now)
             }
         }
     }
 
+    // The announcements of several services are sent at about the same time.
+    private fun balanceRequests(now: Long): List<BalanceRequest> {
+        if (now - balancedMillis < BALANCE_INTERVAL_MILLIS) return emptyList()
+        balancedMillis = now
+        return rateLimiter.balanceRequests()
+    }
+
+    private fun onResponse(node: String, response: String, requestedMillis: Long) {
+        if (response.isEmpty()) return
+        PeerMessages.decode(AnnouncementResponse.serializer(), response, COMPONENT)
+            ?.let { rateLimiter.onBalanced(node, it.balance, requestedMillis) }
+    }
+
     // Other zones only need to know whether there is room and about how much.
     private fun differs(announced: ServiceCapacity?, current: ServiceCapacity): Boolean = announced == null ||
         level(announced.onlineSlots) != level(current.onlineSlots) ||
@@ -180,6 +209,9 @@
         private const val UPDATE_INTERVAL_MILLIS = 50L
         private const val ALIVE_INTERVAL_MILLIS = 300L
         private const val REPEAT_INTERVAL_MILLIS = 250L
+
+        // Longer than a message between zones takes, so that a request for tokens is answered before the next one.
+        private const val BALANCE_INTERVAL_MILLIS = 100L
         private const val ANNOUNCEMENT_TIMEOUT_MILLIS = 300L
         private const val FEW_SLOTS = 3
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/TokenGate.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/TokenGate.kt
@@ -15,11 +15,7 @@
  * A request has consumed its token when the scheduler gets it. The token is returned if the request stops waiting, is
  * refused, or gives its slot up unused.
  */
-class TokenGate(
-    private val tasks: BackgroundTasks,
-    private val clock: MonotonicClock,
-    private val rateLimiter: RateLimiter,
-) {
+class TokenGate(private val tasks: BackgroundTasks, private val clock: MonotonicClock, val rateLimiter: RateLimiter) {
     /** Connects a node to [scheduler]; its messages have to go through the returned session. */
     fun connect(
         scheduler: SlotScheduler,
--- a/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimitSimulation.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/RateLimitSimulation.kt
@@ -49,8 +49,29 @@
         serving = sources.limiters.toMutableList()
     }
 
+    // As with the announcements of capacity, which exist for the slots.
+    private suspend fun balance(zone: Int) {
+        while (true) {
+            delay(ANNOUNCEMENT_MILLIS)
+            val limiter = sources.limiters[zone]
+            val requests = limiter.balanceRequests()
+            if (requests.isEmpty()) continue
+            for (other in sources.limiters.indices) {
+                if (other == zone || other in sources.unreachable || zone in sources.unreachable) continue
+                scope.backgroundScope.launch {
+                    val requestedMillis = clock.millis()
+                    delay(ONE_WAY_MILLIS)
+                    val responses = sources.limiters[other].lendBalance(requests)
+                    delay(ONE_WAY_MILLIS)
+                    limiter.onBalanced("zone-$other", responses, requestedMillis)
+                }
+            }
+        }
+    }
+
     /** Sends [requests] requests at [use] times the rate, after a time in which all buckets fill. */
     suspend fun run(requests: Int, use: Double) {
+        weights.indices.forEach { scope.backgroundScope.launch { balance(it) } }
         delay(WARM_UP_MILLIS)
         send(requests, use)
     }
@@ -119,6 +140,8 @@
     private companion object {
         const val HIGH = 1.87
         const val LOW = 0.383
+        const val ANNOUNCEMENT_MILLIS = 250L
+        const val ONE_WAY_MILLIS = 2L
         const val WARM_UP_MILLIS = 20_000L
         const val DRAIN_MILLIS = 1_000L
         const val MILLIS_PER_SECOND = 1_000.0
