Share the slots of a service between organisations, and refuse requests that can't get one in time

Cause: the queue for slots did not know organisations, so that one organisation with many times its usual load delayed all others; and a request that could not get a slot before its caller's time was over waited for all of it.

Change: within one use and priority, waiting requests are ordered by start-time fair queueing over organisations, with a credit of one second of their weight. An online request is refused on arrival if the work ahead of it and the turnover of the slots show that it can't get one in time. The batch item that has run for the shortest time is preempted first, among those that can run again and be on time. The weights and costs are parameters; the caller passes none yet.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchOrdering.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/BatchOrdering.kt
@@ -18,6 +18,9 @@
     /** Whether an item that is due in [untilDueMillis] can no longer finish on time. */
     fun isTooLate(untilDueMillis: Long): Boolean = untilDueMillis < TYPICAL_RUN_MILLIS
 
+    /** The time from which an item that is due at [dueMillis] can no longer finish on time. */
+    fun tooLateFromMillis(dueMillis: Long): Long = dueMillis - TYPICAL_RUN_MILLIS + 1
+
     // Under the standard load an item runs for 4.2 to 4.8 s on average; a resumed item needs less.
     private const val TYPICAL_RUN_MILLIS = 4_000L
 }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotRequest.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotRequest.kt
@@ -44,8 +44,18 @@
     val waitUntilMillis: Long? = null,
 )
 
-/** A slot that is in use. */
-class SlotLease(val key: SlotKey, val use: SlotUse, val worker: String, val onTimeUntilMillis: Long) {
+/**
+ * A slot that is in use.
+ *
+ * @property grantedMillis monotonic time in milliseconds at which this scheduler granted the slot, or null if another one did
+ */
+class SlotLease(
+    val key: SlotKey,
+    val use: SlotUse,
+    val worker: String,
+    val onTimeUntilMillis: Long,
+    val grantedMillis: Long? = null,
+) {
     /** Monotonic time in milliseconds at which the node was asked to give the slot up, or null. */
     var preemptedMillis: Long? = null
         internal set
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
@@ -10,12 +10,16 @@
  * @param workers the workers of the zone
  * @param capacities the capacities of the other zones
  * @param reports decides which workers receive no requests, or null if the owner of [workers] does
+ * @param weight returns the weight of an organisation, or of requests without one
+ * @param work returns the expected work of a request in milliseconds of a slot
  */
 class SlotScheduler(
     private val service: String,
     private val workers: LoadBalancer,
     private val capacities: ZoneCapacities,
     private val reports: WorkerReports? = WorkerReports(),
+    weight: (String?) -> Double = { 1.0 },
+    work: (SlotRequest) -> Double = { 1.0 },
 ) {
     /** A connection to a node. */
     interface NodeConnection {
@@ -28,7 +32,7 @@
 
     private class Session(val connection: NodeConnection?, var heardMillis: Long)
 
-    private val queue = SlotQueue(service, workers)
+    private val queue = SlotQueue(service, workers, weight, work)
     private val sessions = HashMap<String, Session>()
 
     /** Whether any node is connected. */
@@ -38,6 +42,9 @@
     /** Returns the capacity that is left. */
     fun capacity(nowMillis: Long): ServiceCapacity = queue.capacity(nowMillis)
 
+    /** Figures about the waiting requests. */
+    fun statistics(nowMillis: Long): SlotQueueStatistics = queue.statistics(nowMillis)
+
     /** Handles the [connection] of a node, which replaces an earlier one. */
     fun onConnected(hello: NodeMessage.Hello, nowMillis: Long, connection: NodeConnection) {
         val node = hello.node
@@ -124,11 +131,21 @@
             queue.release(request.key)
             send(request.key.node, SchedulerMessage.Redirected(request.key.number, zone))
         } else {
-            send(request.key.node, SchedulerMessage.Queued(request.key.number))
+            val retryMillis = if (preemptions.isEmpty()) refuse(request, nowMillis) else null
+            val number = request.key.number
+            send(
+                request.key.node,
+                retryMillis?.let { SchedulerMessage.Refused(number, it) } ?: SchedulerMessage.Queued(number),
+            )
         }
         sendPreemptions(preemptions)
+        // Requests ahead of it may exclude the workers with free slots.
+        if (queue.hasFreeSlot(nowMillis)) dispatch(nowMillis)
     }
 
+    private fun refuse(request: SlotRequest, nowMillis: Long): Long? =
+        if (capacities.hasRoom(request.use, nowMillis)) null else queue.refuse(request.key, nowMillis)
+
     private fun onNoWorker(request: SlotRequest, nowMillis: Long) {
         val zone = if (request.mayRedirect) capacities.chooseAny(nowMillis) else null
         val number = request.key.number
@@ -137,7 +154,8 @@
     }
 
     private fun onRelease(key: SlotKey, outcome: SlotOutcome, nowMillis: Long) {
-        val lease = queue.release(key)
+        if (queue.abandon(key, nowMillis)) return
+        val lease = queue.release(key, completedMillis = nowMillis.takeIf { outcome == SlotOutcome.USED })
         if (lease != null) report(key.node, lease.worker, outcome, nowMillis)
         dispatch(nowMillis)
     }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/ZoneCapacities.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/ZoneCapacities.kt
@@ -32,6 +32,10 @@
         return best.key
     }
 
+    /** Whether some zone has capacity for a request with the given [use]. */
+    fun hasRoom(use: SlotUse, nowMillis: Long): Boolean =
+        byZone.values.any { nowMillis - it.receivedMillis <= EXPIRY_MILLIS && it.room(use) > 0 }
+
     /** Returns a zone that has workers, preferably one with free slots, or null. */
     fun chooseAny(nowMillis: Long): String? {
         byZone.values.removeIf { nowMillis - it.receivedMillis > EXPIRY_MILLIS }
