--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotQueueTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotQueueTest.kt
@@ -80,6 +80,32 @@
             }
         }
 
+        data class FairCase(val name: String, val organisations: String, val expected: String)
+        listOf(
+            FairCase("a flood of one organisation waits behind a request of another", "aaaaaaaab", "aaabaaaaa"),
+            FairCase("organisations share the slots by their weights", "aaaaaaaacccccccc", "aaacaacaacaccccc"),
+            FairCase("requests of nodes that state no organisation share one flow", "----a--", "--a----"),
+            FairCase("organisations within their credit are served in order of arrival", "abcabc", "abcabc"),
+        ).forEach { case ->
+            test(case.name) {
+                val balancer = LoadBalancer("here") { 0.0 }.apply { update(listOf(worker("w", 1))) }
+                val queue = SlotQueue("s", balancer, weight = { if (it == "a") 2.0 else 1.0 })
+                queue.submit(request(0), nowMillis = 0)
+                case.organisations.forEachIndexed { index, organisation ->
+                    val name = organisation.toString().takeIf { it != "-" }
+                    queue.submit(request(index + 1L).copy(organisation = name), nowMillis = 0)
+                }
+                val served = StringBuilder()
+                var running = 0L
+                repeat(case.organisations.length) {
+                    queue.release(SlotKey("node", running))
+                    running = queue.dispatch(nowMillis = 0).single().key.number
+                    served.append(case.organisations[running.toInt() - 1])
+                }
+                served.toString() shouldBe case.expected
+            }
+        }
+
         data class ReserveCase(val name: String, val online: Int, val use: SlotUse, val granted: Int)
         listOf(
             ReserveCase(
@@ -114,6 +140,22 @@
             queue.dispatch(nowMillis = 10).single().key.number shouldBe 10
         }
 
+        data class PreemptionCase(val name: String, val startsAndDues: List<Pair<Long, Long>>, val expected: Long)
+        listOf(
+            PreemptionCase("the item that has run for the shortest time", listOf(0L to 90_000L, 2_000L to 60_000L), 1),
+            PreemptionCase("rather one that can run again and be on time", listOf(0L to 90_000L, 2_000L to 6_000L), 0),
+            PreemptionCase("one that would be late if there is no other", listOf(0L to 5_500L, 2_000L to 6_000L), 1),
+        ).forEach { case ->
+            test("an online request preempts ${case.name}") {
+                val queue = queue(case.startsAndDues.size)
+                case.startsAndDues.forEachIndexed { index, (start, due) ->
+                    queue.submit(request(index.toLong(), SlotUse.BATCH, onTimeUntilMillis = due), start)
+                }
+                queue.submit(request(9), nowMillis = 3_000)
+                queue.selectPreemptions(nowMillis = 3_000).map { it.number } shouldBe listOf(case.expected)
+            }
+        }
+
         test("another batch item is preempted when a node does not give up its slot") {
             val queue = queue(2)
             queue.submit(request(1, SlotUse.BATCH, onTimeUntilMillis = 9_000), nowMillis = 0)
