Weigh organisations by their rate limits in the schedulers, and show refusals and waits as metrics

The weight of an organisation is its rate limit in the configuration in force, without one the mean of the others. The gauges have no label for each organisation, so that their number does not grow with the organisations.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.LoadBalancer
+import org.poplarshift.core.dispatch.OrganisationWeights
 import org.poplarshift.core.dispatch.RateLimitShares
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
@@ -81,7 +82,9 @@
     private val tokenSource = PeerTokenSource(ownMember.name, peerClient, members, tokenReachability)
     private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
+    private val weights = OrganisationWeights { configuration.current?.organisations }
+    private val schedulerHost =
+        SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability, weights::of)
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -177,6 +180,7 @@
         val readinessPort = readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
+        NodeGauges.registerScheduling(metrics, schedulerHost)
         val callersPort = callerServer.listen(settings.callersAddress)
         tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
             awaitSubmissions { batchRunner.maintainMembership() }
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
@@ -1,11 +1,13 @@
 package org.poplarshift.serving.observe
 
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.fleet.WorkerRegistry
 import org.poplarshift.serving.forward.ForwardingContext
+import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.submission.BatchRunner
 
 /** Gauges for the state and the activity of a node. */
@@ -29,7 +31,18 @@
         gauge(registry, "prompt_parts_quarantined") { forwarding.crashTracker.blamedPartCount }
     }
 
+    /** Registers the figures about the requests that wait at the schedulers that [host] runs. */
+    fun registerScheduling(registry: MeterRegistry, host: SchedulerHost) {
+        gauge(registry, "slot_flows_waiting") { host.statistics.flows }
+        gauge(registry, "slot_longest_wait_seconds") { host.statistics.longestWaitMillis / MILLIS_PER_SECOND }
+        FunctionCounter.builder("slot_refusals", host) { it.statistics.refusals.toDouble() }
+            .tag("reason", "deadline")
+            .register(registry)
+    }
+
     private fun gauge(registry: MeterRegistry, name: String, value: () -> Number) {
         Gauge.builder(name, value).register(registry)
     }
+
+    private const val MILLIS_PER_SECOND = 1_000.0
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -10,6 +10,7 @@
 import org.poplarshift.core.dispatch.RateLimitShares
 import org.poplarshift.core.dispatch.SchedulerMessage
 import org.poplarshift.core.dispatch.ServiceCapacity
+import org.poplarshift.core.dispatch.SlotQueueStatistics
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.WorkerIncarnation
 import org.poplarshift.core.dispatch.ZoneCapacities
@@ -26,6 +27,8 @@
  * Runs the schedulers that this node has been asked to run, and announces their capacity and their leaving workers to the other zones.
  *
  * Any node runs the scheduler of a service as soon as another node connects to it.
+ *
+ * @param weight returns the weight of an organisation in the queues for slots
  */
 class SchedulerHost(
     private val tasks: BackgroundTasks,
@@ -34,6 +37,7 @@
     private val directory: SchedulerDirectory,
     private val client: PeerClient,
     private val reachability: PeerReachability,
+    private val weight: (String?) -> Double = { 1.0 },
 ) {
     @Serializable
     private data class Announcement(
@@ -80,6 +84,16 @@
     fun connectLocally(service: String, hello: NodeMessage.Hello, receiver: SchedulerReceiver): SchedulerChannel =
         LocalSchedulerChannel(schedulerOf(service).scheduler, clock, hello, receiver)
 
+    /** Figures about the requests that wait at the schedulers of this node. */
+    val statistics: SlotQueueStatistics
+        get() = hosted.values.map { it.scheduler.statistics(clock.millis()) }.let { all ->
+            SlotQueueStatistics(
+                flows = all.sumOf { it.flows },
+                longestWaitMillis = all.maxOfOrNull { it.longestWaitMillis } ?: 0,
+                refusals = all.sumOf { it.refusals },
+            )
+        }
+
     /** Updates the schedulers and announces their capacity until cancelled. */
     suspend fun run() {
         while (true) {
@@ -158,7 +172,7 @@
         val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) })
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
-        HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service)))
+        HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service), weight = weight))
     }
 
     /** Whether this node's requests for [service] use the scheduler that runs here. */
