--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.LoadBalancer
+import org.poplarshift.core.dispatch.OrganisationWeights
 import org.poplarshift.core.dispatch.RateLimitShares
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
@@ -91,7 +92,9 @@
     }
     private val tokenGate = TokenGate(tasks, clock, rateLimiter)
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability, tokenGate)
+    private val weights = OrganisationWeights { configuration.current?.organisations }
+    private val schedulerHost =
+        SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability, tokenGate, weights::of)
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -189,6 +192,7 @@
         val readinessPort = readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
+        NodeGauges.registerScheduling(metrics, schedulerHost)
         val callersPort = callerServer.listen(settings.callersAddress)
         tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
             awaitSubmissions { batchRunner.maintainMembership() }
