Exclude the workers of evacuated zones from new requests

The record evacuate/ZONE of the configuration topic was ignored, so that requests went on reaching workers of a zone that its operator had evacuated. Schedulers and nodes now leave these workers out of every choice; waiting requests are redirected, a slot that was granted before the node knew is returned as UNUSED, and probes pause. Acquire carries the excluded zones, because a scheduler may learn of an evacuation later than the node that asks. Batch items wait until the topic has been read once.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -19,6 +19,13 @@
     private val leaving = LinkedHashSet<WorkerIncarnation>()
     private var statesByService = mapOf<String, List<WorkerState>>()
 
+    /** Zones whose workers get no new requests. */
+    var evacuatedZones: Set<String> = emptySet()
+        set(value) {
+            field = value
+            statesById.values.forEach { it.isEvacuated = it.worker.zone in value }
+        }
+
     /** All registered workers, including draining ones. */
     val workers: Collection<FleetWorker>
         get() = statesById.values.map { it.worker }
@@ -34,6 +41,7 @@
             } else {
                 existing.worker = worker
             }
+            statesById.getValue(worker.id).isEvacuated = worker.zone in evacuatedZones
         }
         leaving.removeIf { incarnation ->
             val registered = statesById[incarnation.worker]?.worker
@@ -93,12 +101,19 @@
         .minByOrNull { score(it, nowMillis) + rateLimitPenalty(it, use) }
 
     /** Whether [service] has an available worker outside [excluded], with or without free slots. */
-    fun hasWorker(service: String, excluded: Set<String>): Boolean =
-        available(service).any { it.worker.id !in excluded }
+    fun hasWorker(service: String, excluded: Set<String>, excludedZones: Set<String> = emptySet()): Boolean =
+        available(service).any { it.worker.id !in excluded && it.worker.zone !in excludedZones }
+
+    /** Returns the ids of the registered workers of [service] in [zones]. */
+    fun idsIn(zones: Set<String>, service: String): Set<String> = when {
+        zones.isEmpty() -> emptySet()
+        else -> statesByService[service].orEmpty().map { it.worker }.filter { it.zone in zones }.map { it.id }.toSet()
+    }
 
     /** Whether at least half of the workers of the same service remain available without [state]. */
     fun mayEject(state: WorkerState): Boolean {
-        val all = statesByService[state.worker.service].orEmpty().filter { !it.worker.isDraining && !it.isLeaving }
+        val all = statesByService[state.worker.service].orEmpty()
+            .filter { !it.worker.isDraining && !it.isLeaving && !it.isEvacuated }
         val remaining = all.count { !it.isSuspect && it !== state }
         return remaining > 0 && remaining * 2 >= all.size
     }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
@@ -19,7 +19,10 @@
         val leaving: List<WorkerIncarnation> = emptyList(),
     ) : NodeMessage
 
-    /** Asks for a slot. See [SlotRequest]. A request with [needsToken] also asks for a token of its organisation's rate limit. */
+    /**
+     * Asks for a slot. See [SlotRequest]. A request with [needsToken] also asks for a token of its organisation's rate limit.
+     * The workers of [excludedZones] are left out of [excludedWorkers].
+     */
     @Serializable
     @SerialName("acquire")
     data class Acquire(
@@ -34,6 +37,7 @@
         val route: String? = null,
         val size: RequestSize? = null,
         val waitInMillis: Long? = null,
+        val excludedZones: Set<String> = emptySet(),
     ) : NodeMessage
 
     /** Gives a slot up, or stops waiting for one. [run] describes the run that used the slot, if there was one. */
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
@@ -101,10 +101,10 @@
             .map { it.key }
     }
 
-    /** Removes and returns the first waiting requests of [use] that may be redirected, at most [maximum]. */
-    fun takeRedirectable(use: SlotUse, maximum: Int, nowMillis: Long): List<SlotRequest> {
+    /** Removes and returns the first waiting requests of [use] that may be redirected to [zone], at most [maximum]. */
+    fun takeRedirectable(use: SlotUse, maximum: Int, nowMillis: Long, zone: String? = null): List<SlotRequest> {
         val taken = waiters
-            .filter { it.request.use == use && it.request.mayRedirect }
+            .filter { it.request.use == use && it.request.mayRedirect && zone !in it.request.excludedZones }
             .sortedWith(order(nowMillis))
             .take(maximum)
         waiters.removeAll(taken.toSet())
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotRequest.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotRequest.kt
@@ -25,6 +25,7 @@
  * @property onTimeUntilMillis for online requests the latest monotonic time in milliseconds of a dispatch that meets
  *   the target latency, for batch items the time at which the result is due
  * @property excludedWorkers ids of workers that must not be chosen
+ * @property excludedZones availability zones whose workers must not be chosen
  * @property mayRedirect whether the request may be sent to another availability zone
  * @property organisation the organisation that the request belongs to, or null if it is not known
  * @property route name of the route, or null if it is not known
@@ -42,6 +43,7 @@
     val route: String? = null,
     val size: RequestSize? = null,
     val waitUntilMillis: Long? = null,
+    val excludedZones: Set<String> = emptySet(),
 )
 
 /** A slot that is in use. */
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
@@ -89,6 +89,7 @@
     fun update(nowMillis: Long) {
         expireNodes(nowMillis)
         reports?.readmissible(nowMillis)?.forEach { workers.state(it)?.onReachable() }
+        if (workers.available(service).isEmpty()) redirectAll(nowMillis)
         dispatch(nowMillis)
         redirectWaiting(SlotUse.ONLINE, nowMillis)
         redirectWaiting(SlotUse.BATCH, nowMillis)
@@ -103,12 +104,13 @@
             use = message.use,
             priority = message.priority,
             onTimeUntilMillis = nowMillis + message.onTimeInMillis,
-            excludedWorkers = message.excludedWorkers,
+            excludedWorkers = message.excludedWorkers + workers.idsIn(message.excludedZones, service),
             mayRedirect = message.mayRedirect,
             organisation = message.organisation,
             route = message.route,
             size = message.size,
             waitUntilMillis = message.waitInMillis?.let { nowMillis + it },
+            excludedZones = message.excludedZones,
         )
         when (val decision = queue.submit(request, nowMillis)) {
             is SlotDecision.Granted -> send(node, decision.toMessage(message.number))
@@ -119,7 +121,11 @@
 
     private fun onQueued(request: SlotRequest, nowMillis: Long) {
         val preemptions = queue.selectPreemptions(nowMillis)
-        val zone = if (request.mayRedirect && preemptions.isEmpty()) capacities.choose(request.use, nowMillis) else null
+        val zone = if (request.mayRedirect && preemptions.isEmpty()) {
+            capacities.choose(request.use, nowMillis, request.excludedZones)
+        } else {
+            null
+        }
         if (zone != null) {
             queue.release(request.key)
             send(request.key.node, SchedulerMessage.Redirected(request.key.number, zone))
@@ -130,7 +136,7 @@
     }
 
     private fun onNoWorker(request: SlotRequest, nowMillis: Long) {
-        val zone = if (request.mayRedirect) capacities.chooseAny(nowMillis) else null
+        val zone = if (request.mayRedirect) capacities.chooseAny(nowMillis, request.excludedZones) else null
         val number = request.key.number
         val reply = if (zone == null) SchedulerMessage.NoWorker(number) else SchedulerMessage.Redirected(number, zone)
         send(request.key.node, reply)
@@ -169,10 +175,20 @@
     private fun SlotDecision.Granted.toMessage(number: Long) =
         SchedulerMessage.Granted(number, worker, requestsPerSecond)
 
+    // Requests that wait when the zone is evacuated would be refused as soon as they are dispatched.
+    private fun redirectAll(nowMillis: Long) = queue.waiting.filter { it.mayRedirect }.forEach {
+        queue.release(it.key)
+        onNoWorker(it, nowMillis)
+    }
+
     private fun redirectWaiting(use: SlotUse, nowMillis: Long) {
+        val unsuitable = HashSet<String>()
         while (queue.waiting.any { it.use == use && it.mayRedirect }) {
-            val zone = capacities.choose(use, nowMillis) ?: return
-            for (request in queue.takeRedirectable(use, maximum = 1, nowMillis)) {
+            val zone = capacities.choose(use, nowMillis, unsuitable) ?: return
+            val request = queue.takeRedirectable(use, maximum = 1, nowMillis, zone).firstOrNull()
+            if (request == null) {
+                unsuitable += zone
+            } else {
                 send(request.key.node, SchedulerMessage.Redirected(request.key.number, zone))
             }
         }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -34,9 +34,13 @@
     var isLeaving = false
         private set
 
+    /** Whether the worker's zone is evacuated: it gets no new requests, and those that it runs may finish. */
+    var isEvacuated = false
+        internal set
+
     /** Whether the worker accepts new requests. */
     val isAvailable: Boolean
-        get() = !worker.isDraining && !isLeaving && !isSuspect
+        get() = !worker.isDraining && !isLeaving && !isSuspect && !isEvacuated
 
     /** Counts a request that is being sent. */
     fun onSent(isBatch: Boolean) {
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/ZoneCapacities.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/ZoneCapacities.kt
@@ -23,20 +23,21 @@
         byZone.remove(zone)
     }
 
-    /** Returns the zone with the most capacity for a request with the given [use], or null if none has any. */
-    fun choose(use: SlotUse, nowMillis: Long): String? {
+    /** Returns the zone outside [excluded] with the most capacity for a request with [use], or null if none has any. */
+    fun choose(use: SlotUse, nowMillis: Long, excluded: Set<String> = emptySet()): String? {
         byZone.values.removeIf { nowMillis - it.receivedMillis > EXPIRY_MILLIS }
-        val best = byZone.maxByOrNull { (_, announcement) -> announcement.room(use) } ?: return null
+        val best = byZone.filterKeys { it !in excluded }.maxByOrNull { (_, announcement) -> announcement.room(use) }
+            ?: return null
         if (best.value.room(use) <= 0) return null
         best.value.redirected++
         return best.key
     }
 
-    /** Returns a zone that has workers, preferably one with free slots, or null. */
-    fun chooseAny(nowMillis: Long): String? {
+    /** Returns a zone outside [excluded] that has workers, preferably one with free slots, or null. */
+    fun chooseAny(nowMillis: Long, excluded: Set<String> = emptySet()): String? {
         byZone.values.removeIf { nowMillis - it.receivedMillis > EXPIRY_MILLIS }
         return byZone
-            .filterValues { it.capacity.workers > 0 }
+            .filter { (zone, announcement) -> zone !in excluded && announcement.capacity.workers > 0 }
             .maxByOrNull { (_, announcement) -> announcement.room(SlotUse.ONLINE) }
             ?.also { it.value.redirected++ }
             ?.key
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
@@ -34,6 +34,17 @@
             balancer.hasWorker("service", excluded = setOf("excluded", "good")) shouldBe false
         }
 
+        // Requests reached workers of zones that the operator had evacuated.
+        test("workers of an evacuated zone are skipped until the evacuation ends, also those that register meanwhile") {
+            val balancer = balancer(worker("left", zone = "there"), worker("stays"))
+            balancer.evacuatedZones = setOf("there")
+            balancer.update(listOf(worker("left", "there"), worker("stays"), worker("new", "there")))
+            balancer.available("service").map { it.worker.id } shouldBe listOf("stays")
+            balancer.mayEject(balancer.state("stays")!!) shouldBe false
+            balancer.evacuatedZones = emptySet()
+            balancer.available("service").map { it.worker.id }.toSet() shouldBe setOf("left", "stays", "new")
+        }
+
         data class RateLimitCase(val name: String, val use: SlotUse, val load: Int, val expected: String)
         listOf(
             RateLimitCase("an online request avoids", SlotUse.ONLINE, load = 0, expected = "free"),
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
@@ -66,6 +66,42 @@
             connection.received.last() shouldBe SchedulerMessage.Granted(8, "w0")
         }
 
+        test("a request that excludes a zone is neither served there nor redirected there") {
+            val fixture = Fixture()
+            val connection = fixture.connect("a")
+            fun ask(number: Long, vararg excludedZones: String) = fixture.scheduler.onMessage(
+                "a",
+                NodeMessage.Acquire(number, SlotUse.ONLINE, 0, 300, excludedZones = excludedZones.toSet()),
+                nowMillis = 0,
+            )
+            listOf("there", "far").forEach { fixture.capacities.onAnnouncement(it, roomElsewhere, nowMillis = 0) }
+            ask(1, "here", "far")
+            ask(2, "here", "far", "there")
+            ask(3)
+            ask(4, "far", "there")
+            fixture.scheduler.update(nowMillis = 0)
+            connection.received shouldBe listOf(
+                SchedulerMessage.Redirected(1, "there"),
+                SchedulerMessage.NoWorker(2),
+                SchedulerMessage.Granted(3, "w0"),
+                SchedulerMessage.Queued(4),
+            )
+        }
+
+        test("requests that wait when their zone is evacuated are redirected, and runs go on") {
+            val fixture = Fixture()
+            val connection = fixture.connect("a")
+            fixture.acquire("a", 1)
+            fixture.acquire("a", 2)
+            val full = ServiceCapacity(workers = 1, free = 0, spare = 0, preemptible = 0, waiting = 5)
+            fixture.capacities.onAnnouncement("there", full, nowMillis = 0)
+            fixture.balancer.evacuatedZones = setOf("here")
+            fixture.scheduler.update(nowMillis = 0)
+            connection.received.last() shouldBe SchedulerMessage.Redirected(2, "there")
+            fixture.scheduler.capacity(nowMillis = 0).workers shouldBe 0
+            fixture.balancer.state("w0")?.online shouldBe 1
+        }
+
         // A worker's word was known only to the node that had read it.
         test("a worker that leaves is told to all nodes, also to those that connect later, until it has restarted") {
             val fixture = Fixture(workers = 2)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -80,7 +80,8 @@
     private val tokenReachability = PeerReachability(clock)
     private val tokenSource = PeerTokenSource(ownMember.name, peerClient, members, tokenReachability)
     private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
-    private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
+    private val configuration: ConfigurationHolder =
+        ConfigurationHolder(ports::decodeConfiguration, ::onEvacuation) { rateLimiter.update(it) }
     private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
     private val dispatcher = FleetDispatcher(
         tasks,
@@ -204,7 +205,9 @@
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
     }
 
+    // Items must not be sent to workers of evacuated zones, which the topic of the configuration states.
     private suspend fun awaitSubmissions(run: suspend () -> Unit) {
+        followers.first { it.topic == settings.configurationTopic }.awaitStart()
         store.partitions.forEach { it.follower.awaitStart() }
         run()
     }
@@ -236,6 +239,11 @@
         evictUnusableConnections()
     }
 
+    private fun onEvacuation(zones: Set<String>) {
+        loadBalancer.evacuatedZones = zones
+        schedulerHost.evacuate(zones)
+    }
+
     private fun evictUnusableConnections() = connections.evictUnusable(loadBalancer.workers.map { it.id }.toSet())
 
     private suspend fun runMaintenance() {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
@@ -10,7 +10,7 @@
  * Excludes unreachable workers from dispatch and probes them with new connections until one succeeds.
  *
  * Open connections to a worker that has stopped responding still look usable. They are closed as soon as the worker is
- * suspected.
+ * suspected. Workers of an evacuated zone are probed once its evacuation has ended.
  */
 class WorkerProber(
     private val tasks: BackgroundTasks,
@@ -45,7 +45,7 @@
             var delayMillis = INITIAL_PROBE_DELAY_MILLIS
             delay(delayMillis)
             while (loadBalancer.workerStates.any { it === target }) {
-                if (connections.open(target.worker)) {
+                if (!target.isEvacuated && connections.open(target.worker)) {
                     target.onReachable()
                     logger.info { "forward: worker $id can be reached again" }
                     return
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -57,7 +57,7 @@
         var zone = self.zone
         var hops = 0
         while (true) {
-            if (!workers.hasWorker(request.service, excluded)) return DispatchResult.NoWorker
+            if (!workers.hasWorker(request.service, excluded, excludedZones(request))) return DispatchResult.NoWorker
             val waitMillis = deadlineMillis - clock.millis()
             // The scheduler that redirects a request has taken the token.
             val needsToken = request.needsToken && hops == 0
@@ -70,7 +70,8 @@
 
                 is LinkResult.Redirected -> {
                     hops++
-                    zone = result.zone
+                    // A scheduler of an earlier release doesn't know the excluded zones of a request.
+                    if (result.zone in excludedZones(request)) hops = MAXIMUM_HOPS else zone = result.zone
                 }
 
                 is LinkResult.NoCapacity -> return DispatchResult.NoCapacity(result.retryMillis)
@@ -134,11 +135,7 @@
         own.onRequest()
         val message = message(request, excluded, waitMillis, mayRedirect = false, needsToken = false)
         return when (val result = own.link.acquire(message, waitMillis)) {
-            is LinkResult.Granted -> {
-                val state = checkNotNull(workers.state(result.worker))
-                own.link.onUsed(request.toSlot(message.number, result.worker))
-                DispatchResult.Assigned(AssignedSlot(message.number, request.service, zone = null, state, request.use))
-            }
+            is LinkResult.Granted -> useAlone(own, request, message.number, result.worker)
 
             LinkResult.NoWorker, LinkResult.Unavailable -> DispatchResult.NoWorker
             is LinkResult.RateExceeded -> DispatchResult.RateExceeded(result.retryMillis)
@@ -147,12 +144,23 @@
         }
     }
 
+    // A worker that was registered while the request waited may be in a zone that the request excludes.
+    private fun useAlone(own: OwnScheduler, request: DispatchRequest, number: Long, worker: String): DispatchResult {
+        val state = checkNotNull(workers.state(worker))
+        if (state.worker.zone in excludedZones(request)) {
+            own.link.release(number, SlotOutcome.UNUSED)
+            return DispatchResult.NoCapacity()
+        }
+        own.link.onUsed(request.toSlot(number, worker))
+        return DispatchResult.Assigned(AssignedSlot(number, request.service, zone = null, state, request.use))
+    }
+
     /** Takes over the granted slot, or returns it if this node can't use the worker. */
     private fun use(zone: String, request: DispatchRequest, number: Long, granted: LinkResult.Granted): AssignedSlot? {
         val worker = granted.worker
         val state = workers.state(worker)
         val link = link(zone, request.service)
-        if (state == null || !state.isAvailable) {
+        if (state == null || !state.isAvailable || state.worker.zone in excludedZones(request)) {
             link.release(number, SlotOutcome.UNUSED)
             return null
         }
@@ -176,6 +184,7 @@
         priority = request.priority,
         onTimeInMillis = request.onTimeUntilMillis - clock.millis(),
         excludedWorkers = excluded + unavailable(request.service),
+        excludedZones = excludedZones(request),
         mayRedirect = mayRedirect,
         organisation = request.organisation,
         needsToken = needsToken,
@@ -184,9 +193,13 @@
         waitInMillis = waitMillis,
     )
 
-    // Schedulers know from the registry which workers are draining.
+    // Schedulers may learn of an evacuation later than this node.
+    private fun excludedZones(request: DispatchRequest): Set<String> =
+        if (request.excludedZones.isEmpty()) workers.evacuatedZones else request.excludedZones + workers.evacuatedZones
+
+    // Schedulers know from the registry which workers are draining, and those of evacuated zones are excluded as zones.
     private fun unavailable(service: String): List<String> = workers.workerStates
-        .filter { (it.isSuspect || it.isLeaving) && it.worker.service == service }
+        .filter { (it.isSuspect || it.isLeaving) && !it.isEvacuated && it.worker.service == service }
         .map { it.worker.id }
 
     private val statements = object : WorkerStatements {
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -53,6 +53,7 @@
     private val hosted = HashMap<String, HostedScheduler>()
     private val capacities = HashMap<String, ZoneCapacities>()
     private var zoneWorkers = mapOf<String, List<FleetWorker>>()
+    private var evacuatedZones = emptySet<String>()
 
     /** Registers the handlers for schedulers and announcements at [server]. */
     fun serve(server: PeerServer) {
@@ -76,6 +77,15 @@
         }
     }
 
+    /** Replaces the zones whose workers get no new requests. */
+    fun evacuate(zones: Set<String>) {
+        evacuatedZones = zones
+        for (entry in hosted.values) {
+            entry.workers.evacuatedZones = zones
+            entry.scheduler.update(clock.millis())
+        }
+    }
+
     /** Connects this node to its own scheduler of [service]. */
     fun connectLocally(service: String, hello: NodeMessage.Hello, receiver: SchedulerReceiver): SchedulerChannel =
         LocalSchedulerChannel(schedulerOf(service).scheduler, clock, hello, receiver)
@@ -156,6 +166,7 @@
 
     private fun schedulerOf(service: String): HostedScheduler = hosted.getOrPut(service) {
         val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) })
+        workers.evacuatedZones = evacuatedZones
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
         HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service)))
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -300,6 +300,33 @@
             }
         }
 
+        test("a slot in a zone that is evacuated is returned, and the next request excludes the zone") {
+            runTest {
+                val fixture = Fixture(this, "here-1")
+                fixture.workers.update(fixture.workers.workers.map { if (it.id == "w0") it.copy(zone = "out") else it })
+                fixture.answer = {
+                    fixture.workers.evacuatedZones = setOf("out")
+                    SchedulerMessage.Granted(it.number, if ("out" in it.excludedZones) "w1" else "w0")
+                }
+                fixture.acquire().worker() shouldBe "w1"
+                val sent = fixture.connections.single().sent
+                sent.filterIsInstance<NodeMessage.Release>() shouldBe listOf(NodeMessage.Release(1, SlotOutcome.UNUSED))
+                sent.filterIsInstance<NodeMessage.Acquire>().map { it.excludedZones } shouldBe
+                    listOf(emptySet(), setOf("out"))
+            }
+        }
+
+        test("a node without a scheduler sends nothing to an evacuated zone") {
+            runTest {
+                val fixture = Fixture(this)
+                fixture.unreachable += "self"
+                fixture.workers.evacuatedZones = setOf("here")
+                fixture.acquire() shouldBe DispatchResult.NoWorker
+                fixture.workers.evacuatedZones = emptySet()
+                fixture.acquire().worker() shouldBe "w0"
+            }
+        }
+
         test("a granted worker that this node can't use is returned, and another one is requested") {
             runTest {
                 val fixture = Fixture(this, "here-1")
