--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
@@ -14,6 +14,7 @@
  * @property workerTopic keyed topic of the workers' registry entries
  * @property submissionPartitions number of partitions of [submissionTopic] that are used
  * @property retentionMillis milliseconds for which results are kept after a submission
+ * @property zones the regions of all zones of the deployment by the names of the zones; empty if they are not known
  * @property contentCacheBytes maximum size of the bodies and outputs of submissions that are kept in memory
  * @property drainMillis maximum milliseconds for which a node keeps serving requests during shutdown
  */
@@ -34,6 +35,7 @@
     val retentionMillis: Long,
     val drainMillis: Long,
     val contentCacheBytes: Long = DEFAULT_CONTENT_CACHE_BYTES,
+    val zones: Map<String, String> = emptyMap(),
 ) {
     private companion object {
         // A sixth of the heap of 96 MB that nodes run with.
