Pace the requests to cold workers

A worker that has just started, or whose zone was evacuated, accepts few requests per second and crashes above them; cold_left_ms and cold_per_s were not read, so that every scheduler and node sent it as many requests as it had slots. The limit now uses the pacing of stated rate limits with the same shares. Workers count as cold for 3 s after an evacuation, because their entries say so only later.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/FleetWorker.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/FleetWorker.kt
@@ -6,6 +6,7 @@
  * @property id usually changes when the worker restarts
  * @property address IP address and port
  * @property slots number of requests that the worker runs concurrently
+ * @property coldUntilMillis monotonic time in milliseconds until which the worker is cold; 0 if it is not
  * @property startedMillis start time in Unix milliseconds; distinguishes restarts under the same id
  */
 data class FleetWorker(
@@ -16,6 +17,7 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedMillis: Long,
+    val coldUntilMillis: Long = 0,
 ) {
     /** The worker from its last start on. */
     val incarnation: WorkerIncarnation
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -8,11 +8,14 @@
  *
  * @param ownZone availability zone that is preferred among workers of about the same load
  * @param rateShare returns the share of the rate limits of workers that the user of this object may use, 0 to 1
+ * @param coldLimit returns the requests per second that a cold worker of a service accepts from all nodes together, or
+ *   null if they are not limited
  * @param random returns values from 0 until 1, used to break ties
  */
 class LoadBalancer(
     private val ownZone: String,
     private val rateShare: () -> Double = { 1.0 },
+    private val coldLimit: (service: String) -> Double? = { null },
     private val random: () -> Double = Math::random,
 ) {
     private val statesById = HashMap<String, WorkerState>()
@@ -21,10 +24,21 @@
 
     /** Zones whose workers get no new requests. */
     var evacuatedZones: Set<String> = emptySet()
-        set(value) {
-            field = value
-            statesById.values.forEach { it.isEvacuated = it.worker.zone in value }
+        private set
+
+    /**
+     * Replaces the [evacuatedZones].
+     *
+     * Workers may have become cold while their zone was evacuated, and the registry says so only in their next entries.
+     */
+    fun evacuate(zones: Set<String>, nowMillis: Long) {
+        val ended = evacuatedZones - zones
+        evacuatedZones = zones
+        for (state in statesById.values) {
+            state.isEvacuated = state.worker.zone in zones
+            if (state.worker.zone in ended) state.assumeCold(nowMillis + ASSUMED_COLD_MILLIS)
         }
+    }
 
     /** All registered workers, including draining ones. */
     val workers: Collection<FleetWorker>
@@ -98,7 +112,7 @@
         use: SlotUse = SlotUse.ONLINE,
     ): WorkerState? = available(service)
         .filter { it.worker.id !in excluded && it.freeSlots(nowMillis) > headroom && it.isWithinRate(nowMillis) }
-        .minByOrNull { score(it, nowMillis) + rateLimitPenalty(it, use) }
+        .minByOrNull { score(it, nowMillis) + rateLimitPenalty(it, use, nowMillis) }
 
     /** Whether [service] has an available worker outside [excluded], with or without free slots. */
     fun hasWorker(service: String, excluded: Set<String>, excludedZones: Set<String> = emptySet()): Boolean =
@@ -119,7 +133,7 @@
     }
 
     private fun newState(worker: FleetWorker): WorkerState {
-        val state = WorkerState(worker, rateShare)
+        val state = WorkerState(worker, rateShare, { coldLimit(worker.service) }, random)
         if (worker.incarnation in leaving) state.onLeaving()
         return state
     }
@@ -129,8 +143,8 @@
         return (state.load(nowMillis) + zonePenalty + random() * TIE_BREAK_RANGE) / maxOf(1, state.worker.slots)
     }
 
-    private fun rateLimitPenalty(state: WorkerState, use: SlotUse): Double = when {
-        state.requestsPerSecond == null -> 0.0
+    private fun rateLimitPenalty(state: WorkerState, use: SlotUse, nowMillis: Long): Double = when {
+        !state.isPaced(nowMillis) -> 0.0
         use == SlotUse.ONLINE -> RATE_LIMIT_PENALTY
         else -> -1.0
     }
@@ -139,6 +153,9 @@
         // Bounds memory. Far more than the workers that leave before the registry says so.
         const val MAXIMUM_LEAVING_WORKERS = 256
 
+        // Longer than a worker needs to renew its entry and a node to read it.
+        const val ASSUMED_COLD_MILLIS = 3_000L
+
         // In shares of a worker's slots.
         const val RATE_LIMIT_PENALTY = 0.5
 
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -5,14 +5,25 @@
 /**
  * The state of one worker as seen by one node or scheduler. Times are monotonic milliseconds.
  *
- * @param rateShare returns the share of the worker's rate limit that the observer may use, 0 to 1
+ * @param rateShare returns the share of the worker's rate limits that the observer may use, 0 to 1
+ * @param coldLimit returns the requests per second that the worker accepts from all nodes together while it is cold, or
+ *   null if they are not limited
+ * @param random returns values from 0 until 1
  */
-class WorkerState(var worker: FleetWorker, private val rateShare: () -> Double = { 1.0 }) {
+class WorkerState(
+    var worker: FleetWorker,
+    private val rateShare: () -> Double = { 1.0 },
+    private val coldLimit: () -> Double? = { null },
+    private val random: () -> Double = { 0.0 },
+) {
     private var reportedPeerRequests = 0.0
     private var reportedMillis = Long.MIN_VALUE
     private var consecutiveLosses = 0
     private var peakOwnSinceReport = 0
     private var pacer: RequestPacer? = null
+    private var coldPacer: RequestPacer? = null
+    private var coldRequestsPerSecond: Double? = null
+    private var assumedColdUntilMillis = Long.MIN_VALUE
 
     /** Counted online requests in flight at the worker. */
     var online = 0
@@ -73,26 +84,51 @@
     /** Spaces the requests from now on as if none had been possible before. */
     fun restartPacing(nowMillis: Long) {
         pacer = requestsPerSecond?.let { RequestPacer(it, rateShare, nowMillis) }
+        coldRequestsPerSecond = null
     }
 
+    /** Treats the worker as cold until [untilMillis], in addition to what its registry entry states. */
+    fun assumeCold(untilMillis: Long) {
+        assumedColdUntilMillis = untilMillis
+    }
+
+    /** Whether the rate of requests to the worker is limited, because it states a limit or because it is cold. */
+    fun isPaced(nowMillis: Long): Boolean = requestsPerSecond != null || coldPacer(nowMillis) != null
+
+    private fun coldPacer(nowMillis: Long): RequestPacer? {
+        val isCold = nowMillis < maxOf(worker.coldUntilMillis, assumedColdUntilMillis)
+        val limit = if (isCold) coldLimit() else null
+        if (limit != coldRequestsPerSecond) {
+            coldRequestsPerSecond = limit
+            // Nodes that find themselves without a scheduler at the same time must not send their first requests together.
+            val initialTokens = if (rateShare() < 1.0) -random() else 0.0
+            coldPacer = limit?.let { RequestPacer(it, rateShare, nowMillis, initialTokens, KEEP_MILLIS) }
+        }
+        return coldPacer
+    }
+
+    private fun paced(nowMillis: Long): Double = minOf(
+        pacer?.available(nowMillis) ?: Double.MAX_VALUE,
+        coldPacer(nowMillis)?.available(nowMillis) ?: Double.MAX_VALUE,
+    )
+
     /** Records that the worker has stated, to this node or to another one, that it leaves. */
     fun onLeaving() {
         isLeaving = true
     }
 
-    /** Number of requests that may be sent at once: free slots, and no more than the worker's rate limit allows. */
-    fun startableRequests(nowMillis: Long): Int {
-        val paced = pacer?.available(nowMillis) ?: Double.MAX_VALUE
-        return floor(minOf(freeSlots(nowMillis), paced)).toInt().coerceAtLeast(0)
-    }
+    /** Number of requests that may be sent at once: free slots, and no more than the worker's rate limits allow. */
+    fun startableRequests(nowMillis: Long): Int =
+        floor(minOf(freeSlots(nowMillis), paced(nowMillis))).toInt().coerceAtLeast(0)
 
-    /** Counts a request against the worker's rate limit. */
+    /** Counts a request against the worker's rate limits. */
     fun onPaced(nowMillis: Long) {
         pacer?.onSent(nowMillis)
+        coldPacer(nowMillis)?.onSent(nowMillis)
     }
 
-    /** Whether the worker's rate limit allows a request now. */
-    fun isWithinRate(nowMillis: Long): Boolean = (pacer?.available(nowMillis) ?: 1.0) >= 1.0
+    /** Whether the worker's rate limits allow a request now. */
+    fun isWithinRate(nowMillis: Long): Boolean = paced(nowMillis) >= 1.0
 
     /** Records that the worker is reachable, which clears the suspicion. */
     fun onReachable() {
@@ -129,6 +165,9 @@
     }
 
     private companion object {
+        // The limit of a cold worker is checked in windows of one second.
+        const val KEEP_MILLIS = 1_000L
+
         // About the duration of a request, after which a report says nothing about the current load.
         const val REPORT_DECAY_MILLIS = 700L
 
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -48,9 +48,17 @@
  * A service that is provided by a group of interchangeable workers.
  *
  * @property maximumConnections connections that one worker accepts from all nodes together
+ * @property coldRequestsPerSecond requests per second that a cold worker accepts from all nodes together, or null if they
+ *   are not limited
  * @property isEngine whether the workers are inference engines, which run the requests of all their slots in one batch
  */
-data class IngressService(val name: String, val healthPath: String, val maximumConnections: Int, val isEngine: Boolean)
+data class IngressService(
+    val name: String,
+    val healthPath: String,
+    val maximumConnections: Int,
+    val isEngine: Boolean,
+    val coldRequestsPerSecond: Double? = null,
+)
 
 /**
  * An organisation with its keys and its rate limit across all nodes.
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
@@ -37,11 +37,11 @@
         // Requests reached workers of zones that the operator had evacuated.
         test("workers of an evacuated zone are skipped until the evacuation ends, also those that register meanwhile") {
             val balancer = balancer(worker("left", zone = "there"), worker("stays"))
-            balancer.evacuatedZones = setOf("there")
+            balancer.evacuate(setOf("there"), nowMillis = 0)
             balancer.update(listOf(worker("left", "there"), worker("stays"), worker("new", "there")))
             balancer.available("service").map { it.worker.id } shouldBe listOf("stays")
             balancer.mayEject(balancer.state("stays")!!) shouldBe false
-            balancer.evacuatedZones = emptySet()
+            balancer.evacuate(emptySet(), nowMillis = 0)
             balancer.available("service").map { it.worker.id }.toSet() shouldBe setOf("left", "stays", "new")
         }
 
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/SlotSchedulerTest.kt
@@ -95,7 +95,7 @@
             fixture.acquire("a", 2)
             val full = ServiceCapacity(workers = 1, free = 0, spare = 0, preemptible = 0, waiting = 5)
             fixture.capacities.onAnnouncement("there", full, nowMillis = 0)
-            fixture.balancer.evacuatedZones = setOf("here")
+            fixture.balancer.evacuate(setOf("here"), nowMillis = 0)
             fixture.scheduler.update(nowMillis = 0)
             connection.received.last() shouldBe SchedulerMessage.Redirected(2, "there")
             fixture.scheduler.capacity(nowMillis = 0).workers shouldBe 0
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -57,7 +57,7 @@
     }
     private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
-        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
+        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) }, ::coldLimit)
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
@@ -82,7 +82,15 @@
     private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
     private val configuration: ConfigurationHolder =
         ConfigurationHolder(ports::decodeConfiguration, ::onEvacuation) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
+    private val schedulerHost = SchedulerHost(
+        tasks,
+        clock,
+        ownMember,
+        directory,
+        peerClient,
+        reachability,
+        ::coldLimit,
+    )
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -239,8 +247,14 @@
         evictUnusableConnections()
     }
 
+    // Another node may ask for slots before this one has read the configuration. Cold workers get almost nothing until then.
+    private fun coldLimit(service: String): Double? {
+        val current = configuration.current ?: return 0.0
+        return current.services[service]?.coldRequestsPerSecond
+    }
+
     private fun onEvacuation(zones: Set<String>) {
-        loadBalancer.evacuatedZones = zones
+        loadBalancer.evacuate(zones, clock.millis())
         schedulerHost.evacuate(zones)
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
@@ -11,8 +11,8 @@
 
 /** The outcome of decoding a worker's record. */
 sealed interface WorkerResult {
-    /** The record describes a worker. */
-    data class Valid(val worker: FleetWorker) : WorkerResult
+    /** The record describes a worker that is cold for [coldMillis] from the time of the record on. */
+    data class Valid(val worker: FleetWorker, val coldMillis: Long = 0) : WorkerResult
 
     /** The record can't be decoded or does not describe a usable worker. */
     data class Invalid(val reason: String) : WorkerResult
@@ -57,7 +57,7 @@
         }
         expiredAtMillis.remove(record.key)
         when (val result = decode(record.key, record.value)) {
-            is WorkerResult.Valid -> put(result.worker)
+            is WorkerResult.Valid -> put(result.worker.copy(coldUntilMillis = coldUntilMillis(result)))
             is WorkerResult.Invalid -> {
                 logger.warn { "registry: record ${record.key} at offset ${record.offset} ignored: ${result.reason}" }
                 if (workers.remove(record.key) != null) isChanged = true
@@ -81,6 +81,14 @@
         }
     }
 
+    // The record may have been written long before it is read. The time is then too late, which is safe.
+    private fun coldUntilMillis(entry: WorkerResult.Valid): Long {
+        if (entry.coldMillis <= 0) return 0
+        val stated = clock.millis() + entry.coldMillis
+        val known = workers[entry.worker.id]?.coldUntilMillis ?: 0
+        return if (stated in known - COLD_TOLERANCE_MILLIS..known) known else stated
+    }
+
     private fun put(worker: FleetWorker) {
         val previous = workers.put(worker.id, worker)
         if (previous == worker) return
@@ -133,6 +141,9 @@
 
         // An entry may expire at the end of an outage, and its removal is then read only afterwards.
         const val STABLE_AFTER_MILLIS = 3_000L
+
+        // Entries that are read with different delays state the same end of a cold phase. Not each of them is a change.
+        private const val COLD_TOLERANCE_MILLIS = 1_000L
         private const val CHECK_INTERVAL_MILLIS = 200L
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -34,6 +34,7 @@
     private val directory: SchedulerDirectory,
     private val client: PeerClient,
     private val reachability: PeerReachability,
+    private val coldLimit: (service: String) -> Double? = { null },
 ) {
     @Serializable
     private data class Announcement(
@@ -81,7 +82,7 @@
     fun evacuate(zones: Set<String>) {
         evacuatedZones = zones
         for (entry in hosted.values) {
-            entry.workers.evacuatedZones = zones
+            entry.workers.evacuate(zones, clock.millis())
             entry.scheduler.update(clock.millis())
         }
     }
@@ -165,8 +166,9 @@
     }
 
     private fun schedulerOf(service: String): HostedScheduler = hosted.getOrPut(service) {
-        val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) })
-        workers.evacuatedZones = evacuatedZones
+        val rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) }
+        val workers = LoadBalancer(self.zone, rateShare, coldLimit)
+        workers.evacuate(evacuatedZones, clock.millis())
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
         HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service)))
--- a/serving/src/test/kotlin/org/poplarshift/serving/fleet/WorkerRegistryTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/WorkerRegistryTest.kt
@@ -27,7 +27,11 @@
                 "ready" -> WorkerResult.Valid(
                     FleetWorker(key, "s", "10.0.0.1:80", "here", 1, isDraining = false, startedMillis = 1),
                 )
-                else -> WorkerResult.Invalid("test")
+                "nonsense" -> WorkerResult.Invalid("test")
+                else -> WorkerResult.Valid(
+                    FleetWorker(key, "s", "10.0.0.1:80", "here", 1, isDraining = false, startedMillis = 1),
+                    coldMillis = value.decodeToString().toLong(),
+                )
             }
 
             fun record(key: String, value: String) = registry.onRecord(LogRecord(0, key, value.encodeToByteArray()))
@@ -70,6 +74,26 @@
             fixture.known() shouldBe listOf("lives")
         }
 
+        data class ColdCase(val name: String, val entries: List<Pair<Long, String>>, val expectedMillis: Long)
+        listOf(
+            ColdCase("a worker that is not cold", listOf(0L to "0"), expectedMillis = 0),
+            ColdCase("the first entry of a worker", listOf(0L to "5000"), expectedMillis = 5_000),
+            ColdCase("an entry that is read a little later", listOf(0L to "5000", 900L to "3900"), 5_000),
+            ColdCase("a worker that has become cold again", listOf(0L to "5000", 900L to "9000"), 9_900),
+            ColdCase("a worker that is warm earlier", listOf(0L to "5000", 900L to "0"), expectedMillis = 0),
+        ).forEach { case ->
+            test("a worker is cold for the time that its entry states, from when it is read: ${case.name}") {
+                val fixture = Fixture()
+                val start = fixture.now
+                for ((afterMillis, value) in case.entries) {
+                    fixture.now = start + afterMillis
+                    fixture.record("a", value)
+                }
+                fixture.registry.known.single().coldUntilMillis shouldBe
+                    if (case.expectedMillis == 0L) 0L else start + case.expectedMillis
+            }
+        }
+
         test("an entry that can't be decoded removes the worker") {
             val fixture = Fixture()
             fixture.record("a", "ready")
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -305,7 +305,7 @@
                 val fixture = Fixture(this, "here-1")
                 fixture.workers.update(fixture.workers.workers.map { if (it.id == "w0") it.copy(zone = "out") else it })
                 fixture.answer = {
-                    fixture.workers.evacuatedZones = setOf("out")
+                    fixture.workers.evacuate(setOf("out"), nowMillis = 0)
                     SchedulerMessage.Granted(it.number, if ("out" in it.excludedZones) "w1" else "w0")
                 }
                 fixture.acquire().worker() shouldBe "w1"
@@ -320,9 +320,9 @@
             runTest {
                 val fixture = Fixture(this)
                 fixture.unreachable += "self"
-                fixture.workers.evacuatedZones = setOf("here")
+                fixture.workers.evacuate(setOf("here"), nowMillis = 0)
                 fixture.acquire() shouldBe DispatchResult.NoWorker
-                fixture.workers.evacuatedZones = emptySet()
+                fixture.workers.evacuate(emptySet(), nowMillis = 0)
                 fixture.acquire().worker() shouldBe "w0"
             }
         }
