Send requests only to workers in allowed regions

allowed_regions of routes and organisations was not read. A worker must be in a region that both allow; regions of zones come from the settings, and zones of an unknown region are in no allowed one. Acquire names the excluded zones instead of their workers.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -44,6 +44,10 @@
     val workers: Collection<FleetWorker>
         get() = statesById.values.map { it.worker }
 
+    /** The zones of all registered workers. */
+    var zones: Set<String> = emptySet()
+        private set
+
     /** Replaces the set of registered workers. The state of workers that remain is kept unless they have restarted. */
     fun update(workers: Collection<FleetWorker>) {
         val ids = workers.map { it.id }.toSet()
@@ -62,6 +66,7 @@
             registered != null && registered.startedMillis > incarnation.startedMillis
         }
         statesByService = statesById.values.groupBy { it.worker.service }
+        zones = statesById.values.map { it.worker.zone }.toSet()
     }
 
     /**
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -17,6 +17,7 @@
         .groupBy { it.host.lowercase() }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
     private val routesByName = routes.associateBy { it.name }
+    private val regionsByOrganisation = organisations.orEmpty().associate { it.name to it.allowedRegions }
     private val organisationsByKey = organisations.orEmpty().flatMap { organisation ->
         organisation.keys.map { it to organisation }
     }.toMap()
@@ -31,6 +32,23 @@
     /** Returns the organisation that owns [key], or null. */
     fun findOrganisation(key: String?): IngressOrganisation? = key?.let { organisationsByKey[it] }
 
+    /**
+     * Returns the regions whose workers may get the requests of [organisation] on [route], or null for all regions.
+     *
+     * A region must be allowed by both of them.
+     */
+    fun allowedRegions(route: IngressRoute?, organisation: String?): Set<String>? {
+        val ofRoute = route?.allowedRegions
+        val ofOrganisation = organisation?.let { regionsByOrganisation[it] }
+        return if (ofRoute != null &&
+            ofOrganisation != null
+        ) {
+            ofRoute intersect ofOrganisation
+        } else {
+            ofRoute ?: ofOrganisation
+        }
+    }
+
     /** Whether callers need a key on routes that are not public. No key is known if the list is empty. */
     val requiresKeys: Boolean
         get() = organisations != null
@@ -66,6 +84,7 @@
  * @property priority overrides the priority of the route unless null; 0 is the highest priority
  * @property ratePerSecond requests per second, 0 for no limit
  * @property burst number of requests allowed in excess of the rate
+ * @property allowedRegions regions whose workers may get the organisation's requests, or null for all
  */
 data class IngressOrganisation(
     val name: String,
@@ -73,4 +92,5 @@
     val priority: Int?,
     val ratePerSecond: Double,
     val burst: Double,
+    val allowedRegions: Set<String>? = null,
 )
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressRoute.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressRoute.kt
@@ -25,6 +25,7 @@
  * @property targetLatencyMillis time within which a response, or the first event of a stream, is on time
  * @property priority 0 is the highest priority
  * @property maximumAttempts maximum number of workers to which one request is sent
+ * @property allowedRegions regions whose workers may get the route's requests, or null for all
  * @property maximumEventGapMillis maximum time between two events of a stream that is on time
  */
 data class IngressRoute(
@@ -41,6 +42,7 @@
     val isResumable: Boolean = false,
     val maximumEventGapMillis: Long = 0,
     val batch: BatchRouteSettings? = null,
+    val allowedRegions: Set<String>? = null,
 ) {
     /** Whether a request that may have run can be sent again from its beginning. */
     val mayRepeat: Boolean
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -99,6 +99,7 @@
         directory,
         reachability,
         WebSocketSchedulerConnector(ownMember, peerClient, schedulerHost),
+        settings.zones,
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptPlan.kt
@@ -14,6 +14,7 @@
  * @property mayCrashWorkers whether the request may be the cause when workers crash while they run it, so that it is
  *   refused after several crashes
  * @property route name of the route, or null
+ * @property allowedRegions regions whose workers may get the request, or null for all
  * @property isRateLimited whether the request needs a token of its organisation's rate limit
  */
 class AttemptPlan(
@@ -30,6 +31,7 @@
     val mayCrashWorkers: Boolean = true,
     val route: String? = null,
     val isRateLimited: Boolean = false,
+    val allowedRegions: Set<String>? = null,
 ) {
     /** Identifies the request when it is repeated with another id. */
     val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { RequestFingerprint.of(organisation, uri, body) }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -135,6 +135,7 @@
             needsToken = plan.isRateLimited && !hasToken,
             route = plan.route,
             size = size,
+            allowedRegions = plan.allowedRegions,
         )
         return forwarding.dispatcher.acquire(dispatchRequest).also {
             waitedMillis += clock.millis() - startMillis
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -12,7 +12,7 @@
  * @property priority position in the queue; smaller values are dispatched first
  * @property waitMillis maximum time in milliseconds to wait for a free slot
  * @property excludedWorkers ids of workers that must not be chosen
- * @property excludedZones availability zones whose workers must not be chosen
+ * @property allowedRegions regions whose workers may be chosen, or null for all
  * @property onTimeUntilMillis latest monotonic time in milliseconds of a dispatch that meets the target latency, or the
  *   time at which a batch item is due
  * @property onPreempt called when a batch item must give up its slot
@@ -33,7 +33,7 @@
     val needsToken: Boolean = false,
     val route: String? = null,
     val size: RequestSize? = null,
-    val excludedZones: Set<String> = emptySet(),
+    val allowedRegions: Set<String>? = null,
 )
 
 /** The outcome of a [DispatchRequest]. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -12,6 +12,7 @@
  * @property receivedMillis monotonic time in milliseconds at which the request head was received
  * @property deadlineMillis monotonic time in milliseconds at which the timeout of the caller or the route expires
  * @property priority position in the queue; smaller values are dispatched first
+ * @property allowedRegions regions whose workers may get the request, or null for all
  * @property resumeAfter id of the last event that the caller has received, or null
  */
 class OnlineCall(
@@ -27,6 +28,7 @@
     val deadlineMillis: Long,
     val priority: Int,
     val resumeAfter: Long?,
+    val allowedRegions: Set<String>? = null,
 )
 
 /** Writes the response to a caller. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -76,7 +76,8 @@
                 }
             }
         }
-        return forward(onlineCall(id, route, organisation, incoming, record), sink, record)
+        val allowedRegions = current.allowedRegions(route, organisation?.name)
+        return forward(onlineCall(id, route, organisation, incoming, record, allowedRegions), sink, record)
     }
 
     private fun onlineCall(
@@ -85,6 +86,7 @@
         organisation: IngressOrganisation?,
         incoming: IncomingCall,
         record: CallRecord,
+        allowedRegions: Set<String>?,
     ): OnlineCall {
         val timeoutMillis = incoming.operation.head.timeoutMillis ?: route.timeoutMillis
         return OnlineCall(
@@ -100,6 +102,7 @@
             deadlineMillis = record.receivedMillis + minOf(timeoutMillis, route.timeoutMillis),
             priority = organisation?.priority ?: route.priority,
             resumeAfter = incoming.operation.head.resumeAfter,
+            allowedRegions = allowedRegions,
         )
     }
 
@@ -136,6 +139,7 @@
             maximumAttempts = attempts,
             mayRepeat = call.route.mayRepeat,
             route = call.route.name,
+            allowedRegions = call.allowedRegions,
         )
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -26,6 +26,7 @@
  * responds, the node chooses among all workers by itself and knows only the load that it causes.
  *
  * @param workers all workers, with the requests of this node
+ * @param regions the regions of the zones by the names of the zones
  */
 class FleetDispatcher(
     private val tasks: BackgroundTasks,
@@ -35,6 +36,7 @@
     private val directory: SchedulerDirectory,
     private val reachability: PeerReachability,
     private val connector: SchedulerConnector,
+    private val regions: Map<String, String> = emptyMap(),
 ) : Dispatcher {
     private val links = HashMap<Pair<String, String>, SchedulerLink>()
     private val ownSchedulers = HashMap<String, OwnScheduler>()
@@ -193,9 +195,11 @@
         waitInMillis = waitMillis,
     )
 
-    // Schedulers may learn of an evacuation later than this node.
-    private fun excludedZones(request: DispatchRequest): Set<String> =
-        if (request.excludedZones.isEmpty()) workers.evacuatedZones else request.excludedZones + workers.evacuatedZones
+    // Schedulers may learn of an evacuation later than this node. Zones of an unknown region are in no allowed one.
+    private fun excludedZones(request: DispatchRequest): Set<String> {
+        val allowed = request.allowedRegions ?: return workers.evacuatedZones
+        return (regions.keys + workers.zones).filter { regions[it] !in allowed }.toSet() + workers.evacuatedZones
+    }
 
     // Schedulers know from the registry which workers are draining, and those of evacuated zones are excluded as zones.
     private fun unavailable(service: String): List<String> = workers.workerStates
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.ingress.IngressConfiguration
+import org.poplarshift.core.ingress.IngressRoute
 import org.poplarshift.core.ingress.RouteKind
 import org.poplarshift.core.submission.ItemState
 import org.poplarshift.core.submission.SubmissionRecord
@@ -271,10 +272,8 @@
     }
 
     private fun updateService(current: IngressConfiguration) {
-        val route = current.findRoute(proposal.route)
-            ?: current.findRoute(proposal.host, item.proposed.path)?.takeIf { it.kind == RouteKind.BATCH }
         // An item whose route was removed may still run where it was accepted.
-        val service = route?.keepOrChooseService(chosenService, serviceChoice) ?: return
+        val service = routeIn(current)?.keepOrChooseService(chosenService, serviceChoice) ?: return
         if (service == chosenService) return
         logger.atInfo {
             message = "batch: item is moved to another service"
@@ -289,6 +288,9 @@
         chosenService = service
     }
 
+    private fun routeIn(current: IngressConfiguration): IngressRoute? = current.findRoute(proposal.route)
+        ?: current.findRoute(proposal.host, item.proposed.path)?.takeIf { it.kind == RouteKind.BATCH }
+
     // Derived from the item, so that all nodes choose the same service.
     private val serviceChoice: Double
         get() = Math.floorMod(key.hashCode(), SERVICE_CHOICES) / SERVICE_CHOICES.toDouble()
@@ -320,6 +322,7 @@
             mayRepeat = true,
             mayCrashWorkers = false,
             route = proposal.route,
+            allowedRegions = configuration()?.let { it.allowedRegions(routeIn(it), proposal.organisation) },
         )
         return AttemptSession(plan, forwarding)
     }
