--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -19,6 +19,7 @@
     private var reportedPeerRequests = 0.0
     private var reportedMillis = Long.MIN_VALUE
     private var consecutiveLosses = 0
+    private var consecutiveInvalidStatuses = 0
     private var peakOwnSinceReport = 0
     private var pacer: RequestPacer? = null
     private var coldPacer: RequestPacer? = null
@@ -133,6 +134,7 @@
     /** Records that the worker is reachable, which clears the suspicion. */
     fun onReachable() {
         consecutiveLosses = 0
+        consecutiveInvalidStatuses = 0
         isSuspect = false
     }
 
@@ -146,6 +148,12 @@
         if (++consecutiveLosses >= CONNECTION_LOSS_LIMIT) isSuspect = true
     }
 
+    /**
+     * Records a response with a status that HTTP does not have. Returns whether the worker should get no requests for a
+     * while, because it has answered many in a row like this.
+     */
+    fun onInvalidStatus(): Boolean = ++consecutiveInvalidStatuses >= INVALID_STATUS_LIMIT
+
     /** Records that the worker has refused a request because all its slots are in use. */
     fun onFull(nowMillis: Long) {
         reportedPeerRequests = maxOf(reportedPeerRequests, (worker.slots - online - batch).toDouble())
@@ -171,6 +179,10 @@
         // About the duration of a request, after which a report says nothing about the current load.
         const val REPORT_DECAY_MILLIS = 700L
 
+        // One request may get such a response from every worker, and its caller repeats it some times. Only a worker that
+        // answers no other request in between either is of no use to them.
+        const val INVALID_STATUS_LIMIT = 20
+
         // Healthy workers lose single connections as well.
         const val CONNECTION_LOSS_LIMIT = 3
     }
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
@@ -63,6 +63,15 @@
             }
         }
 
+        test("a worker answers twenty requests in a row with an invalid status before it is excluded") {
+            val state = WorkerState(worker("a"))
+            repeat(19) { state.onInvalidStatus() shouldBe false }
+            state.onReachable()
+            repeat(19) { state.onInvalidStatus() shouldBe false }
+            state.isAvailable shouldBe true
+            state.onInvalidStatus() shouldBe true
+        }
+
         test("three consecutive lost connections make a worker suspect, fewer do not") {
             val state = WorkerState(worker("a"))
             repeat(2) { state.onConnectionLost() }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -205,7 +205,7 @@
     private fun ExchangeResult.slotOutcome(): SlotOutcome = when (this) {
         is ExchangeResult.ConnectionLost, is ExchangeResult.MalformedResponse, ExchangeResult.TimedOut ->
             SlotOutcome.UNREACHABLE
-        is ExchangeResult.ForeignResponse -> SlotOutcome.USED
+        is ExchangeResult.ForeignResponse, is ExchangeResult.InvalidStatus -> SlotOutcome.USED
         is ExchangeResult.Response -> when {
             !head.hasNotRun -> SlotOutcome.USED
             head.status == HTTP_UNAVAILABLE -> SlotOutcome.FULL
@@ -225,6 +225,11 @@
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
 
+        is ExchangeResult.InvalidStatus -> {
+            if (slot.target.onInvalidStatus()) forwarding.prober.ejectUnlessNeeded(slot.target)
+            mayHaveRunAt(slot.target, result.reason, isTimeout = false)
+        }
+
         // Not counted as a crash of the worker, which is still there.
         is ExchangeResult.UnusableResponse -> {
             forwarding.connections.onUnusableResponse(slot.target.worker.id)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseIdentity.kt
@@ -19,7 +19,12 @@
     /** The response belongs to another request, or it does not show that it belongs to this one. */
     data class Foreign(val reason: String, val found: String) : ResponseIdentity
 
+    /** The response has a status that HTTP does not have, so that nothing about it can be relied on. */
+    data class InvalidStatus(val status: Int) : ResponseIdentity
+
     companion object {
+        /** The statuses that HTTP has. Callers would take another one for a fault of the node. */
+        val VALID_STATUSES = 100..599
         private const val FIRST_FINAL_STATUS = 200
 
         /** The text that every status line begins with. */
@@ -36,6 +41,7 @@
             headers: MultiMap,
             protocol: WorkerProtocol,
         ): ResponseIdentity {
+            if (status !in VALID_STATUSES) return InvalidStatus(status)
             val ids = protocol.responseRequestIds(headers)
             val reason = when {
                 status < FIRST_FINAL_STATUS -> "interim_response"
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -25,6 +25,12 @@
     /** The worker has sent bytes that are no response. */
     data class MalformedResponse(override val reason: String) : UnusableResponse
 
+    /** The response has a status that HTTP does not have. */
+    data class InvalidStatus(val status: Int) : UnusableResponse {
+        override val reason: String
+            get() = "invalid status $status"
+    }
+
     /** The response does not belong to the request. */
     data class ForeignResponse(val identity: ResponseIdentity.Foreign) : UnusableResponse {
         override val reason: String
@@ -80,6 +86,7 @@
         when (received) {
             is ExchangeResult.Response -> responseHead = received.head
             is ExchangeResult.ForeignResponse -> recorder.onForeignResponse(connection, received.identity)
+            is ExchangeResult.InvalidStatus -> recorder.onInvalidStatus(connection, received.status)
             is ExchangeResult.MalformedResponse -> recorder.onMalformedResponse(connection, received.reason)
             is ExchangeResult.ConnectionLost -> recorder.onNoResponse("connection_lost_before_head")
             ExchangeResult.TimedOut -> recorder.onNoResponse("silent_before_head")
@@ -160,6 +167,7 @@
             result.complete(
                 when (identity) {
                     is ResponseIdentity.Own -> ExchangeResult.Response(identity.head, headers)
+                    is ResponseIdentity.InvalidStatus -> ExchangeResult.InvalidStatus(identity.status)
                     is ResponseIdentity.Foreign -> ExchangeResult.ForeignResponse(identity)
                 },
             )
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProber.kt
@@ -32,6 +32,11 @@
         tasks.launchOnce("worker probe") { probe(target) }
     }
 
+    /** Excludes [target] from dispatch as [markUnreachable] does, unless too few workers of its service would remain. */
+    fun ejectUnlessNeeded(target: WorkerState) {
+        if (loadBalancer.mayEject(target)) markUnreachable(target)
+    }
+
     /** Starts probing workers that became suspect through failed requests. */
     fun probeSuspects() {
         loadBalancer.workerStates
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/UnusableResponseRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/UnusableResponseRecorder.kt
@@ -18,6 +18,10 @@
     fun onForeignResponse(connection: WorkerConnection, response: ResponseIdentity.Foreign) =
         record(connection, response.reason, response.found)
 
+    /** Records a response on [connection] with a status that HTTP does not have. */
+    fun onInvalidStatus(connection: WorkerConnection, status: Int) =
+        record(connection, "invalid_status", "status $status")
+
     /** Records that [connection] is closed because it has received bytes that are no response. */
     fun onMalformedResponse(connection: WorkerConnection, found: String) =
         record(connection, "malformed_response", found)
