Do not take a response that ends while the request is being sent for a whole one

A store that closed the connection during a call, behind half of a response without a length, had its half taken for the answer (4 cases of StoreConnectionTest failed before). A worker's connection was used again after a response that arrived before the request was written, and the next request on it was lost (504; 2 of 176 cases of EarlyResponseTest failed before). The cut responses of workers to callers were recognised already, because the failed write is reported before the end of the connection.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -47,6 +47,10 @@
     val sentRequests: Int
         get() = sentIds.size
 
+    /** Whether the whole latest request was written to the connection. */
+    var isRequestWritten = false
+        private set
+
     /** Whether no request was sent yet. */
     val isUnused: Boolean
         get() = sentRequests == 0
@@ -99,7 +103,10 @@
         }
         this.receiver = receiver
         interimResponses = 0
-        socket.writeMessage(message).onFailure { onLost(it.message ?: it.javaClass.simpleName) }
+        isRequestWritten = false
+        socket.writeMessage(message)
+            .onSuccess { isRequestWritten = true }
+            .onFailure { onLost(it.message ?: it.javaClass.simpleName) }
     }
 
     /**
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -52,9 +52,13 @@
     private var isKeptAlive = false
     private var responseHead: ResponseHead? = null
 
-    /** Whether the connection can be used for another request. */
+    /** Whether the connection can be used for another request. The worker may answer before it has read the whole request. */
     val isReusable: Boolean
-        get() = isComplete && isKeptAlive && responseHead?.closesConnection == false && !endsWithConnection
+        get() = isComplete &&
+            isKeptAlive &&
+            responseHead?.closesConnection == false &&
+            !endsWithConnection &&
+            connection.isRequestWritten
 
     /** Whether the response has neither a length nor chunks, so that the end of the connection ends it. */
     var endsWithConnection = true
@@ -188,6 +192,12 @@
         }
 
         override fun onEnd() {
+            // The worker has closed the connection without having read the request, probably because it has failed.
+            if (endsWithConnection &&
+                !connection.isRequestWritten
+            ) {
+                return onLost("closed before the request was written")
+            }
             val second = finder?.end(isFollowed = connection.hasForeignBytes)
             parts.trySend(second?.let { ResponsePart.Foreign(it) } ?: ResponsePart.End)
         }
