--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -30,6 +30,7 @@
 import org.poplarshift.serving.peer.PeerLogRelay
 import org.poplarshift.serving.peer.PeerReachability
 import org.poplarshift.serving.peer.PeerServer
+import org.poplarshift.serving.peer.RelayPeers
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.ratelimit.PeerTokenSource
 import org.poplarshift.serving.ratelimit.RateLimiter
@@ -62,7 +63,13 @@
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
     private val peerServer = PeerServer(vertx, tasks)
-    private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock) { members.peers }
+    private val relayPeers = RelayPeers(
+        ownMember,
+        settings.submissionTopic,
+        settings.zones,
+        isRestricted = { configuration.current?.hasAllowedRegions == true },
+    ) { members.peers }
+    private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock, relayPeers::forTopic)
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
         log,
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -18,9 +18,14 @@
  * Calls the log through another node.
  *
  * The node that served the last call is asked first, and then a randomly chosen one.
+ *
+ * @param peers returns the nodes that may relay calls for a topic
  */
-class PeerLogRelay(private val client: PeerClient, clock: MonotonicClock, private val peers: () -> List<FleetMember>) :
-    LogRelay {
+class PeerLogRelay(
+    private val client: PeerClient,
+    clock: MonotonicClock,
+    private val peers: (topic: String) -> List<FleetMember>,
+) : LogRelay {
     // A peer that does not answer these calls usually waits for the log. It can still run schedulers.
     private val reachability = PeerReachability(clock)
     private var lastPeer: String? = null
@@ -30,17 +35,19 @@
 
     @Serializable
     private sealed interface Request {
+        val topic: String
+
         @Serializable
         @SerialName("append")
-        data class Append(val topic: String, val partition: Int, val records: List<RelayedRecord>) : Request
+        data class Append(override val topic: String, val partition: Int, val records: List<RelayedRecord>) : Request
 
         @Serializable
         @SerialName("read")
-        data class Read(val topic: String, val partition: Int, val from: Long, val waitMillis: Long) : Request
+        data class Read(override val topic: String, val partition: Int, val from: Long, val waitMillis: Long) : Request
 
         @Serializable
         @SerialName("newest")
-        data class Newest(val topic: String, val partition: Int, val afterKey: String?) : Request
+        data class Newest(override val topic: String, val partition: Int, val afterKey: String?) : Request
     }
 
     @Serializable
@@ -109,7 +116,7 @@
     private suspend fun call(request: Request, timeoutMillis: Long): Response? {
         val body = Json.encodeToString(Request.serializer(), request)
         var refused: Response? = null
-        for (peer in candidates()) {
+        for (peer in candidates(request.topic)) {
             val response = client.post(peer, PATH, body, timeoutMillis)
                 ?.let { PeerMessages.decode(Response.serializer(), it, COMPONENT) }
             if (response == null) reachability.onFailure(peer.name)
@@ -125,7 +132,7 @@
         return refused
     }
 
-    private fun candidates(): List<FleetMember> = peers()
+    private fun candidates(topic: String): List<FleetMember> = peers(topic)
         .filter { !reachability.isSuspect(it.name) }
         .shuffled()
         .sortedBy { it.name != lastPeer }
