Lower the share of a cold worker's limit that schedulers and nodes use when others may use all of it

With seeds other than the one in ColdWorkerTest, 6 of its 30 cases exceeded the bound by one to four requests a second (trial with seeds 1 to 40). With a quarter of the shares all 30 cases pass with seeds 1 to 40; the test keeps four of them.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -103,11 +103,13 @@
             coldRequestsPerSecond = limit
             // Nodes that find themselves without a scheduler at the same time must not send their first requests together.
             val initialTokens = if (rateShare() < 1.0) -random() else 0.0
-            coldPacer = limit?.let { RequestPacer(it, rateShare, nowMillis, initialTokens, KEEP_MILLIS) }
+            coldPacer = limit?.let { RequestPacer(it, ::coldShare, nowMillis, initialTokens, KEEP_MILLIS) }
         }
         return coldPacer
     }
 
+    private fun coldShare(): Double = rateShare().let { if (it < 1.0) it * PARTIAL_COLD_SHARE else it }
+
     private fun paced(nowMillis: Long): Double = minOf(
         pacer?.available(nowMillis) ?: Double.MAX_VALUE,
         coldPacer(nowMillis)?.available(nowMillis) ?: Double.MAX_VALUE,
@@ -176,6 +178,10 @@
         // The limit of a cold worker is checked in windows of one second.
         const val KEEP_MILLIS = 1_000L
 
+        // The requests of many nodes without a scheduler may fall into the same second by chance. With the whole of their
+        // share, 6 of 30 simulated cases with up to 40 seeds each exceeded the limit of a cold worker by up to four requests.
+        const val PARTIAL_COLD_SHARE = 0.25
+
         // About the duration of a request, after which a report says nothing about the current load.
         const val REPORT_DECAY_MILLIS = 700L
 
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -49,6 +49,10 @@
         }
     }
 
+    /** Whether the requests of any route or organisation are restricted to some regions. */
+    val hasAllowedRegions: Boolean =
+        routes.any { it.allowedRegions != null } || organisations.orEmpty().any { it.allowedRegions != null }
+
     /** Whether callers need a key on routes that are not public. No key is known if the list is empty. */
     val requiresKeys: Boolean
         get() = organisations != null
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/ColdWorkerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/ColdWorkerTest.kt
@@ -29,6 +29,23 @@
             sent.maxOfOrNull { start -> sent.count { it in start until start + 1_000 } } ?: 0
 
         data class Case(val name: String, val rate: Double, val nodes: Int, val isSteady: Boolean)
+
+        // The times at which both schedulers and all nodes without one send requests to the worker.
+        fun simulate(case: Case, random: Random): List<Long> {
+            val users = listOf(1.0, RateLimitShares.ofScheduler(isPreferred = false))
+                .plus(List(case.nodes) { RateLimitShares.ofNode(case.nodes) })
+                .map { balancer(random, { case.rate }, it) }
+            val sent = ArrayList<Long>()
+            for (now in 0L until END_MILLIS step 10) {
+                val hasRequests = case.isSteady || now % PAUSE_MILLIS < 1_000
+                for (user in users) {
+                    if (!hasRequests) user.state("w")?.startableRequests(now)
+                    if (hasRequests) repeat(user.send(now)) { sent += now }
+                }
+            }
+            return sent
+        }
+
         listOf(1.0, 4.0, 12.0).flatMap { rate ->
             listOf(3, 9, 62, 91, 360).flatMap { nodes ->
                 listOf(
@@ -38,23 +55,13 @@
             }
         }.forEach { case ->
             test("a cold worker keeps ${case.rate} requests a second of ${case.nodes} nodes ${case.name}") {
-                val random = Random(SEED)
-                val users = listOf(1.0, RateLimitShares.ofScheduler(isPreferred = false))
-                    .plus(List(case.nodes) { RateLimitShares.ofNode(case.nodes) })
-                    .map { balancer(random, { case.rate }, it) }
-                val sent = ArrayList<Long>()
-                for (now in 0L until END_MILLIS step 10) {
-                    if (!case.isSteady && now % PAUSE_MILLIS >= 1_000) {
-                        users.forEach { it.state("w")?.startableRequests(now) }
-                        continue
-                    }
-                    users.forEach { user -> repeat(user.send(now)) { sent += now } }
-                }
-                withClue("seed $SEED, sent ${sent.size}") {
-                    mostInSecond(sent).toDouble() shouldBeLessThanOrEqual case.rate * OVERAGE + SLACK
-                    // The cold worker is used as well.
-                    if (case.isSteady) {
-                        sent.size shouldBeGreaterThanOrEqual (0.9 * case.rate * END_MILLIS / 1_000).toInt()
+                for (seed in 1..SEEDS) {
+                    val sent = simulate(case, Random(seed))
+                    withClue("seed $seed, sent ${sent.size}") {
+                        mostInSecond(sent).toDouble() shouldBeLessThanOrEqual case.rate * OVERAGE + SLACK
+                        // The cold worker is used as well.
+                        val used = if (case.isSteady) (0.9 * case.rate * END_MILLIS / 1_000).toInt() else 1
+                        sent.size shouldBeGreaterThanOrEqual used
                     }
                 }
             }
@@ -104,6 +111,7 @@
     }) {
     private companion object {
         const val SEED = 7
+        const val SEEDS = 4
         const val END_MILLIS = 60_000L
         const val PAUSE_MILLIS = 20_000L
 
