--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/ColdWorkerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/ColdWorkerTest.kt
@@ -111,9 +111,9 @@
     }) {
     private companion object {
         const val SEED = 7
-        const val SEEDS = 4
-        const val END_MILLIS = 60_000L
-        const val PAUSE_MILLIS = 20_000L
+        const val SEEDS = 3
+        const val END_MILLIS = 110_000L
+        const val PAUSE_MILLIS = 50_000L
 
         // The users' rule: in one second at most one and a half times what the limit allows, and five requests.
         const val OVERAGE = 1.5
