--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
@@ -145,14 +145,15 @@
             .map { it.key }
     }
 
-    /** Removes and returns the first waiting requests of [use] that may be redirected, at most [maximum]. */
-    fun takeRedirectable(use: SlotUse, maximum: Int, nowMillis: Long): List<SlotRequest> = waitingList
-        .ordered(nowMillis, use)
-        .filter { it.request.mayRedirect }
-        .take(maximum)
-        .toList()
-        .onEach { waitingList.remove(it) }
-        .map { it.request }
+    /** Removes and returns the first waiting requests of [use] that may be redirected to [zone], at most [maximum]. */
+    fun takeRedirectable(use: SlotUse, maximum: Int, nowMillis: Long, zone: String? = null): List<SlotRequest> =
+        waitingList
+            .ordered(nowMillis, use)
+            .filter { it.request.mayRedirect && zone !in it.request.excludedZones }
+            .take(maximum)
+            .toList()
+            .onEach { waitingList.remove(it) }
+            .map { it.request }
 
     /** Figures about the waiting requests. */
     fun statistics(nowMillis: Long) = SlotQueueStatistics(
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -17,6 +17,7 @@
         .groupBy { it.host.lowercase() }
         .mapValues { (_, routes) -> routes.sortedByDescending { it.pathPrefix.length } }
     private val routesByName = routes.associateBy { it.name }
+    private val regionsByOrganisation = organisations.orEmpty().associate { it.name to it.allowedRegions }
     private val organisationsByKey = organisations.orEmpty().flatMap { organisation ->
         organisation.keys.map { it to organisation }
     }.toMap()
@@ -31,6 +32,27 @@
     /** Returns the organisation that owns [key], or null. */
     fun findOrganisation(key: String?): IngressOrganisation? = key?.let { organisationsByKey[it] }
 
+    /**
+     * Returns the regions whose workers may get the requests of [organisation] on [route], or null for all regions.
+     *
+     * A region must be allowed by both of them.
+     */
+    fun allowedRegions(route: IngressRoute?, organisation: String?): Set<String>? {
+        val ofRoute = route?.allowedRegions
+        val ofOrganisation = organisation?.let { regionsByOrganisation[it] }
+        return if (ofRoute != null &&
+            ofOrganisation != null
+        ) {
+            ofRoute intersect ofOrganisation
+        } else {
+            ofRoute ?: ofOrganisation
+        }
+    }
+
+    /** Whether the requests of any route or organisation are restricted to some regions. */
+    val hasAllowedRegions: Boolean =
+        routes.any { it.allowedRegions != null } || organisations.orEmpty().any { it.allowedRegions != null }
+
     /** Whether callers need a key on routes that are not public. No key is known if the list is empty. */
     val requiresKeys: Boolean
         get() = organisations != null
@@ -48,9 +70,17 @@
  * A service that is provided by a group of interchangeable workers.
  *
  * @property maximumConnections connections that one worker accepts from all nodes together
+ * @property coldRequestsPerSecond requests per second that a cold worker accepts from all nodes together, or null if they
+ *   are not limited
  * @property isEngine whether the workers are inference engines, which run the requests of all their slots in one batch
  */
-data class IngressService(val name: String, val healthPath: String, val maximumConnections: Int, val isEngine: Boolean)
+data class IngressService(
+    val name: String,
+    val healthPath: String,
+    val maximumConnections: Int,
+    val isEngine: Boolean,
+    val coldRequestsPerSecond: Double? = null,
+)
 
 /**
  * An organisation with its keys and its rate limit across all nodes.
@@ -58,6 +88,7 @@
  * @property priority overrides the priority of the route unless null; 0 is the highest priority
  * @property ratePerSecond requests per second, 0 for no limit
  * @property burst number of requests allowed in excess of the rate
+ * @property allowedRegions regions whose workers may get the organisation's requests, or null for all
  */
 data class IngressOrganisation(
     val name: String,
@@ -65,4 +96,5 @@
     val priority: Int?,
     val ratePerSecond: Double,
     val burst: Double,
+    val allowedRegions: Set<String>? = null,
 )
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/LoadBalancerTest.kt
@@ -34,6 +34,17 @@
             balancer.hasWorker("service", excluded = setOf("excluded", "good")) shouldBe false
         }
 
+        // Requests reached workers of zones that the operator had evacuated.
+        test("workers of an evacuated zone are skipped until the evacuation ends, also those that register meanwhile") {
+            val balancer = balancer(worker("left", zone = "there"), worker("stays"))
+            balancer.evacuate(setOf("there"), nowMillis = 0)
+            balancer.update(listOf(worker("left", "there"), worker("stays"), worker("new", "there")))
+            balancer.available("service").map { it.worker.id } shouldBe listOf("stays")
+            balancer.mayEject(balancer.state("stays")!!) shouldBe false
+            balancer.evacuate(emptySet(), nowMillis = 0)
+            balancer.available("service").map { it.worker.id }.toSet() shouldBe setOf("left", "stays", "new")
+        }
+
         data class RateLimitCase(val name: String, val use: SlotUse, val load: Int, val expected: String)
         listOf(
             RateLimitCase("an online request avoids", SlotUse.ONLINE, load = 0, expected = "free"),
@@ -52,6 +63,15 @@
             }
         }
 
+        test("a worker answers twenty requests in a row with an invalid status before it is excluded") {
+            val state = WorkerState(worker("a"))
+            repeat(19) { state.onInvalidStatus() shouldBe false }
+            state.onReachable()
+            repeat(19) { state.onInvalidStatus() shouldBe false }
+            state.isAvailable shouldBe true
+            state.onInvalidStatus() shouldBe true
+        }
+
         test("three consecutive lost connections make a worker suspect, fewer do not") {
             val state = WorkerState(worker("a"))
             repeat(2) { state.onConnectionLost() }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -31,6 +31,7 @@
 import org.poplarshift.serving.peer.PeerLogRelay
 import org.poplarshift.serving.peer.PeerReachability
 import org.poplarshift.serving.peer.PeerServer
+import org.poplarshift.serving.peer.RelayPeers
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.ratelimit.PeerTokenSource
 import org.poplarshift.serving.ratelimit.RateLimitCounters
@@ -62,12 +63,18 @@
     }
     private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
-        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
+        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) }, ::coldLimit)
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
     private val peerServer = PeerServer(vertx, tasks)
-    private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock) { members.peers }
+    private val relayPeers = RelayPeers(
+        ownMember,
+        settings.submissionTopic,
+        settings.zones,
+        isRestricted = { configuration.current?.hasAllowedRegions == true },
+    ) { members.peers }
+    private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock, relayPeers::forTopic)
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
         log,
@@ -91,10 +98,20 @@
         rateLimiter.updateShares()
     }
     private val tokenGate = TokenGate(tasks, clock, rateLimiter)
-    private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
+    private val configuration: ConfigurationHolder =
+        ConfigurationHolder(ports::decodeConfiguration, ::onEvacuation) { rateLimiter.update(it) }
     private val weights = OrganisationWeights { configuration.current?.organisations }
-    private val schedulerHost =
-        SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability, tokenGate, weights::of)
+    private val schedulerHost = SchedulerHost(
+        tasks,
+        clock,
+        ownMember,
+        directory,
+        peerClient,
+        reachability,
+        tokenGate,
+        weights::of,
+        ::coldLimit,
+    )
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -104,6 +121,7 @@
         reachability,
         WebSocketSchedulerConnector(ownMember, peerClient, schedulerHost),
         tokenGate,
+        settings.zones,
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
@@ -220,7 +238,9 @@
         logger.info { "node: stopped, ${callerServer.activeRequests} requests are active" }
     }
 
+    // Items must not be sent to workers of evacuated zones, which the topic of the configuration states.
     private suspend fun awaitSubmissions(run: suspend () -> Unit) {
+        followers.first { it.topic == settings.configurationTopic }.awaitStart()
         store.partitions.forEach { it.follower.awaitStart() }
         run()
     }
@@ -250,6 +270,17 @@
         evictUnusableConnections()
     }
 
+    // Another node may ask for slots before this one has read the configuration. Cold workers get almost nothing until then.
+    private fun coldLimit(service: String): Double? {
+        val current = configuration.current ?: return 0.0
+        return current.services[service]?.coldRequestsPerSecond
+    }
+
+    private fun onEvacuation(zones: Set<String>) {
+        loadBalancer.evacuate(zones, clock.millis())
+        schedulerHost.evacuate(zones)
+    }
+
     private fun evictUnusableConnections() = connections.evictUnusable(loadBalancer.workers.map { it.id }.toSet())
 
     private suspend fun runMaintenance() {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -12,6 +12,7 @@
  * @property receivedMillis monotonic time in milliseconds at which the request head was received
  * @property deadlineMillis monotonic time in milliseconds at which the timeout of the caller or the route expires
  * @property priority position in the queue; smaller values are dispatched first
+ * @property allowedRegions regions whose workers may get the request, or null for all
  * @property resumeAfter id of the last event that the caller has received, or null
  * @property isRateLimited whether the request needs a token of its organisation's rate limit
  */
@@ -29,6 +30,7 @@
     val priority: Int,
     val resumeAfter: Long?,
     val isRateLimited: Boolean = false,
+    val allowedRegions: Set<String>? = null,
 )
 
 /** Writes the response to a caller. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -25,6 +25,12 @@
     /** The worker has sent bytes that are no response. */
     data class MalformedResponse(override val reason: String) : UnusableResponse
 
+    /** The response has a status that HTTP does not have. */
+    data class InvalidStatus(val status: Int) : UnusableResponse {
+        override val reason: String
+            get() = "invalid status $status"
+    }
+
     /** The response does not belong to the request. */
     data class ForeignResponse(val identity: ResponseIdentity.Foreign) : UnusableResponse {
         override val reason: String
@@ -46,9 +52,13 @@
     private var isKeptAlive = false
     private var responseHead: ResponseHead? = null
 
-    /** Whether the connection can be used for another request. */
+    /** Whether the connection can be used for another request. The worker may answer before it has read the whole request. */
     val isReusable: Boolean
-        get() = isComplete && isKeptAlive && responseHead?.closesConnection == false && !endsWithConnection
+        get() = isComplete &&
+            isKeptAlive &&
+            responseHead?.closesConnection == false &&
+            !endsWithConnection &&
+            connection.isRequestWritten
 
     /** Whether the response has neither a length nor chunks, so that the end of the connection ends it. */
     var endsWithConnection = true
@@ -80,6 +90,7 @@
         when (received) {
             is ExchangeResult.Response -> responseHead = received.head
             is ExchangeResult.ForeignResponse -> recorder.onForeignResponse(connection, received.identity)
+            is ExchangeResult.InvalidStatus -> recorder.onInvalidStatus(connection, received.status)
             is ExchangeResult.MalformedResponse -> recorder.onMalformedResponse(connection, received.reason)
             is ExchangeResult.ConnectionLost -> recorder.onNoResponse("connection_lost_before_head")
             ExchangeResult.TimedOut -> recorder.onNoResponse("silent_before_head")
@@ -160,6 +171,7 @@
             result.complete(
                 when (identity) {
                     is ResponseIdentity.Own -> ExchangeResult.Response(identity.head, headers)
+                    is ResponseIdentity.InvalidStatus -> ExchangeResult.InvalidStatus(identity.status)
                     is ResponseIdentity.Foreign -> ExchangeResult.ForeignResponse(identity)
                 },
             )
@@ -180,6 +192,12 @@
         }
 
         override fun onEnd() {
+            // The worker has closed the connection without having read the request, probably because it has failed.
+            if (endsWithConnection &&
+                !connection.isRequestWritten
+            ) {
+                return onLost("closed before the request was written")
+            }
             val second = finder?.end(isFollowed = connection.hasForeignBytes)
             parts.trySend(second?.let { ResponsePart.Foreign(it) } ?: ResponsePart.End)
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -64,7 +64,8 @@
         if (!route.isPublic) requireKnownKey(current, organisation)?.let { return it }
         val id = head.requestId ?: return Refusal.BAD_REQUEST
         if (route.kind == RouteKind.BATCH) return submissions.submit(id, route, organisation, incoming, sink, record)
-        return forward(onlineCall(id, route, organisation, incoming, record), sink, record)
+        val allowedRegions = current.allowedRegions(route, organisation?.name)
+        return forward(onlineCall(id, route, organisation, incoming, record, allowedRegions), sink, record)
     }
 
     private fun onlineCall(
@@ -73,6 +74,7 @@
         organisation: IngressOrganisation?,
         incoming: IncomingCall,
         record: CallRecord,
+        allowedRegions: Set<String>?,
     ): OnlineCall {
         val timeoutMillis = incoming.operation.head.timeoutMillis ?: route.timeoutMillis
         return OnlineCall(
@@ -89,6 +91,7 @@
             priority = organisation?.priority ?: route.priority,
             resumeAfter = incoming.operation.head.resumeAfter,
             isRateLimited = organisation != null && organisation.ratePerSecond > 0,
+            allowedRegions = allowedRegions,
         )
     }
 
@@ -126,6 +129,7 @@
             mayRepeat = call.route.mayRepeat,
             route = call.route.name,
             isRateLimited = call.isRateLimited,
+            allowedRegions = call.allowedRegions,
         )
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -41,6 +41,7 @@
     private val reachability: PeerReachability,
     private val tokenGate: TokenGate,
     private val weight: (String?) -> Double = { 1.0 },
+    private val coldLimit: (service: String) -> Double? = { null },
 ) {
     @Serializable
     private data class Announcement(
@@ -67,6 +68,7 @@
     private val rateLimiter = tokenGate.rateLimiter
     private var balancedMillis = Long.MIN_VALUE / 2
     private var zoneWorkers = mapOf<String, List<FleetWorker>>()
+    private var evacuatedZones = emptySet<String>()
 
     /** Registers the handlers for schedulers and announcements at [server]. */
     fun serve(server: PeerServer) {
@@ -96,6 +98,15 @@
         }
     }
 
+    /** Replaces the zones whose workers get no new requests. */
+    fun evacuate(zones: Set<String>) {
+        evacuatedZones = zones
+        for (entry in hosted.values) {
+            entry.workers.evacuate(zones, clock.millis())
+            entry.scheduler.update(clock.millis())
+        }
+    }
+
     /** Connects this node to its own scheduler of [service]. */
     fun connectLocally(service: String, hello: NodeMessage.Hello, receiver: SchedulerReceiver): SchedulerChannel =
         LocalSchedulerChannel(schedulerOf(service).scheduler, tokenGate, hello, receiver)
@@ -199,7 +210,9 @@
     }
 
     private fun schedulerOf(service: String): HostedScheduler = hosted.getOrPut(service) {
-        val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred()) })
+        val rateShare = { RateLimitShares.ofScheduler(isPreferred()) }
+        val workers = LoadBalancer(self.zone, rateShare, coldLimit)
+        workers.evacuate(evacuatedZones, clock.millis())
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
         HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service), weight = weight))
