--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -49,8 +49,15 @@
  *
  * @property maximumConnections connections that one worker accepts from all nodes together
  * @property isEngine whether the workers are inference engines, which run the requests of all their slots in one batch
+ * @property memoryTokens tokens of prompts and outputs that one worker holds at most at the same time, or null
  */
-data class IngressService(val name: String, val healthPath: String, val maximumConnections: Int, val isEngine: Boolean)
+data class IngressService(
+    val name: String,
+    val healthPath: String,
+    val maximumConnections: Int,
+    val isEngine: Boolean,
+    val memoryTokens: Long? = null,
+)
 
 /**
  * An organisation with its keys and its rate limit across all nodes.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -55,6 +55,7 @@
  * @property isLeaving whether the worker states that it leaves and must not get new requests
  * @property keepAliveMillis time in milliseconds that the worker keeps an idle connection open, or null
  * @property closesConnection whether the worker closes the connection after the response
+ * @property workPercent how long work takes at the worker at present, in percent of its usual time, or null
  * @property hasReceipt whether the response contains the worker's receipt header
  */
 data class ResponseHead(
@@ -66,4 +67,5 @@
     val keepAliveMillis: Long?,
     val closesConnection: Boolean,
     val hasReceipt: Boolean,
+    val workPercent: Int? = null,
 )
