Choose workers by the expected cost of a request

Cause: the choice counts requests, although they need very different amounts of work and workers differ in speed. Change: a model of the cost of requests and of the remaining work of workers in core/dispatch/cost, learned from observed runs; LoadBalancer chooses the worker with the least expected time, its own and that by which it delays others, behind WorkerRouting.COST, within the memory of the worker; the scheduler learns from Release.run, Hello and WorkerSlowness. SlotQueue.workOf states the expected work of a request. Nothing selects COST yet.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -1,5 +1,8 @@
 package org.poplarshift.core.dispatch
 
+import org.poplarshift.core.dispatch.cost.RequestCost
+import org.poplarshift.core.dispatch.cost.WorkerEstimate
+
 /**
  * Tracks the load of a set of workers and selects the worker for each request.
  *
@@ -8,13 +11,22 @@
  *
  * @param ownZone availability zone that is preferred among workers of about the same load
  * @param rateShare returns the share of the rate limits of workers that the user of this object may use, 0 to 1
+ * @param routing how workers are chosen
+ * @param isShared whether others choose among the same workers without asking this object
+ * @param memoryTokens returns the tokens that a worker of a service holds at most, or null if that is not known
  * @param random returns values from 0 until 1, used to break ties
  */
 class LoadBalancer(
     private val ownZone: String,
     private val rateShare: () -> Double = { 1.0 },
+    private val routing: WorkerRouting = WorkerRouting.LOAD,
+    private val isShared: Boolean = false,
+    private val memoryTokens: (String) -> Long? = { null },
     private val random: () -> Double = Math::random,
 ) {
+    /** The cost of the requests that are assigned here. */
+    val costs = RunCosts()
+
     private val statesById = HashMap<String, WorkerState>()
     private val leaving = LinkedHashSet<WorkerIncarnation>()
     private var statesByService = mapOf<String, List<WorkerState>>()
@@ -92,6 +104,26 @@
         .filter { it.worker.id !in excluded && it.freeSlots(nowMillis) > headroom && it.isWithinRate(nowMillis) }
         .minByOrNull { score(it, nowMillis) + rateLimitPenalty(it, use) }
 
+    /** Returns the worker of [service] for [request] that has free slots and accepts a request now, or null. */
+    fun choose(service: String, request: SlotRequest, nowMillis: Long): WorkerState? {
+        if (routing == WorkerRouting.LOAD) {
+            return choose(service, headroom = 0, request.excludedWorkers, nowMillis, request.use)
+        }
+        val candidates = available(service).filter {
+            it.worker.id !in request.excludedWorkers && it.freeSlots(nowMillis) > 0 && it.isWithinRate(nowMillis)
+        }
+        if (candidates.isEmpty()) return null
+        val cost = costs.of(request, nowMillis)
+        val fitting = candidates.filter { hasMemory(it, cost) }
+        return sample(fitting).minByOrNull { totalMillis(it, cost, request.use, nowMillis) }
+    }
+
+    /** Returns what [request] would cost at each worker of [service] that accepts requests, whether it has free slots or not. */
+    fun explain(service: String, request: SlotRequest, nowMillis: Long): Map<WorkerState, WorkerEstimate> {
+        val cost = costs.of(request, nowMillis)
+        return available(service).associateWith { costs.estimate(cost, it, nowMillis) }
+    }
+
     /** Whether [service] has an available worker outside [excluded], with or without free slots. */
     fun hasWorker(service: String, excluded: Set<String>): Boolean =
         available(service).any { it.worker.id !in excluded }
@@ -103,6 +135,31 @@
         return remaining > 0 && remaining * 2 >= all.size
     }
 
+    private fun hasMemory(state: WorkerState, cost: RequestCost): Boolean {
+        val capacity = memoryTokens(state.worker.service) ?: return true
+        // A request that is larger than the memory may still run alone, because its output is usually shorter than stated.
+        return state.work.runs == 0 || state.work.heldTokens + cost.heldTokens <= capacity
+    }
+
+    // Others that see the same workers would all choose the same one until their requests appear in its reports.
+    private fun sample(states: List<WorkerState>): List<WorkerState> {
+        val size = maxOf(MINIMUM_SAMPLE, states.size / SAMPLE_DIVISOR)
+        if (!isShared || states.size <= size) return states
+        val sampled = states.toMutableList()
+        for (index in 0 until size) {
+            val other = index + (random() * (sampled.size - index)).toInt()
+            sampled[index] = sampled[other].also { sampled[other] = sampled[index] }
+        }
+        return sampled.subList(0, size)
+    }
+
+    private fun totalMillis(state: WorkerState, cost: RequestCost, use: SlotUse, nowMillis: Long): Double {
+        val zonePenalty = if (state.worker.zone == ownZone) 0.0 else CROSS_ZONE_MILLIS
+        val slotMillis = cost.outputSteps * state.worker.slots * SLOT_STEP_MILLIS
+        val total = costs.estimate(cost, state, nowMillis).totalMillis
+        return total + zonePenalty + random() * TIE_BREAK_MILLIS + rateLimitPenalty(state, use) * slotMillis
+    }
+
     private fun newState(worker: FleetWorker): WorkerState {
         val state = WorkerState(worker, rateShare)
         if (worker.incarnation in leaving) state.onLeaving()
@@ -131,6 +188,19 @@
         // request slows down a step of the engine by less than the network delay between zones.
         const val CROSS_ZONE_PENALTY = 0.6
 
+        // Delay of the network between zones, there and back.
+        const val CROSS_ZONE_MILLIS = 12.0
+
+        // Time by which a run delays another one and itself, for each step that they share.
+        const val SLOT_STEP_MILLIS = 0.2
+
+        // Less than what one more request or a cached part of a prompt makes of a difference.
+        const val TIE_BREAK_MILLIS = 1.0
+
+        // A choice among a quarter of the workers, and at least two, reaches a fast worker in most cases.
+        const val MINIMUM_SAMPLE = 2
+        const val SAMPLE_DIVISOR = 4
+
         // Random tie-breaking keeps the nodes from all selecting the same worker.
         const val TIE_BREAK_RANGE = 0.9
     }
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SchedulerMessages.kt
@@ -66,9 +66,21 @@
     data object Alive : NodeMessage
 }
 
-/** A slot that a node uses, as stated when it connects to a scheduler. */
+/**
+ * A slot that a node uses, as stated when it connects to a scheduler.
+ *
+ * @property usedMillis time for which the slot has been used
+ */
 @Serializable
-data class HeldSlot(val number: Long, val use: SlotUse, val worker: String, val onTimeInMillis: Long)
+data class HeldSlot(
+    val number: Long,
+    val use: SlotUse,
+    val worker: String,
+    val onTimeInMillis: Long,
+    val route: String? = null,
+    val size: RequestSize? = null,
+    val usedMillis: Long = 0,
+)
 
 /** What a node observed at the worker whose slot it gives up. */
 @Serializable
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
@@ -58,6 +58,7 @@
 
     /** Releases the slot of the request [key], or removes the request from the queue. Returns its lease, if any. */
     fun release(key: SlotKey): SlotLease? {
+        workers.costs.onEnded(key)
         val held = leasesByKey.remove(key)
         if (held == null) {
             waiters.removeIf { it.request.key == key }
@@ -126,13 +127,16 @@
 
     private fun grant(request: SlotRequest, nowMillis: Long): SlotDecision.Granted? {
         if (request.use == SlotUse.BATCH && capacity(nowMillis).spare <= 0) return null
-        val state = workers.choose(service, headroom = 0, request.excludedWorkers, nowMillis, request.use)
-            ?: return null
+        val state = workers.choose(service, request, nowMillis) ?: return null
+        workers.costs.onStarted(request, state, nowMillis)
         hold(SlotLease(request.key, request.use, state.worker.id, request.onTimeUntilMillis), state)
         state.onPaced(nowMillis)
         return SlotDecision.Granted(state.worker.id, state.requestsPerSecond)
     }
 
+    /** Returns the expected work of [request] in milliseconds. */
+    fun workOf(request: SlotRequest): Double = workers.costs.workOf(request)
+
     private fun hold(lease: SlotLease, state: WorkerState?) {
         leasesByKey[lease.key] = HeldLease(lease, state)
         state?.onSent(lease.use != SlotUse.ONLINE)
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotScheduler.kt
@@ -44,7 +44,7 @@
         removeNode(node)
         sessions[node] = Session(connection, nowMillis)
         for (slot in hello.leases) {
-            queue.adopt(SlotLease(SlotKey(node, slot.number), slot.use, slot.worker, nowMillis + slot.onTimeInMillis))
+            adopt(node, slot, nowMillis)
         }
         // What this scheduler knows already is newer.
         hello.rateLimits.forEach { (worker, limit) ->
@@ -68,10 +68,11 @@
         sessions[node]?.heardMillis = nowMillis
         when (message) {
             is NodeMessage.Acquire -> onAcquire(node, message, nowMillis)
-            is NodeMessage.Release -> onRelease(SlotKey(node, message.number), message.outcome, nowMillis)
+            is NodeMessage.Release -> onRelease(SlotKey(node, message.number), message, nowMillis)
             is NodeMessage.RateLimit -> workers.state(message.worker)?.onRateLimit(message.requestsPerSecond, nowMillis)
             is NodeMessage.Leaving -> onLeaving(listOf(message.worker))
-            is NodeMessage.WorkerSlowness, is NodeMessage.Hello, NodeMessage.Alive -> Unit
+            is NodeMessage.WorkerSlowness -> workers.state(message.worker)?.work?.onSlowness(message.percent, nowMillis)
+            is NodeMessage.Hello, NodeMessage.Alive -> Unit
         }
     }
 
@@ -136,9 +137,19 @@
         send(request.key.node, reply)
     }
 
-    private fun onRelease(key: SlotKey, outcome: SlotOutcome, nowMillis: Long) {
+    private fun adopt(node: String, slot: HeldSlot, nowMillis: Long) {
+        val key = SlotKey(node, slot.number)
+        val lease = SlotLease(key, slot.use, slot.worker, nowMillis + slot.onTimeInMillis)
+        queue.adopt(lease)
+        val state = workers.state(slot.worker) ?: return
+        val request = SlotRequest(key, slot.use, 0, lease.onTimeUntilMillis, route = slot.route, size = slot.size)
+        workers.costs.onStarted(request, state, nowMillis, maxOf(1, slot.usedMillis))
+    }
+
+    private fun onRelease(key: SlotKey, release: NodeMessage.Release, nowMillis: Long) {
+        release.run?.let { workers.costs.onObserved(key, it, nowMillis) }
         val lease = queue.release(key)
-        if (lease != null) report(key.node, lease.worker, outcome, nowMillis)
+        if (lease != null) report(key.node, lease.worker, release.outcome, nowMillis)
         dispatch(nowMillis)
     }
 
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.core.dispatch
 
+import org.poplarshift.core.dispatch.cost.WorkerWork
 import kotlin.math.floor
 
 /**
@@ -14,6 +15,9 @@
     private var peakOwnSinceReport = 0
     private var pacer: RequestPacer? = null
 
+    /** The runs at the worker whose cost is known. */
+    val work = WorkerWork()
+
     /** Counted online requests in flight at the worker. */
     var online = 0
         private set
