Use the choice by cost in schedulers and report observed runs to them

Cause: the scheduler learned nothing of the runs whose slots it grants, and chose workers by their number of requests. Schedulers choose by cost unless the setting routing is load. A node without a scheduler chooses among a sample of the workers, because others choose among the same ones, and by the memory of the workers (kv_capacity), as schedulers do.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -56,8 +56,13 @@
         metrics.counter("task_failures", "task", name).increment()
     }
     private var drainMillis = settings.drainMillis
-    private val loadBalancer: LoadBalancer =
-        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
+    private val loadBalancer: LoadBalancer = LoadBalancer(
+        settings.zone,
+        rateShare = { RateLimitShares.ofNode(members.assumedSize) },
+        settings.routing,
+        isShared = true,
+        memoryTokens = ::memoryTokens,
+    )
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
@@ -81,7 +86,8 @@
     private val tokenSource = PeerTokenSource(ownMember.name, peerClient, members, tokenReachability)
     private val rateLimiter: RateLimiter = RateLimiter(tasks, clock, tokenSource) { members.assumedSize }
     private val configuration = ConfigurationHolder(ports::decodeConfiguration) { rateLimiter.update(it) }
-    private val schedulerHost = SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability)
+    private val schedulerHost =
+        SchedulerHost(tasks, clock, ownMember, directory, peerClient, reachability, settings.routing, ::memoryTokens)
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -231,6 +237,8 @@
 
     private fun updateRateLimits() = rateLimiter.update(configuration.current)
 
+    private fun memoryTokens(service: String): Long? = configuration.current?.services?.get(service)?.memoryTokens
+
     private fun onWorkersChanged() {
         schedulerHost.update(loadBalancer.workers)
         evictUnusableConnections()
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
@@ -1,5 +1,7 @@
 package org.poplarshift.serving
 
+import org.poplarshift.core.dispatch.WorkerRouting
+
 /**
  * Settings that a node needs to start. Addresses have the form `IP:port`.
  *
@@ -14,6 +16,7 @@
  * @property workerTopic keyed topic of the workers' registry entries
  * @property submissionPartitions number of partitions of [submissionTopic] that are used
  * @property retentionMillis milliseconds for which results are kept after a submission
+ * @property routing how the schedulers that run at the node choose workers
  * @property contentCacheBytes maximum size of the bodies and outputs of submissions that are kept in memory
  * @property drainMillis maximum milliseconds for which a node keeps serving requests during shutdown
  */
@@ -34,6 +37,7 @@
     val retentionMillis: Long,
     val drainMillis: Long,
     val contentCacheBytes: Long = DEFAULT_CONTENT_CACHE_BYTES,
+    val routing: WorkerRouting = WorkerRouting.COST,
 ) {
     private companion object {
         // A sixth of the heap of 96 MB that nodes run with.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Attempt.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Attempt.kt
@@ -2,16 +2,23 @@
 
 import org.poplarshift.core.dispatch.WorkerState
 
-/** An exchange with a worker whose response head has been received. */
+/** An exchange with a worker whose response head has been received. [run] records what is observed of it. */
 class Attempt(
     val target: WorkerState,
     val exchange: WorkerExchange,
+    val run: RunRecorder,
     private val connection: WorkerConnection,
     private val connections: WorkerConnectionPool,
     private val onClose: () -> Unit,
 ) {
     private var isClosed = false
 
+    /** Closes an attempt whose response has been received. */
+    fun complete() {
+        run.onCompleted()
+        close()
+    }
+
     /** Releases the worker and returns the connection to the pool if it is reusable, otherwise closes it. */
     fun close() {
         if (isClosed) return
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -18,6 +18,7 @@
     private var headMillis = 0L
     private var connectionLabel = ""
     private var isAnswered = false
+    private var isResumed = false
     private var hasToken = false
 
     /** Number of attempts after which a worker may have run the request. */
@@ -83,6 +84,7 @@
             }
             sentMillis = clock.millis()
             isAnswered = false
+            isResumed = resumeAfter != null
             val result = sendTo(slot, headTimeoutMillis, resumeAfter)
             if (result !is AttemptResult.NotRun) return result
             refusals++
@@ -248,6 +250,7 @@
         val head = result.head
         head.requestsAtWorker?.let { slot.target.onLoadReport(it, clock.millis()) }
         forwarding.dispatcher.onRateLimit(slot, head.requestsPerSecond)
+        head.workPercent?.let { forwarding.dispatcher.onSlowness(slot, it) }
         if (head.isLeaving) onLeaving(slot)
         return when {
             head.hasNotRun -> onNotRun(slot.target, exchange, connection, head)
@@ -256,8 +259,9 @@
 
             else -> {
                 recordResponse(slot.target, head)
-                val release = { forwarding.dispatcher.release(slot) }
-                val attempt = Attempt(slot.target, exchange, connection, forwarding.connections, release)
+                val run = RunRecorder(clock, sentMillis, isResumed)
+                val release = { forwarding.dispatcher.release(slot, SlotOutcome.USED, run.observation()) }
+                val attempt = Attempt(slot.target, exchange, run, connection, forwarding.connections, release)
                 AttemptResult.Responded(attempt, head, result.headers)
             }
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -84,6 +84,9 @@
     /** Records the rate limit in requests per second that the worker of [slot] states, or null if it states none. */
     fun onRateLimit(slot: AssignedSlot, requestsPerSecond: Double?)
 
+    /** Records that work at the worker of [slot] takes [percent] of its usual time, as the worker states. */
+    fun onSlowness(slot: AssignedSlot, percent: Int)
+
     /** Records that the worker of [slot] states that it leaves. Returns whether this was not known before. */
     fun onLeaving(slot: AssignedSlot): Boolean
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineForwarder.kt
@@ -46,7 +46,9 @@
         val attempt = response.attempt
         val status = response.head.status
         val body = try {
-            attempt.exchange.readAll(session.remainingMillis.coerceAtLeast(1), MAXIMUM_RESPONSE_BYTES)
+            attempt.exchange.readAll(session.remainingMillis.coerceAtLeast(1), MAXIMUM_RESPONSE_BYTES).also {
+                if (it is BodyResult.Complete && status in SUCCESS_STATUSES) attempt.run.onCompleted()
+            }
         } finally {
             attempt.close()
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -67,7 +67,10 @@
         isInvalid = false
         while (true) {
             when (val part = reader.next(eventTimeoutMillis())) {
-                is EventStreamPart.Events -> deliver(part.events)
+                is EventStreamPart.Events -> {
+                    attempt.run.onEvents(part.events)
+                    deliver(part.events)
+                }
 
                 is EventStreamPart.BrokenOff -> {
                     if (part.isConnectionLost) session.onConnectionLostDuringResponse(attempt.target.worker)
@@ -84,6 +87,7 @@
                     return if (session.remainingMillis <= 0) "time is up" else "silent within the stream"
 
                 EventStreamPart.Complete -> {
+                    attempt.run.onCompleted()
                     sink.end()
                     session.onCompleted()
                     return null
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -105,6 +105,11 @@
         link(slot.zone, slot.service).reportRateLimit(worker, requestsPerSecond)
     }
 
+    override fun onSlowness(slot: AssignedSlot, percent: Int) {
+        if (!slot.target.work.onSlowness(percent, clock.millis()) || slot.zone == null) return
+        link(slot.zone, slot.service).reportSlowness(slot.target.worker.id, percent)
+    }
+
     override fun onLeaving(slot: AssignedSlot): Boolean {
         val worker = slot.target.worker
         if (!workers.markLeaving(worker.incarnation)) return false
@@ -162,7 +167,7 @@
     }
 
     private fun DispatchRequest.toSlot(number: Long, worker: String) =
-        UsedSlot(number, use, worker, onTimeUntilMillis, onPreempt)
+        UsedSlot(number, use, worker, onTimeUntilMillis, onPreempt, route, size, clock.millis())
 
     private fun message(
         request: DispatchRequest,
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -12,6 +12,7 @@
 import org.poplarshift.core.dispatch.ServiceCapacity
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.WorkerIncarnation
+import org.poplarshift.core.dispatch.WorkerRouting
 import org.poplarshift.core.dispatch.ZoneCapacities
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
@@ -34,6 +35,8 @@
     private val directory: SchedulerDirectory,
     private val client: PeerClient,
     private val reachability: PeerReachability,
+    private val routing: WorkerRouting,
+    private val memoryTokens: (String) -> Long?,
 ) {
     @Serializable
     private data class Announcement(
@@ -155,7 +158,12 @@
     }
 
     private fun schedulerOf(service: String): HostedScheduler = hosted.getOrPut(service) {
-        val workers = LoadBalancer(self.zone, rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) })
+        val workers = LoadBalancer(
+            self.zone,
+            rateShare = { RateLimitShares.ofScheduler(isPreferred(service)) },
+            routing,
+            memoryTokens = memoryTokens,
+        )
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
         HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service)))
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerLink.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.dispatch.HeldSlot
 import org.poplarshift.core.dispatch.NodeMessage
+import org.poplarshift.core.dispatch.RequestSize
 import org.poplarshift.core.dispatch.RunObservation
 import org.poplarshift.core.dispatch.SchedulerMessage
 import org.poplarshift.core.dispatch.SlotOutcome
@@ -37,13 +38,20 @@
     data object Unavailable : LinkResult
 }
 
-/** A slot that this node uses. */
+/**
+ * A slot that this node uses.
+ *
+ * @property sinceMillis monotonic time in milliseconds at which it was granted
+ */
 class UsedSlot(
     val number: Long,
     val use: SlotUse,
     val worker: String,
     val onTimeUntilMillis: Long,
     val onPreempt: () -> Unit,
+    val route: String?,
+    val size: RequestSize?,
+    val sinceMillis: Long,
 )
 
 /**
@@ -130,6 +138,11 @@
         channel?.let { send(it, NodeMessage.RateLimit(worker, requestsPerSecond)) }
     }
 
+    /** Tells the scheduler that work at [worker] takes [percent] of its usual time. */
+    fun reportSlowness(worker: String, percent: Int) {
+        channel?.let { send(it, NodeMessage.WorkerSlowness(worker, percent)) }
+    }
+
     /** Tells the scheduler that [worker] leaves. Without a connection it is told when this node connects. */
     fun reportLeaving(worker: WorkerIncarnation) {
         channel?.let { send(it, NodeMessage.Leaving(worker)) }
@@ -204,7 +217,10 @@
         failedMillis = clock.millis()
     }
 
-    private fun UsedSlot.toHeldSlot() = HeldSlot(number, use, worker, onTimeUntilMillis - clock.millis())
+    private fun UsedSlot.toHeldSlot(): HeldSlot {
+        val now = clock.millis()
+        return HeldSlot(number, use, worker, onTimeUntilMillis - now, route, size, now - sinceMillis)
+    }
 
     private fun handle(message: SchedulerMessage) {
         heardMillis = clock.millis()
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -20,6 +20,7 @@
 import org.poplarshift.serving.forward.EventStreamPart
 import org.poplarshift.serving.forward.EventStreamReader
 import org.poplarshift.serving.forward.ForwardingContext
+import org.poplarshift.serving.forward.StreamEvent
 
 /** Runs one item, as often as it takes to get a result. An interrupted run is resumed after the last event that was received. */
 class ItemRun(
@@ -188,13 +189,10 @@
         val before = output.resumePoint
         while (true) {
             when (val part = reader.next(minOf(IDLE_TIMEOUT_MILLIS, remainingMillis()))) {
-                is EventStreamPart.Events -> {
-                    session.onAnswered()
-                    part.events.forEach { output.append(it) }
-                }
+                is EventStreamPart.Events -> append(part.events, attempt, session)
 
                 EventStreamPart.Complete -> {
-                    attempt.close()
+                    attempt.complete()
                     session.onCompleted()
                     recordResult(isComplete = true, "complete")
                     return true
@@ -218,6 +216,12 @@
         }
     }
 
+    private fun append(events: List<StreamEvent>, attempt: Attempt, session: AttemptSession) {
+        session.onAnswered()
+        attempt.run.onEvents(events)
+        events.forEach { output.append(it) }
+    }
+
     private fun onInvalidResponse(attempt: Attempt, reason: String) {
         attempt.target.onConnectionLost()
         logger.atWarn {
