--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -197,9 +197,10 @@
         // Less than what one more request or a cached part of a prompt makes of a difference.
         const val TIE_BREAK_MILLIS = 1.0
 
-        // A choice among a quarter of the workers, and at least two, reaches a fast worker in most cases.
+        // A choice among a sixth of the workers, and at least two, still finds a fast one in most cases. With a quarter or
+        // a half, ten nodes crowd the fast workers more (docs/design/request-cost.md).
         const val MINIMUM_SAMPLE = 2
-        const val SAMPLE_DIVISOR = 4
+        const val SAMPLE_DIVISOR = 6
 
         // Random tie-breaking keeps the nodes from all selecting the same worker.
         const val TIE_BREAK_RANGE = 0.9
