--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -23,6 +23,7 @@
 import org.poplarshift.serving.log.RelayedLog
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
+import org.poplarshift.serving.observe.CostMetrics
 import org.poplarshift.serving.observe.NodeGauges
 import org.poplarshift.serving.observe.NodeStatus
 import org.poplarshift.serving.observe.UnusableResponseRecorder
@@ -134,7 +135,8 @@
         StatusServer(vertx) { path ->
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
-    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else metrics.scrape() }) { OK }
+    private val costMetrics = CostMetrics(metrics, clock) { schedulerHost.workersByService }
+    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else scrape() }) { OK }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -223,6 +225,11 @@
 
     private fun readinessStatus(): Int = if (isReady) OK else UNAVAILABLE
 
+    private fun scrape(): String {
+        costMetrics.refresh()
+        return metrics.scrape()
+    }
+
     private fun status(): String = NodeStatus(settings.name, isReady, tasks.states).encode()
 
     // Member records and crash records share a topic, which saves the calls of another follower.
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -57,6 +57,10 @@
     private val capacities = HashMap<String, ZoneCapacities>()
     private var zoneWorkers = mapOf<String, List<FleetWorker>>()
 
+    /** The workers of each scheduler that runs here, by the service. */
+    val workersByService: Map<String, LoadBalancer>
+        get() = hosted.mapValues { it.value.workers }
+
     /** Registers the handlers for schedulers and announcements at [server]. */
     fun serve(server: PeerServer) {
         server.onSocket(SOCKET_PATH) { service, socket -> accept(service, socket) }
