--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/SlotQueue.kt
@@ -71,6 +71,7 @@
      * @param completedMillis time at which a run that used the slot was completed, or null if none was
      */
     fun release(key: SlotKey, completedMillis: Long? = null): SlotLease? {
+        workers.costs.onEnded(key)
         val held = leasesByKey.remove(key)
         if (held == null) {
             waitingList.find(key)?.let { waitingList.remove(it) }
@@ -201,8 +202,8 @@
     private fun grant(waiter: SlotWaiter, nowMillis: Long): SlotDecision.Granted? {
         val request = waiter.request
         if (request.use == SlotUse.BATCH && spareSlots(nowMillis) <= 0) return null
-        val state = workers.choose(service, headroom = 0, request.excludedWorkers, nowMillis, request.use)
-            ?: return null
+        val state = workers.choose(service, request, nowMillis) ?: return null
+        workers.costs.onStarted(request, state, nowMillis)
         waitingList.serve(waiter, nowMillis)
         val lease = SlotLease(request.key, request.use, state.worker.id, request.onTimeUntilMillis, nowMillis)
         hold(lease, state, waiter.work)
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.core.dispatch
 
+import org.poplarshift.core.dispatch.cost.WorkerWork
 import kotlin.math.floor
 
 /**
@@ -26,6 +27,9 @@
     private var coldRequestsPerSecond: Double? = null
     private var assumedColdUntilMillis = Long.MIN_VALUE
 
+    /** The runs at the worker whose cost is known. */
+    val work = WorkerWork()
+
     /** Counted online requests in flight at the worker. */
     var online = 0
         private set
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -24,6 +24,7 @@
 import org.poplarshift.serving.log.RelayedLog
 import org.poplarshift.serving.log.TopicFollower
 import org.poplarshift.serving.observe.CallRecorder
+import org.poplarshift.serving.observe.CostMetrics
 import org.poplarshift.serving.observe.NodeGauges
 import org.poplarshift.serving.observe.NodeStatus
 import org.poplarshift.serving.observe.UnusableResponseRecorder
@@ -62,8 +63,14 @@
         metrics.counter("task_failures", "task", name).increment()
     }
     private var drainMillis = settings.drainMillis
-    private val loadBalancer: LoadBalancer =
-        LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) }, ::coldLimit)
+    private val loadBalancer: LoadBalancer = LoadBalancer(
+        settings.zone,
+        rateShare = { RateLimitShares.ofNode(members.assumedSize) },
+        ::coldLimit,
+        settings.routing,
+        isShared = true,
+        memoryTokens = ::memoryTokens,
+    )
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
@@ -111,6 +118,8 @@
         tokenGate,
         weights::of,
         ::coldLimit,
+        settings.routing,
+        ::memoryTokens,
     )
     private val dispatcher = FleetDispatcher(
         tasks,
@@ -160,7 +169,8 @@
         StatusServer(vertx) { path ->
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
-    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else metrics.scrape() }) { OK }
+    private val costMetrics = CostMetrics(metrics, clock) { schedulerHost.workersByService }
+    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else scrape() }) { OK }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -253,6 +263,11 @@
 
     private fun readinessStatus(): Int = if (isReady) OK else UNAVAILABLE
 
+    private fun scrape(): String {
+        costMetrics.refresh()
+        return metrics.scrape()
+    }
+
     private fun status(): String = NodeStatus(settings.name, isReady, tasks.states).encode()
 
     // Member records and crash records share a topic, which saves the calls of another follower.
@@ -265,6 +280,8 @@
         override fun onCaughtUp() = members.onCaughtUp()
     }
 
+    private fun memoryTokens(service: String): Long? = configuration.current?.services?.get(service)?.memoryTokens
+
     private fun onWorkersChanged() {
         schedulerHost.update(loadBalancer.workers)
         evictUnusableConnections()
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/SchedulerHost.kt
@@ -13,6 +13,7 @@
 import org.poplarshift.core.dispatch.SlotQueueStatistics
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.WorkerIncarnation
+import org.poplarshift.core.dispatch.WorkerRouting
 import org.poplarshift.core.dispatch.ZoneCapacities
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
@@ -42,6 +43,8 @@
     private val tokenGate: TokenGate,
     private val weight: (String?) -> Double = { 1.0 },
     private val coldLimit: (service: String) -> Double? = { null },
+    private val routing: WorkerRouting = WorkerRouting.COST,
+    private val memoryTokens: (String) -> Long? = { null },
 ) {
     @Serializable
     private data class Announcement(
@@ -70,6 +73,10 @@
     private var zoneWorkers = mapOf<String, List<FleetWorker>>()
     private var evacuatedZones = emptySet<String>()
 
+    /** The workers of each scheduler that runs here, by the service. */
+    val workersByService: Map<String, LoadBalancer>
+        get() = hosted.mapValues { it.value.workers }
+
     /** Registers the handlers for schedulers and announcements at [server]. */
     fun serve(server: PeerServer) {
         server.onSocket(SOCKET_PATH) { service, socket -> accept(service, socket) }
@@ -210,12 +217,20 @@
     }
 
     private fun schedulerOf(service: String): HostedScheduler = hosted.getOrPut(service) {
-        val rateShare = { RateLimitShares.ofScheduler(isPreferred()) }
-        val workers = LoadBalancer(self.zone, rateShare, coldLimit)
+        val workers = LoadBalancer(
+            self.zone,
+            rateShare = { RateLimitShares.ofScheduler(isPreferred()) },
+            coldLimit,
+            routing,
+            memoryTokens = memoryTokens,
+        )
         workers.evacuate(evacuatedZones, clock.millis())
         workers.update(zoneWorkers[service].orEmpty())
         logger.info { "scheduling: this node runs the scheduler of $service in ${self.zone}" }
-        HostedScheduler(workers, SlotScheduler(service, workers, capacitiesOf(service), weight = weight))
+        HostedScheduler(
+            workers,
+            SlotScheduler(service, workers, capacitiesOf(service), weight = weight, work = workers.costs::workOf),
+        )
     }
 
     /** Whether this node's requests use the schedulers that run here. */
