Add the command explain-route

Cause: an operator could not see why a request goes to a worker. Change: GET /explain-route on the metrics address of a node explains the choice of the scheduler that runs there, for a request that the query describes; poplarshift explain-route asks a node and prints the answer as text or JSON. Nothing is assigned or sent. StatusServer hands the query to its text as well.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -1,7 +1,8 @@
 package org.poplarshift.core.dispatch
 
+import org.poplarshift.core.dispatch.RouteExplanation.Verdict
 import org.poplarshift.core.dispatch.cost.RequestCost
-import org.poplarshift.core.dispatch.cost.WorkerEstimate
+import kotlin.math.roundToLong
 
 /**
  * Tracks the load of a set of workers and selects the worker for each request.
@@ -118,10 +119,15 @@
         return sample(fitting).minByOrNull { totalMillis(it, cost, request.use, nowMillis) }
     }
 
-    /** Returns what [request] would cost at each worker of [service] that accepts requests, whether it has free slots or not. */
-    fun explain(service: String, request: SlotRequest, nowMillis: Long): Map<WorkerState, WorkerEstimate> {
+    /** Explains which worker of [service] would be chosen for [request] now by the scheduler that runs at [node]. */
+    fun explain(node: String, service: String, request: SlotRequest, nowMillis: Long): RouteExplanation {
         val cost = costs.of(request, nowMillis)
-        return available(service).associateWith { costs.estimate(cost, it, nowMillis) }
+        val chosen = choose(service, request, nowMillis)
+        val candidates = statesByService[service].orEmpty().map { state ->
+            val verdict = if (state === chosen) Verdict.CHOSEN else verdict(state, cost, nowMillis)
+            costs.describe(state, cost, verdict, nowMillis)
+        }
+        return RouteExplanation(node, service, node, chosen?.worker?.id, cost.millis.roundToLong(), candidates)
     }
 
     /** Whether [service] has an available worker outside [excluded], with or without free slots. */
@@ -135,6 +141,14 @@
         return remaining > 0 && remaining * 2 >= all.size
     }
 
+    private fun verdict(state: WorkerState, cost: RequestCost, nowMillis: Long): Verdict = when {
+        !state.isAvailable -> Verdict.UNAVAILABLE
+        state.freeSlots(nowMillis) <= 0 -> Verdict.NO_FREE_SLOT
+        !state.isWithinRate(nowMillis) -> Verdict.RATE_LIMIT
+        routing == WorkerRouting.COST && !hasMemory(state, cost) -> Verdict.MEMORY
+        else -> Verdict.COSTS_MORE
+    }
+
     private fun hasMemory(state: WorkerState, cost: RequestCost): Boolean {
         val capacity = memoryTokens(state.worker.service) ?: return true
         // A request that is larger than the memory may still run alone, because its output is usually shorter than stated.
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/RunCosts.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/RunCosts.kt
@@ -4,6 +4,8 @@
 import org.poplarshift.core.dispatch.cost.CostModel
 import org.poplarshift.core.dispatch.cost.RequestCost
 import org.poplarshift.core.dispatch.cost.WorkerEstimate
+import kotlin.math.roundToInt
+import kotlin.math.roundToLong
 
 /** The costs of the requests that one scheduler, or one node by itself, assigns to workers. Times are monotonic milliseconds. */
 class RunCosts {
@@ -34,6 +36,28 @@
     fun remainingMillis(state: WorkerState, nowMillis: Long): Double =
         state.work.remainingMillis(model.speed(state.work, nowMillis), nowMillis)
 
+    /** Describes the worker of [state] for a request of [cost], which it gets or not for the reason in [verdict]. */
+    fun describe(
+        state: WorkerState,
+        cost: RequestCost,
+        verdict: RouteExplanation.Verdict,
+        nowMillis: Long,
+    ): RouteExplanation.Candidate {
+        val estimate = estimate(cost, state, nowMillis)
+        return RouteExplanation.Candidate(
+            worker = state.worker.id,
+            verdict = verdict,
+            runMillis = estimate.runMillis.roundToLong(),
+            delayMillis = estimate.delayMillis.roundToLong(),
+            firstMillis = estimate.firstMillis.roundToLong(),
+            cachedTokens = estimate.cachedTokens,
+            speed = estimate.speed,
+            requests = state.load(nowMillis).roundToInt(),
+            slots = state.worker.slots,
+            remainingMillis = remainingMillis(state, nowMillis).roundToLong(),
+        )
+    }
+
     /** Records that [request] is assigned to the worker of [state], [elapsedMillis] ago. */
     fun onStarted(request: SlotRequest, state: WorkerState, nowMillis: Long, elapsedMillis: Long = 0) {
         observe(nowMillis)
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/CostRoutingTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/CostRoutingTest.kt
@@ -136,7 +136,8 @@
             fixture.assign(fixture.request(size.copy(parts = parts)))
             val reordered = size.copy(parts = listOf(parts[1], parts[0], parts[2]))
             val request = fixture.request(reordered)
-            fixture.balancer.explain("s", request, nowMillis = 0).values.map { it.cachedTokens } shouldBe listOf(0, 0)
+            val candidates = fixture.balancer.explain("n", "s", request, nowMillis = 0).candidates
+            candidates.map { it.cachedTokens } shouldBe listOf(0, 0)
         }
 
         test("a worker that states to be slow is avoided for 600 ms") {
--- a/operator/src/main/kotlin/org/poplarshift/operator/OperatorCommand.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/OperatorCommand.kt
@@ -4,6 +4,7 @@
 import org.poplarshift.operator.catalogue.CatalogueCommand
 import org.poplarshift.operator.key.KeyCommand
 import org.poplarshift.operator.load.LoadCommand
+import org.poplarshift.operator.status.ExplainRouteCommand
 import org.poplarshift.operator.status.StatusCommand
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -17,6 +18,7 @@
     versionProvider = OperatorVersion::class,
     subcommands = [
         CatalogueCommand::class, KeyCommand::class, BatchCommand::class, StatusCommand::class, LoadCommand::class,
+        ExplainRouteCommand::class,
     ],
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = [
--- a/operator/src/main/kotlin/org/poplarshift/operator/status/NodeClient.kt
+++ b/operator/src/main/kotlin/org/poplarshift/operator/status/NodeClient.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import org.poplarshift.core.configuration.Configuration
+import org.poplarshift.core.dispatch.RouteExplanation
 import org.poplarshift.wire.ConfigurationResponse
 import org.poplarshift.wire.WireJson
 import java.io.IOException
@@ -22,6 +23,10 @@
     /** Reads the status of the node at [address]. */
     fun status(address: String): NodeResult<NodeStatus> = get(address, "/status", NodeStatus.serializer())
 
+    /** Asks the node with the metrics [address] where the request that [query] describes would go now. */
+    fun explanation(address: String, query: String): NodeResult<RouteExplanation> =
+        get(address, "/explain-route?$query", RouteExplanation.serializer())
+
     /** Reads the current configuration of the node at [address]; null if it has none. */
     fun configuration(address: String): NodeResult<Configuration?> {
         val result = get(address, "/peer/configuration?after=-1", ConfigurationResponse.serializer())
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -35,6 +35,7 @@
 import org.poplarshift.serving.ratelimit.PeerTokenSource
 import org.poplarshift.serving.ratelimit.RateLimiter
 import org.poplarshift.serving.scheduling.FleetDispatcher
+import org.poplarshift.serving.scheduling.RouteExplainer
 import org.poplarshift.serving.scheduling.SchedulerDirectory
 import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
@@ -136,7 +137,10 @@
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
     private val costMetrics = CostMetrics(metrics, clock) { schedulerHost.workersByService }
-    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else scrape() }) { OK }
+    private val routeExplainer = RouteExplainer(settings.name, clock, { schedulerHost.workersByService }) { service ->
+        directory.preferred(settings.zone, service, reachability)?.name
+    }
+    private val metricsServer = StatusServer(vertx, ::metricsText) { OK }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -225,6 +229,12 @@
 
     private fun readinessStatus(): Int = if (isReady) OK else UNAVAILABLE
 
+    private fun metricsText(uri: String): String = when (uri.substringBefore('?')) {
+        STATUS_PATH -> status()
+        RouteExplainer.PATH -> routeExplainer.explain(uri)
+        else -> scrape()
+    }
+
     private fun scrape(): String {
         costMetrics.refresh()
         return metrics.scrape()
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
@@ -5,7 +5,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import org.poplarshift.serving.http.SocketAddresses
 
-/** An HTTP server that responds with a status and a text that depend on the path, both without I/O. */
+/** An HTTP server that responds with a status that depends on the path and a text that depends on path and query, both without I/O. */
 class StatusServer(
     private val vertx: Vertx,
     private val text: (String) -> String = { "" },
@@ -16,7 +16,7 @@
         val socket = SocketAddresses.parse(address)
         return vertx.createHttpServer(HttpServerOptions().setHost(socket.host()).setPort(socket.port()))
             .requestHandler { request ->
-                request.response().setStatusCode(status(request.path().orEmpty())).end(text(request.path().orEmpty()))
+                request.response().setStatusCode(status(request.path().orEmpty())).end(text(request.uri().orEmpty()))
             }
             .listen()
             .coAwait()
