Count the tokens of observed runs by the tokens of an event, and ask for the coordinator of the zone

Counted as one, a run of 200 tokens looked as short as its 18 events, so that reading the prompt weighed about twelve times too much in the choice of the worker. RunObservation now states output tokens. RouteExplainer follows the coordinator, which is the same for all services of a zone.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/RunObservation.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/RunObservation.kt
@@ -7,13 +7,13 @@
  *
  * @property firstEventMillis time from sending the request to the first event or to the response head, or null if there was none
  * @property runMillis time from sending the request to the end of the response
- * @property events number of events of a stream
+ * @property outputTokens tokens of the output as far as the events of a stream show them, otherwise 0
  * @property isComplete whether the response was received completely
  */
 @Serializable
 data class RunObservation(
     val firstEventMillis: Long?,
     val runMillis: Long,
-    val events: Int = 0,
+    val outputTokens: Int = 0,
     val isComplete: Boolean = true,
 )
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/cost/CostModel.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/cost/CostModel.kt
@@ -114,8 +114,8 @@
         val readSteps = run.totalSteps - run.cost.outputSteps
         val priorLog = meanLogSpeed.value(0.0, nowMillis)
         val speed = worker.speed(priorLog, nowMillis)
-        // An event of an engine's stream is a token. The events of other streams are unrelated to the work.
-        val countedSteps = observation.events.takeIf { run.size != null && it >= MINIMUM_EVENTS }
+        // A step of an engine produces a token. The events of other streams are unrelated to the work.
+        val countedSteps = observation.outputTokens.takeIf { run.size != null && it >= MINIMUM_TOKENS }
         val outputSteps = countedSteps?.toDouble() ?: (speed * progressed - readSteps)
         if (countedSteps != null) {
             val sampleLog = ln((countedSteps + readSteps) / progressed)
@@ -148,7 +148,7 @@
         const val UNCOUNTED_SHARE = 0.5
 
         // Shorter outputs say more about the delay of the network than about the worker.
-        const val MINIMUM_EVENTS = 8
+        const val MINIMUM_TOKENS = 8
 
         // A run that is stated to be much longer than the slot was held is wrong.
         const val MAXIMUM_SHARE = 1.5
--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -73,6 +73,7 @@
  * @property coldRequestsPerSecond requests per second that a cold worker accepts from all nodes together, or null if they
  *   are not limited
  * @property isEngine whether the workers are inference engines, which run the requests of all their slots in one batch
+ * @property tokensPerEvent tokens of the output that an event of a stream usually contains
  * @property memoryTokens tokens of prompts and outputs that one worker holds at most at the same time, or null
  */
 data class IngressService(
@@ -82,6 +83,7 @@
     val isEngine: Boolean,
     val coldRequestsPerSecond: Double? = null,
     val memoryTokens: Long? = null,
+    val tokensPerEvent: Int = 1,
 )
 
 /**
--- a/core/src/test/kotlin/org/poplarshift/core/dispatch/CostRoutingTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/dispatch/CostRoutingTest.kt
@@ -81,10 +81,10 @@
         }
 
         listOf(
-            "a run of no time" to RunObservation(0, runMillis = 0, events = 200),
-            "a run longer than the slot was held" to RunObservation(0, runMillis = 60_000, events = 200),
-            "one run that seems to be very fast" to RunObservation(0, runMillis = 580, events = 1_000_000),
-            "negative times" to RunObservation(-5, runMillis = -5, events = -5),
+            "a run of no time" to RunObservation(0, runMillis = 0, outputTokens = 200),
+            "a run longer than the slot was held" to RunObservation(0, runMillis = 60_000, outputTokens = 200),
+            "one run that seems to be very fast" to RunObservation(0, runMillis = 580, outputTokens = 1_000_000),
+            "negative times" to RunObservation(-5, runMillis = -5, outputTokens = -5),
         ).forEach { (name, observation) ->
             test("a wrong sample changes the speed of a worker by at most a half: $name") {
                 val fixture = Fixture(workers = 1)
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -145,6 +145,7 @@
         clock,
         crashTracker,
         unusableResponses,
+        tokensPerEvent = ::tokensPerEvent,
     )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
@@ -171,8 +172,8 @@
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
     private val costMetrics = CostMetrics(metrics, clock) { schedulerHost.workersByService }
-    private val routeExplainer = RouteExplainer(settings.name, clock, { schedulerHost.workersByService }) { service ->
-        directory.preferred(settings.zone, service, reachability)?.name
+    private val routeExplainer = RouteExplainer(settings.name, clock, { schedulerHost.workersByService }) {
+        directory.preferred(settings.zone, reachability)?.name
     }
     private val metricsServer = StatusServer(vertx, ::metricsText) { OK }
     private val followers = listOf(
@@ -292,6 +293,9 @@
 
     private fun memoryTokens(service: String): Long? = configuration.current?.services?.get(service)?.memoryTokens
 
+    private fun tokensPerEvent(service: String): Int =
+        configuration.current?.services?.get(service)?.tokensPerEvent ?: 1
+
     private fun onWorkersChanged() {
         schedulerHost.update(loadBalancer.workers)
         evictUnusableConnections()
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -265,7 +265,7 @@
 
             else -> {
                 recordResponse(slot.target, head)
-                val run = RunRecorder(clock, sentMillis, isResumed)
+                val run = RunRecorder(clock, sentMillis, forwarding.tokensPerEvent(plan.service), isResumed)
                 val release = { forwarding.dispatcher.release(slot, SlotOutcome.USED, run.observation()) }
                 val attempt = Attempt(slot.target, exchange, run, connection, forwarding.connections, release)
                 AttemptResult.Responded(attempt, head, result.headers)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
@@ -4,7 +4,11 @@
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 
-/** Dependencies shared by all classes that send requests to workers. */
+/**
+ * Dependencies shared by all classes that send requests to workers.
+ *
+ * @property tokensPerEvent returns the tokens of the output that an event of a service's streams usually contains
+ */
 class ForwardingContext(
     val dispatcher: Dispatcher,
     val connections: WorkerConnectionPool,
@@ -14,6 +18,7 @@
     val crashTracker: CrashTracker,
     val unusableResponses: UnusableResponseRecorder,
     val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
+    val tokensPerEvent: (service: String) -> Int = { 1 },
 ) {
     private companion object {
         // A fifth of the heap of a node.
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/RunRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/RunRecorder.kt
@@ -7,9 +7,15 @@
  * Records the times of one run, from which the costs of requests are learned.
  *
  * @param sentMillis monotonic time in milliseconds at which the request was sent
+ * @param tokensPerEvent tokens of the output that an event of the worker's streams usually contains
  * @param isResumed whether the run continues an earlier one; it says nothing about the length of whole runs then
  */
-class RunRecorder(private val clock: MonotonicClock, private val sentMillis: Long, private val isResumed: Boolean) {
+class RunRecorder(
+    private val clock: MonotonicClock,
+    private val sentMillis: Long,
+    private val tokensPerEvent: Int,
+    private val isResumed: Boolean,
+) {
     private val headMillis = clock.millis()
     private var firstEventMillis: Long? = null
     private var completedMillis: Long? = null
@@ -32,7 +38,7 @@
     fun observation(): RunObservation = RunObservation(
         firstEventMillis = (firstEventMillis ?: headMillis) - sentMillis,
         runMillis = (completedMillis ?: clock.millis()) - sentMillis,
-        events = events,
+        outputTokens = events * tokensPerEvent,
         isComplete = completedMillis != null && !isResumed,
     )
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/RouteExplainer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/RouteExplainer.kt
@@ -15,19 +15,19 @@
  * Explains where a request would go now, without sending it.
  *
  * @param schedulers returns the workers of each scheduler that runs at this node by the service
- * @param preferred returns the name of the node that runs the scheduler of a service in this zone, or null
+ * @param preferred returns the name of the node that runs the schedulers of this zone, or null
  */
 class RouteExplainer(
     private val node: String,
     private val clock: MonotonicClock,
     private val schedulers: () -> Map<String, LoadBalancer>,
-    private val preferred: (String) -> String?,
+    private val preferred: () -> String?,
 ) {
     /** Returns the explanation in JSON for the request that the query of [uri] describes. Malformed values count as absent. */
     fun explain(uri: String): String {
         val query = QueryStringDecoder(uri).parameters()
         val service = query["service"]?.firstOrNull().orEmpty()
-        val scheduler = preferred(service)
+        val scheduler = preferred()
         val workers = schedulers()[service]?.takeIf { scheduler == node }
         val explanation = if (workers == null) {
             RouteExplanation(node, service, scheduler)
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/RunObservationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/RunObservationTest.kt
@@ -81,6 +81,7 @@
                     clock,
                     CrashTracker(tasks, clock, FakeLog(), "members", "node"),
                     recorder,
+                    tokensPerEvent = { TOKENS_PER_EVENT },
                 )
                 scope.async {
                     val headers = MultiMap.caseInsensitiveMultiMap()
@@ -97,7 +98,7 @@
                     OnlineForwarder(forwarding).serve(call, AttemptSession(plan, forwarding), RecordingSink())
                 }.await()
                 val run = checkNotNull(dispatcher.runs.single())
-                run.events shouldBe case.events
+                run.outputTokens shouldBe case.events * TOKENS_PER_EVENT
                 run.isComplete shouldBe case.isComplete
                 checkNotNull(run.firstEventMillis).shouldBeBetween(0, run.runMillis)
                 dispatcher.slowness shouldBe listOf(250)
@@ -106,3 +107,5 @@
             }
         }
     })
+
+private const val TOKENS_PER_EVENT = 12
--- a/serving/src/test/kotlin/org/poplarshift/serving/observe/CostMetricsTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/observe/CostMetricsTest.kt
@@ -29,7 +29,7 @@
             fun request(number: Long) =
                 SlotRequest(SlotKey("n", number), SlotUse.ONLINE, 0, 500, route = "r", size = size)
             queue.submit(request(1), nowMillis = 0)
-            workers.costs.onObserved(SlotKey("n", 1), RunObservation(10, 600, events = 200), nowMillis = 600)
+            workers.costs.onObserved(SlotKey("n", 1), RunObservation(10, 600, outputTokens = 200), nowMillis = 600)
             queue.submit(request(2), nowMillis = 600)
 
             fun scrape() = registry.also { metrics.refresh() }.scrape().lines().filter { !it.startsWith("#") }
