--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/store/OperatorRecords.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/store/OperatorRecords.kt
@@ -19,20 +19,24 @@
     /** Topic of the workers' entries, whose keys are the ids of the workers. */
     const val WORKER_TOPIC = "keyed.servers"
 
-    /** A configuration with [routes] and [organisations]. */
-    fun configuration(version: Int, routes: List<RouteRecord>, organisations: List<OrganisationRecord>): String =
-        buildJsonObject {
-            put("version", version)
-            put("routes", buildJsonArray { routes.forEach { addJsonObject { route(it) } } })
-            put("services", services(routes.map { it.service }.distinct()))
-            putJsonObject("limits") {
-                put("max_header_bytes", 16_384)
-                put("max_body_bytes", 4_194_304)
-                put("header_timeout_ms", 3_000)
-                put("idle_timeout_ms", 15_000)
-            }
-            putJsonArray("tenants") { organisations.forEach { addJsonObject { organisation(it) } } }
-        }.toString()
+    /** A configuration with [routes] and [organisations]. Bodies of requests have up to [maximumBodyBytes]. */
+    fun configuration(
+        version: Int,
+        routes: List<RouteRecord>,
+        organisations: List<OrganisationRecord>,
+        maximumBodyBytes: Int = 4_194_304,
+    ): String = buildJsonObject {
+        put("version", version)
+        put("routes", buildJsonArray { routes.forEach { addJsonObject { route(it) } } })
+        put("services", services(routes.map { it.service }.distinct()))
+        putJsonObject("limits") {
+            put("max_header_bytes", 16_384)
+            put("max_body_bytes", maximumBodyBytes)
+            put("header_timeout_ms", 3_000)
+            put("idle_timeout_ms", 15_000)
+        }
+        putJsonArray("tenants") { organisations.forEach { addJsonObject { organisation(it) } } }
+    }.toString()
 
     /** A worker's entry. */
     fun worker(service: String, address: String, zone: String, slots: Int, isDraining: Boolean, sequence: Int): String =
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
@@ -33,6 +33,10 @@
     val isAlive: Boolean
         get() = process?.isAlive == true
 
+    /** Id of the last process, or null before the first start. */
+    val pid: Long?
+        get() = process?.pid()
+
     /** Exit code of the last process, or null while it runs. */
     val exitCode: Int?
         get() = process?.takeUnless { it.isAlive }?.exitValue()
@@ -41,8 +45,7 @@
     @Synchronized
     fun start() {
         if (isClosed) return
-        val processors = settings.processors?.let { listOf("-XX:ActiveProcessorCount=$it") }.orEmpty()
-        val builder = ProcessBuilder(COMMAND + processors + listOf("-jar", programFile.path, "serve"))
+        val builder = ProcessBuilder(command())
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
         builder.environment()["POPLARSHIFT_BOOT"] = settingsFile.path
@@ -68,6 +71,13 @@
         kill()
     }
 
+    private fun command(): List<String> {
+        val limit =
+            settings.descriptors?.let { listOf("/bin/sh", "-c", "ulimit -n $it && exec \"\$@\"", "sh") }.orEmpty()
+        val processors = settings.processors?.let { listOf("-XX:ActiveProcessorCount=$it") }.orEmpty()
+        return limit + COMMAND + processors + settings.options + listOf("-jar", programFile.path, "serve")
+    }
+
     private fun settingsText(): String = buildJsonObject {
         put("name", settings.name)
         put("zone", settings.zone)
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmSettings.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmSettings.kt
@@ -10,6 +10,8 @@
  * @property storeAddress address at which the VM reaches the store
  * @property processors number of processors that the process uses, or null for all
  * @property directory where settings and logs are written
+ * @property options further options of the JVM, which override the usual ones
+ * @property descriptors maximum number of open file descriptors of the process, or null for the usual one
  */
 data class VmSettings(
     val name: String,
@@ -19,10 +21,15 @@
     val storeAddress: String,
     val directory: File,
     val processors: Int? = null,
+    val options: List<String> = emptyList(),
+    val descriptors: Int? = null,
 ) {
     val callersPort: Int
         get() = firstPort
 
     val readinessPort: Int
         get() = firstPort + 1
+
+    val peerPort: Int
+        get() = firstPort + 2
 }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakOrganisations.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakOrganisations.kt
@@ -20,10 +20,10 @@
     val previousKey: String?
         get() = if (withdrawable > 0) key(withdrawable - 1) else null
 
-    /** Returns the next version of the configuration. */
-    fun nextConfiguration(): String {
+    /** Returns the next version of the configuration, in which bodies of requests have up to [maximumBodyBytes]. */
+    fun nextConfiguration(maximumBodyBytes: Int = MAXIMUM_BODY_BYTES): String {
         version += VERSION_STEP
-        return OperatorRecords.configuration(version, routes, organisations())
+        return OperatorRecords.configuration(version, routes, organisations(), maximumBodyBytes)
     }
 
     /** Withdraws the newest key of [FREE] and gives another one. */
@@ -50,6 +50,7 @@
         const val LIMITED_KEY = "key-limited"
         const val LIMITED_RATE = 10.0
         const val LIMITED_BURST = 10.0
+        const val MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
 
         /** Attempts of 500 after which an item may be given up. */
         const val MAXIMUM_ATTEMPTS = 3
