Account the bytes that a node holds, and send large messages in slices

Nothing bounded the bytes of all clients together; only workers' responses had a bound.

The transport copies a message to direct memory when it is written, so a body of 4 MiB took 4 MiB of direct memory until its worker had read it. The body of a request is no longer copied before it is sent.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
@@ -15,8 +15,8 @@
     val unusableResponses: UnusableResponseRecorder,
     val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
 ) {
-    private companion object {
-        // A fifth of the heap of a node.
+    companion object {
+        /** Maximum size of all incomplete responses of workers; a fifth of the heap of a node. */
         const val RESPONSE_MEMORY_BYTES = 20L * 1024 * 1024
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OutgoingRequest.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OutgoingRequest.kt
@@ -9,6 +9,7 @@
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
+import io.vertx.core.internal.buffer.BufferInternal
 import io.netty.handler.codec.http.HttpMethod as NettyMethod
 
 /** An HTTP request to one worker. */
@@ -29,7 +30,8 @@
             HttpVersion.HTTP_1_1,
             NettyMethod.valueOf(method.name()),
             uri,
-            Unpooled.wrappedBuffer(body.bytes),
+            // Not a copy, which would double the memory of a large body.
+            Unpooled.unreleasableBuffer((body as BufferInternal).byteBuf.duplicate()),
             sent,
             EmptyHttpHeaders.INSTANCE,
         )
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseMemory.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ResponseMemory.kt
@@ -1,5 +1,8 @@
 package org.poplarshift.serving.forward
 
+import org.poplarshift.serving.memory.MemoryAccount
+import org.poplarshift.serving.memory.MemoryUse
+
 /**
  * Bounds the memory that the responses of all workers use while they are incomplete.
  *
@@ -7,11 +10,13 @@
  * that the others are not affected.
  *
  * @param limitBytes maximum number of bytes of all responses together
+ * @param account the account of the node that the responses are part of, or null
  */
-class ResponseMemory(private val limitBytes: Long) {
+class ResponseMemory(private val limitBytes: Long, private val account: MemoryAccount? = null) {
     /** The memory of one response. */
     inner class Allocation internal constructor() {
         private var bytes = 0L
+        private val holding = account?.hold(MemoryUse.WORKER_RESPONSE) { revoke() }
 
         /** Whether the response may still be received. */
         var isGranted = true
@@ -23,6 +28,7 @@
             usedBytes += bytes - this.bytes
             this.bytes = bytes
             while (usedBytes > limitBytes) allocations.maxBy { it.bytes }.revoke()
+            if (isGranted) holding?.resize(bytes)
             return isGranted
         }
 
@@ -31,6 +37,7 @@
             if (!isGranted) return
             usedBytes -= bytes
             bytes = 0
+            holding?.free()
             allocations -= this
         }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -13,6 +13,7 @@
 import io.vertx.core.internal.net.NetSocketInternal
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import org.poplarshift.serving.memory.PacedWriter
 
 /**
  * A connection to the worker with the id [worker] at [address], used for one request at a time.
@@ -74,6 +75,7 @@
             onForeignBytes = { closeForeign("$it bytes") },
         )
         context.pipeline()
+            .addFirst("writer", PacedWriter())
             .addBefore(context.name(), "segments", segments)
             .addBefore(context.name(), "decoder", ResponseDecoder(decoding) { lastMethod != HttpMethod.HEAD })
             .addBefore(context.name(), "encoder", HttpRequestEncoder())
