Bound what the clients of each port can take

A node buffered each body whatever its key or route, decoded requests without regard to unread responses, applied neither the header limits nor the timeouts of the configuration, and had no bound for connections. Its readiness and peer ports had no limits at all.

Each port has a gate now: heads are judged before bodies are buffered; heads, bodies, idle connections and unread responses have timeouts; header fields, requests sent ahead, connections and the size of peer messages are bounded. A refusal of an incomplete request is followed by a close that lets the client receive it. Each case is counted by its reason, and logged once a second.

PeerServer needs the shared limits, so FailedCallTest passes them.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -13,10 +13,13 @@
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.fleet.WorkerRegistry
 import org.poplarshift.serving.forward.ForwardingContext
+import org.poplarshift.serving.forward.ResponseMemory
 import org.poplarshift.serving.forward.WorkerConnectionPool
 import org.poplarshift.serving.forward.WorkerProber
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerServer
+import org.poplarshift.serving.ingress.ClientContext
+import org.poplarshift.serving.ingress.ClientGate
 import org.poplarshift.serving.ingress.StatusServer
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.log.RecordReceiver
@@ -55,13 +58,14 @@
     private val tasks = BackgroundTasks(scope, clock) { name ->
         metrics.counter("task_failures", "task", name).increment()
     }
+    private val clients = ClientContext(clock, metrics)
     private var drainMillis = settings.drainMillis
     private val loadBalancer: LoadBalancer =
         LoadBalancer(settings.zone, rateShare = { RateLimitShares.ofNode(members.assumedSize) })
     private val ownMember = FleetMember(settings.name, settings.zone, settings.peerAddress, settings.speed)
     private val reachability = PeerReachability(clock)
     private val peerClient = PeerClient(vertx, settings.localHost)
-    private val peerServer = PeerServer(vertx, tasks)
+    private val peerServer = PeerServer(vertx, tasks, clients)
     private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock) { members.peers }
     private val log = RelayedLog(ports.log, relay, clock)
     private val members: FleetMembers = FleetMembers(
@@ -103,6 +107,7 @@
         clock,
         crashTracker,
         unusableResponses,
+        ResponseMemory(ForwardingContext.RESPONSE_MEMORY_BYTES, clients.account),
     )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
@@ -123,12 +128,16 @@
     private val submissions = SubmissionService(store, ports.callerProtocol, clock, wallClockMillis)
     private val handlers = CallHandlers(clock, configuration, rateLimiter, forwarding, submissions)
     private val callerServer =
-        CallerServer(vertx, tasks, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics))
+        CallerServer(vertx, tasks, clock, ports.callerProtocol, configuration, handlers, CallRecorder(metrics), clients)
     private val readinessServer =
-        StatusServer(vertx) { path ->
+        StatusServer(vertx, ClientGate("readiness", clients, STATUS_CONNECTION_SHARE)) { path ->
             if (ports.callerProtocol.isReadinessCheck(path)) readinessStatus() else NOT_FOUND
         }
-    private val metricsServer = StatusServer(vertx, { if (it == STATUS_PATH) status() else metrics.scrape() }) { OK }
+    private val metricsServer = StatusServer(
+        vertx,
+        ClientGate("metrics", clients, STATUS_CONNECTION_SHARE),
+        { if (it == STATUS_PATH) status() else metrics.scrape() },
+    ) { OK }
     private val followers = listOf(
         TopicFollower(log, clock, settings.configurationTopic, FIRST_PARTITION, configuration, READ_WAIT_MILLIS),
         TopicFollower(
@@ -255,6 +264,9 @@
         const val OK = 200
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
+
+        // The balancer and the metrics collector have few connections each.
+        const val STATUS_CONNECTION_SHARE = 0.05
         const val STATUS_PATH = "/status"
         const val FIRST_PARTITION = 0
         val ALL_DUTIES = NodeDuty.entries.toSet()
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -33,6 +33,20 @@
 ) {
     private val forwarder = OnlineForwarder(forwarding)
 
+    /** Returns the refusal that follows from the head of a request alone, or null. */
+    fun judge(operation: CallerOperation, record: CallRecord): Refusal? {
+        val current = configuration.current ?: return Refusal.NO_CONFIGURATION
+        record.configurationVersion = current.version
+        val organisation = current.findOrganisation(operation.head.key)
+        record.organisation = organisation?.name
+        if (operation is CallerOperation.Malformed) return Refusal.BAD_REQUEST
+        if (operation !is CallerOperation.Request) return requireKnownKey(current, organisation)
+        val route = current.findRoute(operation.head.host, operation.head.path) ?: return Refusal.UNKNOWN_ROUTE
+        record.route = route.name
+        if (!route.isPublic) requireKnownKey(current, organisation)?.let { return it }
+        return if (operation.head.requestId == null) Refusal.BAD_REQUEST else null
+    }
+
     /** Authorises and handles [incoming], writes the response to [sink] and the outcome to [record]. */
     suspend fun handle(incoming: IncomingCall, sink: HttpCallerSink, record: CallRecord): Refusal? {
         val current = configuration.current ?: return Refusal.NO_CONFIGURATION
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -13,10 +13,12 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.http.SocketAddresses
+import org.poplarshift.serving.memory.MemoryOwner
 import org.poplarshift.serving.observe.CallRecord
 import org.poplarshift.serving.observe.CallRecorder
 import java.util.concurrent.TimeUnit
@@ -31,11 +33,13 @@
     private val configuration: ConfigurationHolder,
     private val handlers: CallHandlers,
     private val recorder: CallRecorder,
+    private val clients: ClientContext,
 ) {
     private class ActiveCall(val record: CallRecord) {
         lateinit var job: Job
     }
 
+    private val gate = ClientGate(PORT, clients, CONNECTION_SHARE) { currentLimits() }
     private var server: HttpServer? = null
     private val activeCalls = LinkedHashSet<ActiveCall>()
 
@@ -68,12 +72,14 @@
                 it.exceptionHandler { cause ->
                     logger.debug { "ingress: caller connection failed: ${cause.message}" }
                 }
+                gate.accept(it)
             }
             .exceptionHandler { cause -> logger.debug { "ingress: accepting a connection failed: ${cause.message}" } }
             .requestHandler { request -> handle(request) }
             .listen()
             .coAwait()
         server = listening
+        gate.start(vertx)
         return listening.actualPort()
     }
 
@@ -105,15 +111,16 @@
 
     private fun handle(request: HttpServerRequest) {
         val receivedMillis = clock.millis()
-        val limit = configuration.current?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
-        val body = RequestBody(request, limit)
         val operation = protocol.decode(request.method(), request.uri(), request.headers())
         val record = CallRecord(operation.head, request.method().name(), receivedMillis)
+        val judgement = handlers.judge(operation, record)
+        val body = receive(request, record, isKept = judgement == null && operation is CallerOperation.Request)
         val sink = HttpCallerSink(request, onStart = { record.responseStartMillis = clock.millis() }) { isShuttingDown }
         val call = ActiveCall(record).also { activeCalls += it }
         val job = tasks.launchOnce("call", CoroutineStart.UNDISPATCHED) {
             try {
-                serve(operation, request, body, sink, record)
+                judgement?.let { refuseHead(it, request, body, sink, record) }
+                    ?: serve(operation, request, body, sink, record)
             } catch (exception: CancellationException) {
                 // Otherwise something within the task was cancelled.
                 val isCancelled = !coroutineContext.isActive
@@ -124,6 +131,7 @@
                 throw failure
             } finally {
                 activeCalls -= call
+                body.release()
                 recorder.finish(record, sink.status, clock.millis())
             }
         }
@@ -140,13 +148,17 @@
         sink: HttpCallerSink,
         record: CallRecord,
     ) {
-        val bytes = body.await()
+        val receipt = awaitBody(operation, body)
         record.readMillis = clock.millis()
-        if (bytes == null) {
-            record.end(Refusal.BODY_TOO_LARGE.reason)
-            refuse(sink, Refusal.BODY_TOO_LARGE, closesConnection = true)
+        if (receipt is BodyReceipt.Dropped) {
+            clients.recorder.record(PORT, receipt.fault)
+            val refusal = Refusal.incompleteBody(receipt.fault)
+            record.end(refusal.reason)
+            refuse(sink, refusal, closesConnection = true)
+            gate.end(request.connection())
             return
         }
+        val bytes = (receipt as BodyReceipt.Complete).bytes
         if (mayOutlastShutdown(operation.head)) {
             record.end(Refusal.SHUTTING_DOWN.reason)
             refuse(sink, Refusal.SHUTTING_DOWN)
@@ -162,6 +174,42 @@
         refuse(sink, refusal)
     }
 
+    private fun receive(request: HttpServerRequest, record: CallRecord, isKept: Boolean): RequestBody {
+        val limit = configuration.current?.limits?.maximumBodyBytes ?: DEFAULT_BODY_BYTES
+        val owners = listOfNotNull(
+            record.organisation?.let { MemoryOwner(MemoryOwner.Kind.ORGANISATION, it) },
+            request.remoteAddress()?.hostAddress()?.let { MemoryOwner(MemoryOwner.Kind.ADDRESS, it) },
+        )
+        val body = RequestBody(request, limit, isKept, clients.account, owners)
+        gate.find(request.connection())?.body = body
+        return body
+    }
+
+    private suspend fun awaitBody(operation: CallerOperation, body: RequestBody): BodyReceipt =
+        withTimeoutOrNull(operation.head.timeoutMillis ?: BODY_MILLIS) { body.await() }
+            ?: BodyReceipt.Dropped(ClientFault.BODY_TIMEOUT).also { body.drop(it.fault) }
+
+    /** Refuses a request because of its head. A small body is read, so that the caller can keep the connection. */
+    private suspend fun refuseHead(
+        refusal: Refusal,
+        request: HttpServerRequest,
+        body: RequestBody,
+        sink: HttpCallerSink,
+        record: CallRecord,
+    ) {
+        record.end(refusal.reason)
+        val isChunked = request.headers().contains("Transfer-Encoding")
+        val mayRead = !isChunked && (body.statedBytes ?: 0) <= MAXIMUM_UNWANTED_BYTES
+        val receipt = if (mayRead) withTimeoutOrNull(UNWANTED_BODY_MILLIS) { body.await() } else null
+        if (receipt == null) body.drop(ClientFault.BODY_UNWANTED) else record.readMillis = clock.millis()
+        refuse(sink, refusal, closesConnection = receipt !is BodyReceipt.Complete)
+        if (receipt !is BodyReceipt.Complete) gate.end(request.connection())
+    }
+
+    private fun currentLimits(): ClientLimits = configuration.current?.limits?.let {
+        ClientLimits(it.headerMillis, it.idleMillis, it.maximumHeaderBytes)
+    } ?: ClientLimits.DEFAULT
+
     private fun mayOutlastShutdown(head: CallerRequestHead): Boolean {
         val endMillis = shutdownEndMillis ?: return false
         val timeoutMillis = head.timeoutMillis ?: return true
@@ -194,6 +242,17 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
+        const val PORT = "callers"
+
+        // The rest is for connections to workers, to other nodes and to the log, for the other ports and for open files.
+        const val CONNECTION_SHARE = 0.4
+
+        // Applies to requests that state no timeout. Longer than callers wait for a response.
+        const val BODY_MILLIS = 15_000L
+
+        // Reading a body of this size costs less than another connection.
+        const val MAXIMUM_UNWANTED_BYTES = 65_536L
+        const val UNWANTED_BODY_MILLIS = 1_000L
         const val MAXIMUM_REQUEST_LINE_BYTES = 16_384
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val MAXIMUM_CHUNK_BYTES = 65_536
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
@@ -3,7 +3,7 @@
 /**
  * An error response of the node itself.
  *
- * @property status HTTP status; 429 and 503 guarantee that the request has not run and never will
+ * @property status HTTP status; 408, 429 and 503 guarantee that the request has not run and never will
  * @property retryMillis time in milliseconds after which the caller may retry, or null
  */
 data class Refusal(val status: Int, val reason: String, val retryMillis: Long? = null) {
@@ -22,6 +22,13 @@
         val SHUTTING_DOWN = Refusal(503, "shutting_down", SHORT_RETRY_MILLIS)
         val OUTCOME_UNKNOWN = Refusal(504, "outcome_unknown")
 
+        /** The body of the request is not complete because of [fault]. */
+        fun incompleteBody(fault: ClientFault): Refusal = when (fault) {
+            ClientFault.BODY_TOO_LARGE -> BODY_TOO_LARGE
+            ClientFault.BODY_TIMEOUT -> Refusal(408, fault.text)
+            else -> Refusal(503, fault.text, MEMORY_RETRY_MILLIS)
+        }
+
         /** All workers are full or can't be reached. */
         fun workersUnavailable(reason: String, retryMillis: Long? = null) =
             Refusal(503, reason, retryMillis ?: WORKERS_UNAVAILABLE_RETRY_MILLIS)
@@ -35,6 +42,9 @@
         // A few request durations, after which some of the queued requests have ended.
         private const val WORKERS_UNAVAILABLE_RETRY_MILLIS = 200L
 
+        // Bodies that are received now are complete or given up then.
+        private const val MEMORY_RETRY_MILLIS = 1_000L
+
         // A request that crashes workers stays in quarantine for about two minutes.
         private const val QUARANTINE_RETRY_MILLIS = 60_000L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.serving.ingress
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.kotlin.coroutines.coAwait
@@ -8,13 +9,24 @@
 /** An HTTP server that responds with a status and a text that depend on the path, both without I/O. */
 class StatusServer(
     private val vertx: Vertx,
+    private val gate: ClientGate,
     private val text: (String) -> String = { "" },
     private val status: (String) -> Int,
 ) {
     /** Starts accepting connections at [address], with port 0 at a port that the system chooses. Returns the port. */
     suspend fun listen(address: String): Int {
         val socket = SocketAddresses.parse(address)
-        return vertx.createHttpServer(HttpServerOptions().setHost(socket.host()).setPort(socket.port()))
+        val options = HttpServerOptions()
+            .setHost(socket.host())
+            .setPort(socket.port())
+            .setMaxInitialLineLength(ClientLimits.REQUEST_LINE_BYTES)
+            .setHttp2ClearTextEnabled(false)
+        gate.start(vertx)
+        return vertx.createHttpServer(options)
+            .connectionHandler { connection ->
+                connection.exceptionHandler { logger.debug { "status: a connection failed: ${it.message}" } }
+                gate.accept(connection)
+            }
             .requestHandler { request ->
                 request.response().setStatusCode(status(request.path().orEmpty())).end(text(request.path().orEmpty()))
             }
@@ -22,4 +34,8 @@
             .coAwait()
             .actualPort()
     }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -9,14 +9,21 @@
 import kotlinx.coroutines.CoroutineStart
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.http.SocketAddresses
+import org.poplarshift.serving.ingress.BodyReceipt
+import org.poplarshift.serving.ingress.ClientContext
+import org.poplarshift.serving.ingress.ClientFault
+import org.poplarshift.serving.ingress.ClientGate
+import org.poplarshift.serving.ingress.Refusal
+import org.poplarshift.serving.ingress.RequestBody
 
 /**
  * HTTP server for messages of other nodes.
  *
- * Responds with status 400 if the handler can't decode the message or if none is registered for the path,
+ * Messages have a bounded size. Responds with status 400 if the handler can't decode the message or if none is registered for the path,
  * and with status 500 if the handler fails.
  */
-class PeerServer(private val vertx: Vertx, private val tasks: BackgroundTasks) {
+class PeerServer(private val vertx: Vertx, private val tasks: BackgroundTasks, private val clients: ClientContext) {
+    private val gate = ClientGate(PORT, clients, CONNECTION_SHARE)
     private val handlers = HashMap<String, suspend (String) -> String?>()
     private val socketHandlers = HashMap<String, (String, PeerSocket) -> Unit>()
 
@@ -39,19 +46,43 @@
             .setTcpNoDelay(true)
             .setPerMessageWebSocketCompressionSupported(false)
             .setPerFrameWebSocketCompressionSupported(false)
+        gate.start(vertx)
         vertx.createHttpServer(options)
-            .webSocketHandler { accept(it) }
-            .requestHandler { request ->
-                request.body().onSuccess { body ->
-                    tasks.launchOnce("peer message", CoroutineStart.UNDISPATCHED, { respondFailed(request) }) {
-                        respond(request, body.toString())
-                    }
-                }
+            .connectionHandler { connection ->
+                connection.exceptionHandler { logger.debug { "peer: a connection failed: ${it.message}" } }
+                gate.accept(connection)
             }
+            .webSocketHandler { accept(it) }
+            .requestHandler { receive(it) }
             .listen()
             .coAwait()
     }
 
+    private fun receive(request: HttpServerRequest) {
+        val isKnown = request.path() in handlers
+        val body = RequestBody(request, MAXIMUM_MESSAGE_BYTES, isKnown, clients.account, owners = emptyList())
+        gate.find(request.connection())?.body = body
+        request.exceptionHandler { body.drop(ClientFault.BODY_TIMEOUT) }
+        tasks.launchOnce("peer message", CoroutineStart.UNDISPATCHED, { respondFailed(request) }) {
+            try {
+                when (val receipt = body.await()) {
+                    is BodyReceipt.Complete -> respond(request, receipt.bytes.toString())
+                    is BodyReceipt.Dropped -> refuse(request, receipt.fault)
+                }
+            } finally {
+                body.release()
+            }
+        }
+    }
+
+    private fun refuse(request: HttpServerRequest, fault: ClientFault) {
+        if (request.response().closed()) return
+        clients.recorder.record(PORT, fault)
+        val status = Refusal.incompleteBody(fault).status
+        request.response().setStatusCode(status).putHeader("Connection", "close").end()
+        gate.end(request.connection())
+    }
+
     private fun accept(socket: ServerWebSocket) {
         val entry = socketHandlers.entries.firstOrNull { socket.path().startsWith(it.key) }
         if (entry == null) {
@@ -80,6 +111,13 @@
     companion object {
         private val logger = KotlinLogging.logger {}
         private const val BAD_REQUEST = 400
+        private const val PORT = "peers"
+
+        // A connection from each of the largest known number of nodes, and one for messages of its scheduler.
+        private const val CONNECTION_SHARE = 0.25
+
+        // Records that are appended through this node take the most: 2 MiB in one call, and a third more in Base64.
+        private const val MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024
 
         /** Status of the response when the handler has failed. */
         const val INTERNAL_ERROR = 500
--- a/serving/src/test/kotlin/org/poplarshift/serving/FailedCallTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/FailedCallTest.kt
@@ -56,7 +56,7 @@
             try {
                 val port = ServerSocket(0).use { it.localPort }
                 scope.async {
-                    val server = PeerServer(vertx, TestTasks.of(scope))
+                    val server = PeerServer(vertx, TestTasks.of(scope), TestTasks.clients())
                     server.on("/x") { error("planned") }
                     server.listen("127.0.0.1:$port")
                     val request = vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/x").coAwait()
