Keep the JVM of a node within the smallest VM

An idle node takes 71 MB beside its heap (89 MB resident with -Xmx40m, of which 18 MB were heap in use), so that a heap of 96 MB that has been touched completely exceeds a VM of 160 MB. Machines with more memory reserve all of it at the start.

-Xms24m lets the heap grow only as far as it is needed; -XX:MaxDirectMemorySize=32m bounds direct memory above the account; one arena with chunks of 128 KiB instead of 4 MiB keeps the pool close to its use. The soak and the tests of clients use the same.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/vm/VmProcess.kt
@@ -104,10 +104,15 @@
         // The options of deploy/system.toml that matter for memory and threads.
         val COMMAND = listOf(
             File(System.getProperty("java.home"), "bin/java").path,
+            "-Xms24m",
             "-Xmx96m",
+            "-XX:MaxDirectMemorySize=32m",
             "-Xss256k",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
+            "-Dio.netty.allocator.numHeapArenas=0",
+            "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.maxOrder=4",
             "-Dvertx.disableDnsResolver=true",
         )
     }
