Give up the share of rate limits without a member record

A node that reads the log but can't write to it keeps its place at itself, while the other nodes drop it after 60 s. ShareGuardTest has the case; it, LimitedOrganisationTest, FleetDispatcherTest and TokenGateTest pass.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/ShareDirectory.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ratelimit/ShareDirectory.kt
@@ -27,10 +27,13 @@
     var isDetached = false
         private set
 
-    /** Applies a change of the members. [isMember] tells whether this node has read its own record. */
+    /**
+     * Applies a change of the members. A node that does not find its own record among them uses no share, because the
+     * others do not find it either.
+     */
     fun onMembersChanged(isMember: Boolean) {
         if (configuredZones.isEmpty()) zones = directory.otherZones(self.zone) + self.zone
-        if (isMember) observe()
+        if (isMember) observe() else rank.onObserved(null, clock.millis())
     }
 
     /** Gives up the share of this node, or takes it back after a time. */
--- a/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/ShareGuardTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/ShareGuardTest.kt
@@ -92,12 +92,17 @@
             }
         }
 
-        test("a node that has not read its own record has no share") {
+        test("a node whose record is not among the members, or not any more, has no share") {
             runTest {
                 val fixture = Fixture(this)
                 fixture.shares.onMembersChanged(isMember = false)
                 fixture.passTime(10_000)
                 fixture.share shouldBe 0.0
+                fixture.readMembers()
+                fixture.passTime(2_000)
+                fixture.share shouldBe 1.0 / 3
+                fixture.shares.onMembersChanged(isMember = false)
+                fixture.share shouldBe 0.0
             }
         }
     }) {
