Refuse connections of a burst on the thread that accepts them

500 connections at once took all 400 descriptors of a test's process, although the gate admits 160 to the callers' port: the accepting thread takes the whole burst before the event loop sees the first one. `AcceptLimiter` counts on the accepting thread.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerServer.kt
@@ -79,7 +79,7 @@
             .listen()
             .coAwait()
         server = listening
-        gate.start(vertx)
+        gate.start(vertx, socket, listening.actualPort())
         return listening.actualPort()
     }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/ClientGate.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/ClientGate.kt
@@ -1,11 +1,16 @@
 package org.poplarshift.serving.ingress
 
 import com.sun.management.UnixOperatingSystemMXBean
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.util.AttributeKey
+import io.vertx.core.Context
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.impl.HttpServerConnection
+import io.vertx.core.net.SocketAddress
+import io.vertx.kotlin.coroutines.coAwait
+import java.io.IOException
 import java.lang.management.ManagementFactory
 
 /**
@@ -23,14 +28,29 @@
     internal val clock = clients.clock
     internal val account = clients.account
     internal val recorder = clients.recorder
+    private var context: Context? = null
+    private val limiter: AcceptLimiter by lazy {
+        AcceptLimiter(maximumConnections + ACCEPTED_BEYOND) {
+            context?.runOnContext { recorder.record(this.port, ClientFault.TOO_MANY_CONNECTIONS) }
+        }
+    }
     private val connections = LinkedHashSet<ClientConnection>()
     private val maximumConnections = maximumConnections(connectionShare)
 
     internal val limits: ClientLimits
         get() = currentLimits()
 
-    /** Starts to enforce timeouts. */
-    fun start(vertx: Vertx) {
+    /** Starts to enforce the limits at the listening [address], whose port is [port]. */
+    suspend fun start(vertx: Vertx, address: SocketAddress, port: Int) {
+        context = vertx.getOrCreateContext()
+        // The channel that accepts connections is known by the first one only. A burst must not be that first one.
+        try {
+            val client = vertx.createNetClient()
+            client.connect(port, address.host()).coAwait().close()
+            client.close()
+        } catch (exception: IOException) {
+            logger.warn { "ingress: no connection to the own port $port: ${exception.message}" }
+        }
         vertx.setPeriodic(CHECK_INTERVAL_MILLIS) {
             val nowMillis = clock.millis()
             connections.toList().forEach { it.check(nowMillis) }
@@ -41,6 +61,8 @@
     fun accept(connection: HttpConnection) {
         val context = (connection as HttpServerConnection).channelHandlerContext()
         val channel = context.channel()
+        val acceptor = channel.parent().pipeline()
+        if (acceptor.get(LIMITER) == null) acceptor.addFirst(LIMITER, limiter)
         if (connections.size >= maximumConnections && !makeRoom()) {
             recorder.record(port, ClientFault.TOO_MANY_CONNECTIONS)
             // Past the handler of the server, which would close the connection later.
@@ -79,6 +101,11 @@
 
     private companion object {
         val CLIENT: AttributeKey<ClientConnection> = AttributeKey.valueOf("org.poplarshift.client")
+        val logger = KotlinLogging.logger {}
+        const val LIMITER = "limiter"
+
+        // New connections that may take the place of idle ones at the same time.
+        const val ACCEPTED_BEYOND = 16
         const val CHECK_INTERVAL_MILLIS = 250L
         const val MINIMUM_READ_BYTES = 512
         const val INITIAL_READ_BYTES = 2_048
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/StatusServer.kt
@@ -21,7 +21,6 @@
             .setPort(socket.port())
             .setMaxInitialLineLength(ClientLimits.REQUEST_LINE_BYTES)
             .setHttp2ClearTextEnabled(false)
-        gate.start(vertx)
         return vertx.createHttpServer(options)
             .connectionHandler { connection ->
                 connection.exceptionHandler { logger.debug { "status: a connection failed: ${it.message}" } }
@@ -33,6 +32,7 @@
             .listen()
             .coAwait()
             .actualPort()
+            .also { gate.start(vertx, socket, it) }
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -46,7 +46,6 @@
             .setTcpNoDelay(true)
             .setPerMessageWebSocketCompressionSupported(false)
             .setPerFrameWebSocketCompressionSupported(false)
-        gate.start(vertx)
         vertx.createHttpServer(options)
             .connectionHandler { connection ->
                 connection.exceptionHandler { logger.debug { "peer: a connection failed: ${it.message}" } }
@@ -56,6 +55,7 @@
             .requestHandler { receive(it) }
             .listen()
             .coAwait()
+            .also { gate.start(vertx, socket, it.actualPort()) }
     }
 
     private fun receive(request: HttpServerRequest) {
