--- a/serving/src/test/kotlin/org/poplarshift/serving/FailedCallTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/FailedCallTest.kt
@@ -12,10 +12,10 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.withTimeout
+import org.poplarshift.serving.fixture.FreePorts
 import org.poplarshift.serving.fixture.TestFleet
 import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.peer.PeerServer
-import java.net.ServerSocket
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against callers and other nodes that wait for a response until their time limit because a task has failed. */
@@ -54,7 +54,7 @@
             val vertx = Vertx.vertx()
             val scope = CoroutineScope(SupervisorJob() + vertx.dispatcher())
             try {
-                val port = ServerSocket(0).use { it.localPort }
+                val port = FreePorts.take()
                 scope.async {
                     val server = PeerServer(vertx, TestTasks.of(scope), TestTasks.clients())
                     server.on("/x") { error("planned") }
--- a/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/LimitedOrganisationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ratelimit/LimitedOrganisationTest.kt
@@ -28,7 +28,7 @@
                     fleet.addOrganisation("limited", "limited-key", RATE)
                     fleet.publishConfiguration()
                     val nodes = case.zones.mapIndexed { number, zone ->
-                        fleet.start("n$number", zone = zone, zones = case.settings)
+                        fleet.start("n$number", zone = zone, zones = case.settings.associateWith { "region" })
                     }
                     nodes.forEach { node ->
                         eventually(5.seconds) {
