--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -44,6 +44,8 @@
             .setHost(socket.host())
             .setPort(socket.port())
             .setTcpNoDelay(true)
+            // Otherwise a connection is reported only with its first request.
+            .setHttp2ClearTextEnabled(false)
             .setPerMessageWebSocketCompressionSupported(false)
             .setPerFrameWebSocketCompressionSupported(false)
         vertx.createHttpServer(options)
--- a/verification/src/test/kotlin/org/poplarshift/verification/client/ClientScript.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/client/ClientScript.kt
@@ -28,6 +28,10 @@
             blocks = 1,
         )
 
+        /** The whole of [body]. */
+        fun wholeBody(target: ClientTarget, body: ByteArray) =
+            ClientScript(target.head("Content-Length: ${body.size}"), body, blocks = 1)
+
         /** A body that stops 100 bytes short of [bytes], sent in small pieces. */
         fun shortBodyInPieces(target: ClientTarget, bytes: Int) = ClientScript(
             target.head("Content-Length: $bytes"),
--- a/verification/src/test/kotlin/org/poplarshift/verification/client/MisbehavingClientsTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/client/MisbehavingClientsTest.kt
@@ -5,6 +5,8 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.poplarshift.standins.caller.CallerUris
+import org.poplarshift.standins.store.OperatorRecords
+import java.util.Base64
 
 /**
  * Guards against clients that use up the memory or the descriptors of a node, which then exits, hangs or exceeds its VM.
@@ -108,6 +110,20 @@
                     ClientScript.sentAhead(route, REQUESTS_AHEAD),
                     NodeSize.USUAL,
                 ),
+                Case(
+                    "whole bodies of the usual size",
+                    route,
+                    20,
+                    ClientScript.wholeBody(route, ByteArray(NodeSize.USUAL.maximumBodyBytes)),
+                    NodeSize.USUAL,
+                ),
+                Case(
+                    "large batch submissions",
+                    ClientTarget.BATCH,
+                    20,
+                    ClientScript.wholeBody(ClientTarget.BATCH, largeSubmission()),
+                    NodeSize.USUAL,
+                ),
                 Case(
                     "short bodies of the usual size",
                     route,
@@ -168,5 +184,12 @@
 
         // Workers repeat the id of a request 30 times in their responses, which have 300 KB then.
         const val LONG_ID_LENGTH = 10_000
+
+        // 200 items, as many as a submission may have, of 20 KB each.
+        fun largeSubmission(): ByteArray {
+            val items = (1..200).map { "item-$it" to "/run" }
+            val body = Base64.getEncoder().encodeToString(ByteArray(15_000))
+            return OperatorRecords.submission(items).replace("eA==", body).encodeToByteArray()
+        }
     }
 }
