Ignore unknown fields in messages of other nodes

A node closed the connection to a scheduler when a node of a later release stated a field that it does not know, and requested slots without a scheduler meanwhile.

--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerMessages.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerMessages.kt
@@ -9,9 +9,12 @@
 object PeerMessages {
     private val logger = KotlinLogging.logger {}
 
-    /** Decodes [text]. If that fails, logs a warning with the prefix [component] and returns null. */
+    // A node of a later release may state more.
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Decodes [text] and ignores unknown fields. If that fails, logs a warning with the prefix [component] and returns null. */
     fun <T> decode(serializer: KSerializer<T>, text: String, component: String): T? = try {
-        Json.decodeFromString(serializer, text)
+        json.decodeFromString(serializer, text)
     } catch (exception: SerializationException) {
         logger.warn { "$component: message of another node can't be decoded: ${exception.message}" }
         null
