Take header names of client tests from the stand-ins

ClientTarget repeated two names of the platform's protocol that PlatformHeaders has. The constants are the same strings; formatter, linter and compiler of all modules passed.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/PlatformHeaders.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/PlatformHeaders.kt
@@ -1,7 +1,7 @@
 package org.poplarshift.standins
 
 /** Headers of the users' platform that its callers and workers use. */
-internal object PlatformHeaders {
+object PlatformHeaders {
     const val REQUEST_ID = "X-Poplarshift-Request-Id"
     const val DEADLINE = "X-Poplarshift-Deadline-Ms"
     const val KEY = "X-Poplarshift-Credential"
--- a/verification/src/test/kotlin/org/poplarshift/verification/client/ClientTarget.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/client/ClientTarget.kt
@@ -1,5 +1,6 @@
 package org.poplarshift.verification.client
 
+import org.poplarshift.standins.PlatformHeaders
 import org.poplarshift.standins.caller.CallerUris
 import org.poplarshift.verification.soak.SoakOrganisations
 
@@ -11,7 +12,7 @@
     /** The head of a request with [fields] in addition to the usual ones. */
     fun head(vararg fields: String): ByteArray = buildString {
         append("$method $path HTTP/1.1\r\nHost: ${SoakOrganisations.HOST}\r\n")
-        if (key != null) append("X-Poplarshift-Credential: $key\r\n")
+        if (key != null) append("${PlatformHeaders.KEY}: $key\r\n")
         if (fields.none { it.startsWith(REQUEST_ID) }) append("$REQUEST_ID: misbehaving\r\n")
         fields.forEach { append("$it\r\n") }
         append("\r\n")
@@ -19,7 +20,7 @@
 
     companion object {
         /** Name of the field with the id of a request. */
-        const val REQUEST_ID = "X-Poplarshift-Request-Id"
+        const val REQUEST_ID = PlatformHeaders.REQUEST_ID
 
         val ROUTE = ClientTarget(Port.CALLERS, "POST", "/safe/x", SoakOrganisations.LASTING_KEY)
         val ROUTE_WITHOUT_KEY = ClientTarget(Port.CALLERS, "POST", "/safe/x")
