Add the interface of the origins of streams

Prepares the fix of ORDER: names the software version of a worker, where a stream began, and which versions a request may be sent to. Nothing reads them yet.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/FleetWorker.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/FleetWorker.kt
@@ -8,6 +8,7 @@
  * @property slots number of requests that the worker runs concurrently
  * @property coldUntilMillis monotonic time in milliseconds until which the worker is cold; 0 if it is not
  * @property startedMillis start time in Unix milliseconds; distinguishes restarts under the same id
+ * @property softwareVersion version of the worker's software, or an empty text if its entry states none
  */
 data class FleetWorker(
     val id: String,
@@ -18,6 +19,7 @@
     val isDraining: Boolean,
     val startedMillis: Long,
     val coldUntilMillis: Long = 0,
+    val softwareVersion: String = "",
 ) {
     /** The worker from its last start on. */
     val incarnation: WorkerIncarnation
--- /dev/null
+++ b/core/src/main/kotlin/org/poplarshift/core/stream/StreamOrigin.kt
@@ -0,0 +1,11 @@
+package org.poplarshift.core.stream
+
+/**
+ * Where a stream began.
+ *
+ * The outputs of two software versions do not fit together, so a stream can only be resumed at workers of its origin.
+ *
+ * @property service the service whose worker has sent the first event
+ * @property softwareVersion version of that worker's software
+ */
+data class StreamOrigin(val service: String, val softwareVersion: String)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -5,6 +5,7 @@
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.dispatch.WorkerState
+import org.poplarshift.core.stream.VersionRequirement
 
 /**
  * A request to be assigned to a worker.
@@ -19,6 +20,7 @@
  * @property organisation the organisation that the request belongs to, or null
  * @property needsToken whether the request needs a token of its organisation's rate limit
  * @property route name of the route, or null
+ * @property versions the software versions of the workers that may be chosen
  * @property size the size of a request to an inference engine, or null
  */
 data class DispatchRequest(
@@ -34,6 +36,7 @@
     val route: String? = null,
     val size: RequestSize? = null,
     val allowedRegions: Set<String>? = null,
+    val versions: VersionRequirement = VersionRequirement.Any,
 )
 
 /** The outcome of a [DispatchRequest]. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import org.poplarshift.core.ingress.IngressRoute
+import org.poplarshift.core.stream.StreamOrigin
 
 /**
  * A caller's online request that has been authorised and routed.
@@ -14,6 +15,8 @@
  * @property priority position in the queue; smaller values are dispatched first
  * @property allowedRegions regions whose workers may get the request, or null for all
  * @property resumeAfter id of the last event that the caller has received, or null
+ * @property origin where the stream began that the call resumes, or null
+ * @property resumedRequestId id of the request that delivered the first event of that stream, or null
  * @property isRateLimited whether the request needs a token of its organisation's rate limit
  */
 class OnlineCall(
@@ -29,6 +32,8 @@
     val deadlineMillis: Long,
     val priority: Int,
     val resumeAfter: Long?,
+    val origin: StreamOrigin? = null,
+    val resumedRequestId: String? = null,
     val isRateLimited: Boolean = false,
     val allowedRegions: Set<String>? = null,
 )
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallerProtocol.kt
@@ -29,6 +29,7 @@
  * @property requestId the request id sent by the caller, or null
  * @property timeoutMillis the caller's timeout in milliseconds, or null when it does not state one
  * @property resumeAfter id of the last event that the caller has received, or null
+ * @property resumedRequestId id of the request that delivered the first event of the stream to resume, or null
  */
 data class CallerRequestHead(
     val requestId: String?,
@@ -37,6 +38,7 @@
     val path: String,
     val timeoutMillis: Long?,
     val resumeAfter: Long?,
+    val resumedRequestId: String? = null,
 )
 
 /** An operation requested by a caller. */
