Assign a request only to workers of the software versions that it requires

The dispatcher knew no software versions, so a stream that had to go on could get any worker of its service. Workers of other versions are excluded by id in the request for a slot, which schedulers of an earlier release understand too, and a granted worker is given back if it was registered, or has changed its version, while the request waited. Requests for any version cost nothing more; for the others the versions of a service are compared, of which there is one outside of releases. Until the versions in the log are read, a node takes each version as recorded and remembers the origins of its own streams only.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -34,6 +34,7 @@
     private val statesById = HashMap<String, WorkerState>()
     private val leaving = LinkedHashSet<WorkerIncarnation>()
     private var statesByService = mapOf<String, List<WorkerState>>()
+    private var versionsByService = mapOf<String, Set<String>>()
 
     /** Zones whose workers get no new requests. */
     var evacuatedZones: Set<String> = emptySet()
@@ -79,6 +80,9 @@
             registered != null && registered.startedMillis > incarnation.startedMillis
         }
         statesByService = statesById.values.groupBy { it.worker.service }
+        versionsByService = statesByService.mapValues { (_, states) ->
+            states.mapTo(HashSet()) { it.worker.softwareVersion }
+        }
         zones = statesById.values.map { it.worker.zone }.toSet()
     }
 
@@ -167,6 +171,18 @@
         else -> statesByService[service].orEmpty().map { it.worker }.filter { it.zone in zones }.map { it.id }.toSet()
     }
 
+    /** The software versions of the registered workers of [service]. */
+    fun softwareVersions(service: String): Set<String> = versionsByService[service].orEmpty()
+
+    /** Returns the ids of the registered workers of [service] whose software version is one of [versions]. */
+    fun idsOf(versions: Set<String>, service: String): Set<String> = when {
+        versions.isEmpty() -> emptySet()
+        else -> statesByService[service].orEmpty().map { it.worker }
+            .filter { it.softwareVersion in versions }
+            .map { it.id }
+            .toSet()
+    }
+
     /** Whether at least half of the workers of the same service remain available without [state]. */
     fun mayEject(state: WorkerState): Boolean {
         val all = statesByService[state.worker.service].orEmpty()
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -48,6 +48,7 @@
 import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.scheduling.TokenGate
 import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
+import org.poplarshift.serving.stream.OwnStreamOrigins
 import org.poplarshift.serving.submission.BatchRunner
 import org.poplarshift.serving.submission.ContentCache
 import org.poplarshift.serving.submission.SubmissionService
@@ -126,6 +127,7 @@
         settings.routing,
         ::memoryTokens,
     )
+    private val streamOrigins = OwnStreamOrigins()
     private val dispatcher = FleetDispatcher(
         tasks,
         clock,
@@ -136,6 +138,7 @@
         WebSocketSchedulerConnector(ownMember, peerClient, schedulerHost),
         tokenGate,
         settings.zones,
+        isRecorded = streamOrigins::isRecorded,
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
     private val connections = WorkerConnectionPool(vertx, settings.localHost, clock, unusableResponses)
--- a/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/scheduling/FleetDispatcher.kt
@@ -9,6 +9,7 @@
 import org.poplarshift.core.dispatch.SlotScheduler
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.dispatch.WorkerIncarnation
+import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.core.dispatch.ZoneCapacities
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.MonotonicClock
@@ -27,6 +28,7 @@
  *
  * @param workers all workers, with the requests of this node
  * @param regions the regions of the zones by the names of the zones
+ * @param isRecorded returns whether the log states the software version of a service
  */
 class FleetDispatcher(
     private val tasks: BackgroundTasks,
@@ -38,7 +40,9 @@
     private val connector: SchedulerConnector,
     private val tokenGate: TokenGate,
     private val regions: Map<String, String> = emptyMap(),
+    isRecorded: (service: String, softwareVersion: String) -> Boolean,
 ) : Dispatcher {
+    private val versionFilter = VersionFilter(workers, isRecorded)
     private val links = HashMap<Pair<String, String>, SchedulerLink>()
     private val ownSchedulers = HashMap<String, OwnScheduler>()
     private var lastNumber = 0L
@@ -60,6 +64,7 @@
         var zone = self.zone
         var hops = 0
         while (true) {
+            excluded += versionFilter.excluded(request)
             if (!workers.hasWorker(request.service, excluded, excludedZones(request))) return DispatchResult.NoWorker
             val waitMillis = deadlineMillis - clock.millis()
             // The scheduler that redirects a request has taken the token.
@@ -156,10 +161,9 @@
         }
     }
 
-    // A worker that was registered while the request waited may be in a zone that the request excludes.
     private fun useAlone(own: OwnScheduler, request: DispatchRequest, number: Long, worker: String): DispatchResult {
         val state = checkNotNull(workers.state(worker))
-        if (state.worker.zone in excludedZones(request)) {
+        if (!accepts(request, state)) {
             own.link.release(number, SlotOutcome.UNUSED)
             return DispatchResult.NoCapacity()
         }
@@ -172,7 +176,7 @@
         val worker = granted.worker
         val state = workers.state(worker)
         val link = link(zone, request.service)
-        if (state == null || !state.isAvailable || state.worker.zone in excludedZones(request)) {
+        if (state == null || !state.isAvailable || !accepts(request, state)) {
             link.release(number, SlotOutcome.UNUSED)
             return null
         }
@@ -181,6 +185,10 @@
         return AssignedSlot(number, request.service, zone, state, request.use, granted.requestsPerSecond)
     }
 
+    // A worker may be registered, or registered anew with another version, while the request waits.
+    private fun accepts(request: DispatchRequest, state: WorkerState): Boolean =
+        state.worker.zone !in excludedZones(request) && versionFilter.accepts(request, state.worker)
+
     private fun DispatchRequest.toSlot(number: Long, worker: String) =
         UsedSlot(number, use, worker, onTimeUntilMillis, onPreempt, route, size, clock.millis())
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/scheduling/FleetDispatcherTest.kt
@@ -19,6 +19,7 @@
 import org.poplarshift.core.dispatch.SchedulerMessage
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.SlotUse
+import org.poplarshift.core.stream.VersionRequirement
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.fixture.TestTasks
@@ -101,6 +102,7 @@
                     PeerReachability(clock),
                     connector,
                     tokenGate(scope, clock),
+                    isRecorded = { _, softwareVersion -> softwareVersion == "old" },
                 )
 
             init {
@@ -111,10 +113,19 @@
                 scope.backgroundScope.launch { dispatcher.run() }
             }
 
-            suspend fun acquire(use: SlotUse = SlotUse.ONLINE, onPreempt: () -> Unit = {}): DispatchResult =
-                dispatcher.acquire(
-                    DispatchRequest("s", priority = 0, waitMillis = 1_000, use = use, onPreempt = onPreempt),
-                )
+            suspend fun acquire(
+                use: SlotUse = SlotUse.ONLINE,
+                versions: VersionRequirement = VersionRequirement.Any,
+                onPreempt: () -> Unit = {},
+            ): DispatchResult = dispatcher.acquire(
+                DispatchRequest("s", priority = 0, waitMillis = 1_000, use, onPreempt = onPreempt, versions = versions),
+            )
+
+            fun register(versions: Map<String, String>) = workers.update(
+                versions.map { (id, version) ->
+                    FleetWorker(id, "s", "10.0.0.1:80", "here", 1, false, startedMillis = 1, softwareVersion = version)
+                },
+            )
         }
 
         fun DispatchResult.worker() = shouldBeInstanceOf<DispatchResult.Assigned>().slot.target.worker.id
@@ -339,6 +350,77 @@
             }
         }
 
+        data class VersionCase(val versions: VersionRequirement, val registered: List<String>, val allowed: Set<String>)
+        val recorded = VersionRequirement.Recorded
+        listOf(
+            VersionCase(VersionRequirement.Any, listOf("new", "old"), setOf("w0", "w1")),
+            VersionCase(recorded, listOf("old", "old"), setOf("w0", "w1")),
+            VersionCase(recorded, listOf("new", "old"), setOf("w1")),
+            VersionCase(recorded, listOf("new", "new"), emptySet()),
+            VersionCase(VersionRequirement.Only("old"), listOf("old", "old"), setOf("w0", "w1")),
+            VersionCase(VersionRequirement.Only("old"), listOf("new", "old"), setOf("w1")),
+            // Also if the log does not state the version any more, because a stream has begun there.
+            VersionCase(VersionRequirement.Only("new"), listOf("new", "old"), setOf("w0")),
+            VersionCase(VersionRequirement.Only("gone"), listOf("new", "old"), emptySet()),
+        ).forEach { case ->
+            // Guards against streams that go on at a worker of another software version.
+            test("of workers with the versions ${case.registered}, ${case.versions} allows ${case.allowed}") {
+                for (hasScheduler in listOf(true, false)) {
+                    runTest {
+                        val fixture = Fixture(this, "here-1")
+                        fixture.register(listOf("w0", "w1").zip(case.registered).toMap())
+                        if (!hasScheduler) fixture.unreachable += setOf("here-1", "self")
+                        fixture.answer = { request ->
+                            val worker = listOf("w0", "w1").firstOrNull { it !in request.excludedWorkers }
+                            worker?.let { SchedulerMessage.Granted(request.number, it) }
+                        }
+                        val granted = case.allowed.map { fixture.acquire(versions = case.versions) }
+                        granted.map { it.worker() }.all { it in case.allowed } shouldBe true
+                        if (case.allowed.isNotEmpty()) return@runTest
+                        fixture.acquire(versions = case.versions) shouldBe DispatchResult.NoWorker
+                        fixture.connections.size shouldBe 0
+                    }
+                }
+            }
+        }
+
+        data class ChangeCase(val name: String, val versions: VersionRequirement, val registered: Map<String, String>)
+        listOf(
+            ChangeCase("is registered", recorded, mapOf("w1" to "old", "w2" to "new")),
+            ChangeCase("changes its version", VersionRequirement.Only("old"), mapOf("w1" to "old", "w0" to "new")),
+        ).forEach { case ->
+            test("a slot at a worker of another version that ${case.name} while a request waits is returned") {
+                runTest {
+                    val fixture = Fixture(this, "here-1")
+                    fixture.register(mapOf("w0" to "old", "w1" to "old"))
+                    fixture.answer = {
+                        fixture.register(case.registered)
+                        val worker = case.registered.keys.last { worker -> worker !in it.excludedWorkers }
+                        SchedulerMessage.Granted(it.number, worker)
+                    }
+                    fixture.acquire(versions = case.versions).worker() shouldBe "w1"
+                    fixture.connections.single().sent.filterIsInstance<NodeMessage.Release>() shouldBe
+                        listOf(NodeMessage.Release(1, SlotOutcome.UNUSED))
+                }
+            }
+
+            test("a node without a scheduler uses no worker of another version that ${case.name} meanwhile") {
+                runTest {
+                    val fixture = Fixture(this)
+                    fixture.unreachable += "self"
+                    fixture.register(mapOf("w0" to "old", "w1" to "old"))
+                    val slots = List(2) { fixture.acquire().shouldBeInstanceOf<DispatchResult.Assigned>().slot }
+                    val waiting =
+                        async(start = CoroutineStart.UNDISPATCHED) { fixture.acquire(versions = case.versions) }
+                    runCurrent()
+                    fixture.register(case.registered)
+                    slots.filter { it.target.worker.id == "w0" }.forEach { fixture.dispatcher.release(it) }
+                    waiting.await() shouldBe DispatchResult.NoCapacity()
+                    fixture.workers.workerStates.sumOf { it.online } shouldBe 1
+                }
+            }
+        }
+
         test("a granted worker that this node can't use is returned, and another one is requested") {
             runTest {
                 val fixture = Fixture(this, "here-1")
