Resume a stream within a response only at a worker of its software version

When a worker broke a stream off, its rest came from any worker of the service, so that callers got texts that were joined from two software versions. From the first delivered event on, a stream goes on only at workers of the version that wrote this event, and the response is broken off if none takes it. New streams begin only at versions that the log states, and where they begin is reported before their first event is written. The version is that of the worker when the slot was assigned; if the registry states another one once the connection is open, the request is not sent. Resumed streams are counted by outcome; a stream that is broken off for this reason is logged.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -30,6 +30,7 @@
 import org.poplarshift.serving.observe.CostMetrics
 import org.poplarshift.serving.observe.NodeGauges
 import org.poplarshift.serving.observe.NodeStatus
+import org.poplarshift.serving.observe.ResumedStreamRecorder
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerLogRelay
@@ -152,6 +153,8 @@
         clock,
         crashTracker,
         unusableResponses,
+        streamOrigins,
+        ResumedStreamRecorder(metrics),
         ResponseMemory(ForwardingContext.RESPONSE_MEMORY_BYTES, clients.account),
         tokensPerEvent = ::tokensPerEvent,
     )
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Attempt.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Attempt.kt
@@ -1,16 +1,23 @@
 package org.poplarshift.serving.forward
 
 import org.poplarshift.core.dispatch.WorkerState
+import org.poplarshift.core.stream.StreamOrigin
 
-/** An exchange with a worker whose response head has been received. [run] records what is observed of it. */
+/** An exchange with the worker of [slot] whose response head has been received. [run] records what is observed of it. */
 class Attempt(
-    val target: WorkerState,
+    slot: AssignedSlot,
     val exchange: WorkerExchange,
     val run: RunRecorder,
     private val connection: WorkerConnection,
     private val connections: WorkerConnectionPool,
     private val onClose: () -> Unit,
 ) {
+    /** The worker that the request was sent to. */
+    val target: WorkerState = slot.target
+
+    /** The service and the version of the worker's software when the request was sent. */
+    val origin = StreamOrigin(slot.service, slot.softwareVersion)
+
     private var isClosed = false
 
     /** Closes an attempt whose response has been received. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -174,10 +174,9 @@
         var connection: WorkerConnection? = null
         try {
             connection = connectTo(target.worker)
-            if (connection == null) {
-                outcome = SlotOutcome.UNREACHABLE
-                forwarding.prober.markUnreachable(target)
-                return notRunAt(target, "connect_failed")
+            if (connection == null || slot.hasOtherVersion) {
+                outcome = if (connection == null) SlotOutcome.UNREACHABLE else SlotOutcome.UNUSED
+                return notSent(target, isConnected = connection != null)
             }
             val exchange = WorkerExchange(connection, forwarding)
             isInFlight = true
@@ -198,6 +197,12 @@
         }
     }
 
+    private fun notSent(target: WorkerState, isConnected: Boolean): AttemptResult {
+        if (isConnected) return notRunAt(target, "version_changed")
+        forwarding.prober.markUnreachable(target)
+        return notRunAt(target, "connect_failed")
+    }
+
     private suspend fun connectTo(worker: FleetWorker): WorkerConnection? {
         val connection = forwarding.connections.acquire(worker, plan.id, plan.mayRepeat)
         connectionLabel = connection?.let { "@${it.number}#${it.sentRequests}" }.orEmpty()
@@ -267,7 +272,7 @@
                 recordResponse(slot.target, head)
                 val run = RunRecorder(clock, sentMillis, forwarding.tokensPerEvent(plan.service), isResumed)
                 val release = { forwarding.dispatcher.release(slot, SlotOutcome.USED, run.observation()) }
-                val attempt = Attempt(slot.target, exchange, run, connection, forwarding.connections, release)
+                val attempt = Attempt(slot, exchange, run, connection, forwarding.connections, release)
                 AttemptResult.Responded(attempt, head, result.headers)
             }
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -68,6 +68,13 @@
     use: SlotUse,
     val requestsPerSecond: Double? = null,
 ) {
+    /** Version of the worker's software when the slot was assigned, which meets [DispatchRequest.versions]. */
+    val softwareVersion = target.worker.softwareVersion
+
+    /** Whether the registry states another software version since then. */
+    val hasOtherVersion: Boolean
+        get() = target.worker.softwareVersion != softwareVersion
+
     /** Whether a batch item uses the slot. */
     val isBatch = use != SlotUse.ONLINE
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
@@ -1,8 +1,10 @@
 package org.poplarshift.serving.forward
 
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.observe.ResumedStreamRecorder
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
+import org.poplarshift.serving.stream.StreamOrigins
 
 /**
  * Dependencies shared by all classes that send requests to workers.
@@ -17,6 +19,8 @@
     val clock: MonotonicClock,
     val crashTracker: CrashTracker,
     val unusableResponses: UnusableResponseRecorder,
+    val streamOrigins: StreamOrigins,
+    val streamRecorder: ResumedStreamRecorder,
     val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
     val tokensPerEvent: (service: String) -> Int = { 1 },
 ) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/OnlineCall.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import org.poplarshift.core.ingress.IngressRoute
+import org.poplarshift.core.ingress.RouteKind
 import org.poplarshift.core.stream.StreamOrigin
 
 /**
@@ -19,7 +20,7 @@
  * @property resumedRequestId id of the request that delivered the first event of that stream, or null
  * @property isRateLimited whether the request needs a token of its organisation's rate limit
  */
-class OnlineCall(
+data class OnlineCall(
     val id: String,
     val route: IngressRoute,
     val service: String,
@@ -36,7 +37,15 @@
     val resumedRequestId: String? = null,
     val isRateLimited: Boolean = false,
     val allowedRegions: Set<String>? = null,
-)
+) {
+    /** Whether the caller has received the beginning of the stream from an earlier request. */
+    val resumesStream: Boolean
+        get() = route.kind == RouteKind.STREAM && resumeAfter != null
+
+    /** Id of the request that started the stream. */
+    val streamId: String
+        get() = resumedRequestId?.takeIf { resumesStream } ?: id
+}
 
 /** Writes the response to a caller. */
 interface CallerSink {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -1,12 +1,15 @@
 package org.poplarshift.serving.forward
 
 import io.vertx.core.buffer.Buffer
+import org.poplarshift.core.stream.StreamOrigin
+import org.poplarshift.core.stream.VersionRequirement
 
 /**
  * Forwards one streaming request.
  *
  * Complete events are relayed as they are received. When a worker fails and the route is resumable, the stream resumes
- * at another worker after the last event that the caller has received.
+ * at another worker after the last event that the caller has received. The outputs of two software versions do not fit
+ * together, so the worker must run the version that the stream began with; without one, the response is broken off.
  */
 class StreamForwarder(
     private val call: OnlineCall,
@@ -16,6 +19,8 @@
 ) {
     private var isStreamStarted = false
     private var lastEventId = call.resumeAfter
+    private var origin = call.origin
+    private var hasDelivered = false
     private var isInvalid = false
     private var worker = ""
 
@@ -27,9 +32,10 @@
                 priority(),
                 queueWaitMillis(),
                 onTimeUntilMillis = OnlineForwarder.dispatchDeadlineMillis(call),
+                versions = origin?.let { VersionRequirement.Only(it.softwareVersion) } ?: VersionRequirement.Recorded,
             )
             when (val result = session.attempt(request, headTimeoutMillis(), lastEventId)) {
-                is AttemptResult.NotRun -> return failureOutcome(result.reason, isTimeout = false, result.retryMillis)
+                is AttemptResult.NotRun -> return notRunOutcome(result)
                 is AttemptResult.RateExceeded -> return OnlineOutcome.RateExceeded(result.retryMillis)
                 AttemptResult.Quarantined -> return failureOutcome(OnlineOutcome.QUARANTINED, isTimeout = false)
                 is AttemptResult.MayHaveRun ->
@@ -49,6 +55,7 @@
                 isStreamStarted = true
                 sink.startStream(OK, forwarding.protocol.responseHeaders(response.headers))
             }
+            if (hasDelivered) forwarding.streamRecorder.onContinued()
             val lastEventIdBefore = lastEventId
             val failure = relayEvents(attempt) ?: return OnlineOutcome.Delivered(OK, worker)
             attempt.close()
@@ -69,7 +76,7 @@
             when (val part = reader.next(eventTimeoutMillis())) {
                 is EventStreamPart.Events -> {
                     attempt.run.onEvents(part.events)
-                    deliver(part.events)
+                    deliver(part.events, attempt.origin)
                 }
 
                 is EventStreamPart.BrokenOff -> {
@@ -96,13 +103,21 @@
         }
     }
 
-    private suspend fun deliver(events: List<StreamEvent>) {
+    private suspend fun deliver(events: List<StreamEvent>, origin: StreamOrigin) {
         session.onAnswered()
+        if (!hasDelivered) onBegun(origin)
         val bytes = if (events.size == 1) events.first().bytes else joined(events)
         events.lastOrNull { it.id != null }?.let { lastEventId = it.id }
         sink.write(bytes)
     }
 
+    private fun onBegun(origin: StreamOrigin) {
+        hasDelivered = true
+        this.origin = origin
+        forwarding.streamOrigins.onBegun(call.streamId, origin)
+        if (call.resumesStream) forwarding.streamRecorder.onTakenUp()
+    }
+
     private fun joined(events: List<StreamEvent>): Buffer =
         events.fold(Buffer.buffer()) { joined, event -> joined.appendBuffer(event.bytes) }
 
@@ -118,6 +133,14 @@
         return OnlineOutcome.Delivered(status, worker)
     }
 
+    private fun notRunOutcome(result: AttemptResult.NotRun): OnlineOutcome {
+        val begun = origin
+        if (hasDelivered && begun != null) {
+            forwarding.streamRecorder.onBrokenOff(call, begun, lastEventId, result.reason)
+        }
+        return failureOutcome(result.reason, isTimeout = false, result.retryMillis)
+    }
+
     private fun failureOutcome(reason: String, isTimeout: Boolean, retryMillis: Long? = null): OnlineOutcome = when {
         isStreamStarted -> OnlineOutcome.Aborted(reason)
         session.possibleRuns == 0 -> OnlineOutcome.Refused(reason, retryMillis)
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/AttemptTraceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/AttemptTraceTest.kt
@@ -21,9 +21,11 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeDispatcher
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fixture.FakeStreamOrigins
 import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.TestTasks
+import org.poplarshift.serving.observe.ResumedStreamRecorder
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 
@@ -156,6 +158,8 @@
                     clock,
                     CrashTracker(TestTasks.of(scope), clock, FakeLog(), "members", "node"),
                     recorder,
+                    FakeStreamOrigins(),
+                    ResumedStreamRecorder(SimpleMeterRegistry()),
                 )
                 val traces = scope.async {
                     case.calls.mapIndexed { index, call ->
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -21,10 +21,12 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeDispatcher
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fixture.FakeStreamOrigins
 import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.ScriptedWorker
 import org.poplarshift.serving.fixture.TestTasks
+import org.poplarshift.serving.observe.ResumedStreamRecorder
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.quarantine.RequestFingerprint
@@ -285,6 +287,8 @@
                     clock,
                     crashTracker,
                     recorder,
+                    FakeStreamOrigins(),
+                    ResumedStreamRecorder(SimpleMeterRegistry()),
                 )
                 val route = IngressRoute(
                     name = "route",
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/RunObservationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/RunObservationTest.kt
@@ -22,9 +22,11 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeDispatcher
 import org.poplarshift.serving.fixture.FakeLog
+import org.poplarshift.serving.fixture.FakeStreamOrigins
 import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.TestTasks
+import org.poplarshift.serving.observe.ResumedStreamRecorder
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 import org.poplarshift.serving.quarantine.CrashTracker
 
@@ -81,6 +83,8 @@
                     clock,
                     CrashTracker(tasks, clock, FakeLog(), "members", "node"),
                     recorder,
+                    FakeStreamOrigins(),
+                    ResumedStreamRecorder(SimpleMeterRegistry()),
                     tokensPerEvent = { TOKENS_PER_EVENT },
                 )
                 scope.async {
