Resume a stream for a caller only at the service and the version that it began with

A caller that resumed a stream with `Last-Event-Id` got its rest from any worker of any service of the route, so that the text that it put together came from two software versions. The origin of the stream is now looked up before anything is sent, within the deadline of the call, and the stream goes on there. If the origin is unknown, or the route sends no requests to its service any more, the call is refused with 503 and a short retry time (`stream_origin_unknown`). Refused calls that resume a stream are counted by reason and logged.

--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressRoute.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressRoute.kt
@@ -58,9 +58,13 @@
         return targets.lastOrNull()?.service
     }
 
+    /** The services that the route sends requests to. */
+    val services: Set<String>
+        get() = targets.filter { it.weight > 0 }.mapTo(LinkedHashSet()) { it.service }
+
     /** Returns [current] if the route still sends requests to that service, otherwise as [chooseService]. */
     fun keepOrChooseService(current: String, random: Double): String? =
-        if (targets.any { it.service == current && it.weight > 0 }) current else chooseService(random)
+        if (current in services) current else chooseService(random)
 }
 
 /**
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/CallHandlers.kt
@@ -104,28 +104,49 @@
             deadlineMillis = record.receivedMillis + minOf(timeoutMillis, route.timeoutMillis),
             priority = organisation?.priority ?: route.priority,
             resumeAfter = incoming.operation.head.resumeAfter,
+            resumedRequestId = incoming.operation.head.resumedRequestId,
             isRateLimited = organisation != null && organisation.ratePerSecond > 0,
             allowedRegions = allowedRegions,
         )
     }
 
     private suspend fun forward(call: OnlineCall, sink: HttpCallerSink, record: CallRecord): Refusal? {
+        if (!call.resumesStream) return serve(call, sink, record)
+        val origin = untilDeadline(call, record) {
+            forwarding.streamOrigins.find(call.resumedRequestId, call.route.services)
+        }
+        if (record.isStopped) return Refusal.SHUTTING_DOWN
+        if (origin == null || origin.service !in call.route.services) {
+            forwarding.streamRecorder.onRefused(call, origin, Refusal.UNKNOWN_STREAM_ORIGIN.reason)
+            return Refusal.UNKNOWN_STREAM_ORIGIN
+        }
+        return serve(call.copy(service = origin.service, origin = origin), sink, record)
+    }
+
+    private suspend fun serve(call: OnlineCall, sink: HttpCallerSink, record: CallRecord): Refusal? {
         val session = AttemptSession(planOf(call), forwarding)
         record.attempts = session.trace
         record.promptParts = session.sharedPromptParts
         val outcome = try {
-            withTimeoutOrNull((call.deadlineMillis - clock.millis()).coerceAtLeast(1)) {
-                forwarder.serve(call, session, sink)
-            }
-        } catch (exception: CancellationException) {
-            if (!record.isStopped) throw exception
-            null
+            untilDeadline(call, record) { forwarder.serve(call, session, sink) }
         } finally {
             record.waitedMillis = session.waitedMillis
             record.hasUnusableResponse = session.hasUnusableResponse
         }
         val reason = if (record.isStopped) Refusal.SHUTTING_DOWN.reason else "time is up"
-        return conclude(outcome ?: interrupted(reason, sink, session), sink, record)
+        val refusal = conclude(outcome ?: interrupted(reason, sink, session), sink, record)
+        if (call.resumesStream && refusal != null) {
+            forwarding.streamRecorder.onRefused(call, call.origin, refusal.reason)
+        }
+        return refusal
+    }
+
+    /** Returns what [action] returns, or null if the deadline of [call] or the shutdown of the node has ended it. */
+    private suspend fun <T> untilDeadline(call: OnlineCall, record: CallRecord, action: suspend () -> T): T? = try {
+        withTimeoutOrNull((call.deadlineMillis - clock.millis()).coerceAtLeast(1)) { action() }
+    } catch (exception: CancellationException) {
+        if (!record.isStopped) throw exception
+        null
     }
 
     private fun planOf(call: OnlineCall): AttemptPlan {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ingress/Refusal.kt
@@ -19,6 +19,7 @@
         val LOG_UNAVAILABLE = Refusal(503, "log_unavailable", LOG_RETRY_MILLIS)
         val NOT_CAUGHT_UP = Refusal(503, "not_caught_up", SHORT_RETRY_MILLIS)
         val QUARANTINED = Refusal(503, "quarantined", QUARANTINE_RETRY_MILLIS)
+        val UNKNOWN_STREAM_ORIGIN = Refusal(503, "stream_origin_unknown", SHORT_RETRY_MILLIS)
         val SHUTTING_DOWN = Refusal(503, "shutting_down", SHORT_RETRY_MILLIS)
         val OUTCOME_UNKNOWN = Refusal(504, "outcome_unknown")
 
