Share the set-up of tests that forward requests to real connections

Five tests built the same context of nine parts; a new dependency of forwarding had to be added to each. No check changes.

82 tests of the five classes and FleetDispatcherTest pass.

--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/AttemptTraceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/AttemptTraceTest.kt
@@ -2,7 +2,6 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -19,15 +18,8 @@
 import org.poplarshift.core.ingress.RouteKind
 import org.poplarshift.core.ingress.WeightedService
 import org.poplarshift.serving.MonotonicClock
-import org.poplarshift.serving.fixture.FakeDispatcher
-import org.poplarshift.serving.fixture.FakeLog
-import org.poplarshift.serving.fixture.FakeStreamOrigins
-import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
-import org.poplarshift.serving.fixture.TestTasks
-import org.poplarshift.serving.observe.ResumedStreamRecorder
-import org.poplarshift.serving.observe.UnusableResponseRecorder
-import org.poplarshift.serving.quarantine.CrashTracker
+import org.poplarshift.serving.fixture.TestForwarding
 
 /** Guards against calls whose log lines don't lead to the connections that have carried their responses. */
 class AttemptTraceTest :
@@ -148,19 +140,7 @@
                 }
                 val loadBalancer = LoadBalancer("near") { 0.0 }.apply { update(entries) }
                 val clock = MonotonicClock.SYSTEM
-                val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
-                val forwarding = ForwardingContext(
-                    FakeDispatcher(loadBalancer),
-                    connections,
-                    WorkerProber(TestTasks.of(scope), loadBalancer, connections),
-                    PlainWorkerProtocol,
-                    clock,
-                    CrashTracker(TestTasks.of(scope), clock, FakeLog(), "members", "node"),
-                    recorder,
-                    FakeStreamOrigins(),
-                    ResumedStreamRecorder(SimpleMeterRegistry()),
-                )
+                val forwarding = TestForwarding.of(vertx, scope, loadBalancer)
                 val traces = scope.async {
                     case.calls.mapIndexed { index, call ->
                         val route = route(call.kind)
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/OnlineForwarderTest.kt
@@ -2,7 +2,6 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -19,16 +18,9 @@
 import org.poplarshift.core.ingress.RouteKind
 import org.poplarshift.core.ingress.WeightedService
 import org.poplarshift.serving.MonotonicClock
-import org.poplarshift.serving.fixture.FakeDispatcher
-import org.poplarshift.serving.fixture.FakeLog
-import org.poplarshift.serving.fixture.FakeStreamOrigins
-import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.ScriptedWorker
-import org.poplarshift.serving.fixture.TestTasks
-import org.poplarshift.serving.observe.ResumedStreamRecorder
-import org.poplarshift.serving.observe.UnusableResponseRecorder
-import org.poplarshift.serving.quarantine.CrashTracker
+import org.poplarshift.serving.fixture.TestForwarding
 import org.poplarshift.serving.quarantine.RequestFingerprint
 import org.poplarshift.serving.quarantine.WorkerRun
 
@@ -271,25 +263,10 @@
                 // The first worker is in the zone of the node and therefore preferred.
                 val loadBalancer = LoadBalancer("here") { 0.0 }.apply { update(entries) }
                 val clock = MonotonicClock.SYSTEM
-                val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
-                val prober = WorkerProber(TestTasks.of(scope), loadBalancer, connections)
-                val crashTracker = CrashTracker(TestTasks.of(scope), clock, FakeLog(), "members", "node")
+                val forwarding = TestForwarding.of(vertx, scope, loadBalancer)
                 case.crashedWorkers.forEach {
-                    crashTracker.onConnectionLost(WorkerRun(RequestFingerprint.of(null, "/", body), it))
+                    forwarding.crashTracker.onConnectionLost(WorkerRun(RequestFingerprint.of(null, "/", body), it))
                 }
-                val dispatcher = FakeDispatcher(loadBalancer)
-                val forwarding = ForwardingContext(
-                    dispatcher,
-                    connections,
-                    prober,
-                    PlainWorkerProtocol,
-                    clock,
-                    crashTracker,
-                    recorder,
-                    FakeStreamOrigins(),
-                    ResumedStreamRecorder(SimpleMeterRegistry()),
-                )
                 val route = IngressRoute(
                     name = "route",
                     host = "host",
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/RunObservationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/RunObservationTest.kt
@@ -3,7 +3,6 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeBetween
 import io.kotest.matchers.shouldBe
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.MultiMap
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
@@ -21,14 +20,8 @@
 import org.poplarshift.core.ingress.WeightedService
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeDispatcher
-import org.poplarshift.serving.fixture.FakeLog
-import org.poplarshift.serving.fixture.FakeStreamOrigins
-import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
-import org.poplarshift.serving.fixture.TestTasks
-import org.poplarshift.serving.observe.ResumedStreamRecorder
-import org.poplarshift.serving.observe.UnusableResponseRecorder
-import org.poplarshift.serving.quarantine.CrashTracker
+import org.poplarshift.serving.fixture.TestForwarding
 
 /** Guards against schedulers that learn the costs of requests from runs that have failed, or from none at all. */
 class RunObservationTest :
@@ -71,22 +64,9 @@
                 val worker = FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                 val workers = LoadBalancer("here") { 0.0 }.apply { update(listOf(worker)) }
                 val clock = MonotonicClock.SYSTEM
-                val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
                 val dispatcher = FakeDispatcher(workers)
-                val tasks = TestTasks.of(scope)
-                val forwarding = ForwardingContext(
-                    dispatcher,
-                    connections,
-                    WorkerProber(tasks, workers, connections),
-                    PlainWorkerProtocol,
-                    clock,
-                    CrashTracker(tasks, clock, FakeLog(), "members", "node"),
-                    recorder,
-                    FakeStreamOrigins(),
-                    ResumedStreamRecorder(SimpleMeterRegistry()),
-                    tokensPerEvent = { TOKENS_PER_EVENT },
-                )
+                val forwarding =
+                    TestForwarding.of(vertx, scope, workers, dispatcher, tokensPerEvent = TOKENS_PER_EVENT)
                 scope.async {
                     val headers = MultiMap.caseInsensitiveMultiMap()
                     val body = Buffer.buffer("x")
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/StreamVersionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/StreamVersionTest.kt
@@ -21,15 +21,10 @@
 import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeDispatcher
-import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.fixture.FakeStreamOrigins
-import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.RecordingSink
 import org.poplarshift.serving.fixture.ScriptedWorker
-import org.poplarshift.serving.fixture.TestTasks
-import org.poplarshift.serving.observe.ResumedStreamRecorder
-import org.poplarshift.serving.observe.UnusableResponseRecorder
-import org.poplarshift.serving.quarantine.CrashTracker
+import org.poplarshift.serving.fixture.TestForwarding
 
 /**
  * Guards against streams that hold events of workers of two software versions, in one response or because a caller resumes
@@ -157,25 +152,13 @@
                 val loadBalancer = LoadBalancer("here") { 0.0 }.apply { update(entries) }
                 val clock = MonotonicClock.SYSTEM
                 val registry = SimpleMeterRegistry()
-                val recorder = UnusableResponseRecorder(registry)
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, recorder)
                 val origins = FakeStreamOrigins(unrecorded = setOf("unrecorded"))
                 val dispatcher = FakeDispatcher(loadBalancer, origins::isRecorded) {
                     case.changedVersion?.let { version ->
                         loadBalancer.update(entries.map { it.copy(softwareVersion = version) })
                     }
                 }
-                val forwarding = ForwardingContext(
-                    dispatcher,
-                    connections,
-                    WorkerProber(TestTasks.of(scope), loadBalancer, connections),
-                    PlainWorkerProtocol,
-                    clock,
-                    CrashTracker(TestTasks.of(scope), clock, FakeLog(), "members", "node"),
-                    recorder,
-                    origins,
-                    ResumedStreamRecorder(registry),
-                )
+                val forwarding = TestForwarding.of(vertx, scope, loadBalancer, dispatcher, origins, registry)
                 val route = IngressRoute(
                     name = "route",
                     host = "host",
--- a/serving/src/test/kotlin/org/poplarshift/serving/ingress/ResumedStreamTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ingress/ResumedStreamTest.kt
@@ -29,19 +29,13 @@
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.fixture.FakeStreamOrigins
 import org.poplarshift.serving.fixture.PlainCallerProtocol
-import org.poplarshift.serving.fixture.PlainWorkerProtocol
 import org.poplarshift.serving.fixture.ScriptedWorker
+import org.poplarshift.serving.fixture.TestForwarding
 import org.poplarshift.serving.fixture.TestTasks
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.ConfigurationResult
-import org.poplarshift.serving.forward.ForwardingContext
-import org.poplarshift.serving.forward.WorkerConnectionPool
-import org.poplarshift.serving.forward.WorkerProber
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.observe.CallRecorder
-import org.poplarshift.serving.observe.ResumedStreamRecorder
-import org.poplarshift.serving.observe.UnusableResponseRecorder
-import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.submission.ContentCache
 import org.poplarshift.serving.submission.SubmissionService
 import org.poplarshift.serving.submission.SubmissionStore
@@ -98,28 +92,15 @@
                 return LoadBalancer("here") { 0.0 }.apply { update(entries) }
             }
 
-            private fun forwarding(loadBalancer: LoadBalancer): ForwardingContext {
-                val unusable = UnusableResponseRecorder(registry)
-                val connections = WorkerConnectionPool(vertx, "127.0.0.1", clock, unusable)
-                return ForwardingContext(
-                    FakeDispatcher(loadBalancer, origins::isRecorded),
-                    connections,
-                    WorkerProber(tasks, loadBalancer, connections),
-                    PlainWorkerProtocol,
-                    clock,
-                    CrashTracker(tasks, clock, FakeLog(), "members", "node"),
-                    unusable,
-                    origins,
-                    ResumedStreamRecorder(registry),
-                )
-            }
-
             suspend fun start(): Int {
                 val holder = ConfigurationHolder({ _, _ -> ConfigurationResult.Valid(configuration) })
                 holder.onRecord(LogRecord(0, "configuration", byteArrayOf(1)))
                 val store = SubmissionStore(tasks, FakeLog(), clock, "submissions", 1, ContentCache(1_000))
                 val submissions = SubmissionService(store, protocol, clock)
-                val handlers = CallHandlers(clock, holder, forwarding(startWorkers()), submissions) { 0.0 }
+                val workers = startWorkers()
+                val dispatcher = FakeDispatcher(workers, origins::isRecorded)
+                val forwarding = TestForwarding.of(vertx, scope, workers, dispatcher, origins, registry)
+                val handlers = CallHandlers(clock, holder, forwarding, submissions) { 0.0 }
                 val recorder = CallRecorder(registry)
                 server = CallerServer(vertx, tasks, clock, protocol, holder, handlers, recorder, TestTasks.clients())
                 return server.listen("127.0.0.1:0")
