Continue an item only at the version that wrote its output

Results of batch items could be joined from the outputs of two software versions: an item whose run broke off, was paused or was taken over by another node went on after its last event at any worker of the service, and neither the run nor the saved progress knew which version had written the output.

The output of an item and its saved progress now name their origin, the service and the software version of the worker at the time of sending. A run resumes only if the worker that gets the request is of that origin, whatever the dispatcher chooses; otherwise it begins anew, and the old output is dropped once that worker responds. An item with output asks for workers of its version, all others ask for recorded versions. It asks for recorded versions, too, after two seconds in which the workers of its version have failed or were not available, and, if they are full, once it is due within the time of a whole run.

Progress of another origin replaces the saved one even if its event is lower, because a run has begun anew; progress without an origin never replaces one with it. The new field of the record is optional, and earlier releases ignore unknown fields.

--- a/core/src/main/kotlin/org/poplarshift/core/stream/StreamOrigin.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/stream/StreamOrigin.kt
@@ -1,5 +1,7 @@
 package org.poplarshift.core.stream
 
+import kotlinx.serialization.Serializable
+
 /**
  * Where a stream began.
  *
@@ -8,4 +10,5 @@
  * @property service the service whose worker has sent the first event
  * @property softwareVersion version of that worker's software
  */
+@Serializable
 data class StreamOrigin(val service: String, val softwareVersion: String)
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
@@ -110,13 +110,9 @@
         val state = submissionsById[record.submission] ?: return LedgerEffect.Unknown
         state.keys += keys
         val item = state.item(record.item) ?: return LedgerEffect.Unknown
-        val existing = item.progress
-        if (item.hasResult ||
-            (existing != null && existing.lastEvent >= record.lastEvent)
-        ) {
-            return LedgerEffect.Duplicate
-        }
-        item.progress = ItemProgress(record.lastEvent, content)
+        val progress = ItemProgress(record.lastEvent, record.origin, content)
+        if (item.hasResult || item.progress?.isReplacedBy(progress) == false) return LedgerEffect.Duplicate
+        item.progress = progress
         return LedgerEffect.ProgressSaved
     }
 
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionRecord.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionRecord.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.poplarshift.core.stream.StreamOrigin
 
 /** A record of the submission log. Large contents (bodies, outputs) are stored separately from the record as bytes. */
 @Serializable
@@ -38,10 +39,19 @@
     @SerialName("result")
     data class Result(override val submission: String, val item: String, val isComplete: Boolean) : SubmissionRecord
 
-    /** Saves the events of a run up to [lastEvent] so that another node can resume it. The content is the output. */
+    /**
+     * Saves the events of a run up to [lastEvent] so that another node can resume it. The content is the output.
+     *
+     * @property origin where the output was written, or null if a node of an earlier release has saved it
+     */
     @Serializable
     @SerialName("progress")
-    data class Progress(override val submission: String, val item: String, val lastEvent: Long) : SubmissionRecord
+    data class Progress(
+        override val submission: String,
+        val item: String,
+        val lastEvent: Long,
+        val origin: StreamOrigin? = null,
+    ) : SubmissionRecord
 
     /** Ends a submission because its caller needs no further results. */
     @Serializable
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
@@ -1,5 +1,7 @@
 package org.poplarshift.core.submission
 
+import org.poplarshift.core.stream.StreamOrigin
+
 /** An accepted submission, as derived from the log. Bodies and outputs remain in the log. */
 class SubmissionState(val proposal: SubmissionRecord.Proposed, content: RecordContent) {
     private val itemsById = LinkedHashMap<String, ItemState>()
@@ -58,8 +60,19 @@
         internal set
 }
 
-/** Output of a run that stopped after event [lastEvent]. */
-class ItemProgress(val lastEvent: Long, val output: RecordContent)
+/** Output of a run that stopped after event [lastEvent]. [origin] is null if it is not known where it was written. */
+class ItemProgress(val lastEvent: Long, val origin: StreamOrigin?, val output: RecordContent) {
+    /**
+     * Whether [other], which was saved later, is to be kept instead.
+     *
+     * Only output of the same origin is compared. Otherwise a run has begun anew, because the origin had no worker.
+     */
+    fun isReplacedBy(other: ItemProgress): Boolean = when (other.origin) {
+        origin -> other.lastEvent > lastEvent
+        null -> false
+        else -> true
+    }
+}
 
 /** The result of an item, with the place of its output in the log. */
 class StoredResult(val item: String, val isComplete: Boolean, val output: RecordContent)
--- a/core/src/test/kotlin/org/poplarshift/core/submission/RecordFormatTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/submission/RecordFormatTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import org.poplarshift.core.stream.StreamOrigin
+import java.nio.ByteBuffer
 
 /** Guards against records that contain parts of other records or lose bytes when they are split and joined. */
 class RecordFormatTest :
@@ -25,6 +27,25 @@
             }
         }
 
+        data class ProgressCase(val name: String, val header: String, val record: SubmissionRecord)
+        val saved = """{"type":"progress","submission":"s","item":"i","lastEvent":7"""
+        val origin = """"origin":{"service":"a","softwareVersion":"v1"}"""
+        val progress = SubmissionRecord.Progress("s", "i", lastEvent = 7)
+        listOf(
+            ProgressCase("of an earlier release", "$saved}", progress),
+            ProgressCase("with an origin", "$saved,$origin}", progress.copy(origin = StreamOrigin("a", "v1"))),
+            ProgressCase("with a field of a later release", "$saved,\"later\":1}", progress),
+        ).forEach { case ->
+            // Guards against nodes of two releases of which one can't read the records of the other.
+            test("a record of progress ${case.name} is decoded") {
+                val header = case.header.encodeToByteArray()
+                val encoded = ByteBuffer.allocate(Int.SIZE_BYTES + header.size).putInt(header.size).put(header).array()
+                RecordFormat.decodeHeader(listOf(encoded)).record shouldBe case.record
+                val own = RecordFormat.encode("id", case.record, ByteArray(0), maximumBytes = 1_000).single().value
+                RecordFormat.decodeHeader(listOf(own)).record shouldBe case.record
+            }
+        }
+
         test("interleaved parts of two records are assembled, and other keys are ignored") {
             val first = RecordFormat.encode("a", record, content, 400)
             val second = RecordFormat.encode("b", record, content, 400)
--- a/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/submission/SubmissionLedgerTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import org.poplarshift.core.stream.StreamOrigin
 import kotlin.random.Random
 
 /** Guards against duplicate submissions or results, exceeded limits and results that differ between nodes. */
@@ -102,6 +103,31 @@
             saveProgress(9) shouldBe LedgerEffect.Duplicate
         }
 
+        data class ProgressCase(val name: String, val records: List<Pair<String?, Long>>, val kept: Int)
+        listOf(
+            ProgressCase("a later event of the same version replaces an earlier one", listOf("v1" to 3, "v1" to 5), 1),
+            ProgressCase("an earlier event of the same version replaces none", listOf("v1" to 5, "v1" to 3), 0),
+            ProgressCase("a run that began anew at another version counts", listOf("v1" to 5, "v2" to 1), 1),
+            ProgressCase("output of an unknown version replaces none of a known one", listOf("v1" to 5, null to 9), 0),
+            ProgressCase("output of a known version replaces one of an unknown one", listOf(null to 9, "v1" to 5), 1),
+            ProgressCase("outputs of an unknown version are compared", listOf(null to 5, null to 9), 1),
+        ).forEach { case ->
+            // Guards against output that is continued at another software version than that which has written it.
+            test("the event, the version and the output of an item come from the same record: ${case.name}") {
+                val ledger = SubmissionLedger()
+                ledger.propose(proposal("s"))
+                case.records.forEachIndexed { index, (version, event) ->
+                    val origin = version?.let { StreamOrigin("service", it) }
+                    val record = SubmissionRecord.Progress("s", "1", event, origin)
+                    ledger.apply(record, store(byteArrayOf(index.toByte())), listOf("p$index"))
+                }
+                val kept = checkNotNull(ledger.find("s")?.item("1")?.progress)
+                val (version, event) = case.records[case.kept]
+                Triple(kept.origin?.softwareVersion, kept.lastEvent, kept.output.load().single().toInt()) shouldBe
+                    Triple(version, event, case.kept)
+            }
+        }
+
         // Guards against a ledger that changes before the deletions are in the log, and against forgotten rejected keys.
         test("a submission and rejected proposals are kept until the deletion of their keys has been read") {
             val ledger = SubmissionLedger()
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptResult.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptResult.kt
@@ -18,4 +18,9 @@
 
     /** A worker may have run the request, but no usable response was received. */
     data class MayHaveRun(val reason: String, val isTimeout: Boolean) : AttemptResult
+
+    companion object {
+        /** The reason of [NotRun] if the service has no worker that could serve the request, even after waiting. */
+        const val NO_WORKER = "no_worker"
+    }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -7,6 +7,7 @@
 import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.core.quarantine.SuspectStatus
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.forward.AttemptResult.Companion.NO_WORKER
 import org.poplarshift.serving.quarantine.WorkerRun
 import java.net.HttpURLConnection.HTTP_UNAVAILABLE
 
@@ -67,14 +68,27 @@
      * @param headTimeoutMillis maximum time to wait for the response head
      * @param resumeAfter id of the last event of an earlier run after which the stream resumes, or null
      */
-    suspend fun attempt(request: DispatchRequest, headTimeoutMillis: Long, resumeAfter: Long?): AttemptResult {
+    suspend fun attempt(request: DispatchRequest, headTimeoutMillis: Long, resumeAfter: Long?): AttemptResult =
+        attempt(request, headTimeoutMillis) { resumeAfter }
+
+    /**
+     * Sends the request as the other function does, with a stream that may be resumed at some workers only.
+     *
+     * @param resumeAfter returns the id of the event after which the stream resumes at a worker, or null if it begins
+     *   anew there; called when the request is sent to the worker
+     */
+    suspend fun attempt(
+        request: DispatchRequest,
+        headTimeoutMillis: Long,
+        resumeAfter: (FleetWorker) -> Long?,
+    ): AttemptResult {
         if (isRefused()) return AttemptResult.Quarantined
         val waitDeadlineMillis = clock.millis() + request.waitMillis
         var refusals = 0
         while (true) {
             val slot = when (val result = acquire(request, waitDeadlineMillis)) {
                 is DispatchResult.Assigned -> result.slot
-                DispatchResult.NoWorker -> return notAssigned(if (refusals > 0) "workers_full" else "no_worker")
+                DispatchResult.NoWorker -> return notAssigned(if (refusals > 0) "workers_full" else NO_WORKER)
                 is DispatchResult.NoCapacity -> return notAssigned("no_room", result.retryMillis)
                 is DispatchResult.RateExceeded -> return rateExceeded(result.retryMillis)
             }
@@ -84,11 +98,9 @@
             }
             sentMillis = clock.millis()
             isAnswered = false
-            isResumed = resumeAfter != null
             val result = sendTo(slot, headTimeoutMillis, resumeAfter)
             if (result !is AttemptResult.NotRun) return result
             refusals++
-            excludedWorkers += slot.target.worker.id
             if (remainingMillis <= 0 || refusals >= MAXIMUM_REFUSALS) return result
         }
     }
@@ -167,7 +179,11 @@
         return AttemptResult.NotRun(reason, retryMillis)
     }
 
-    private suspend fun sendTo(slot: AssignedSlot, headTimeoutMillis: Long, resumeAfter: Long?): AttemptResult {
+    private suspend fun sendTo(
+        slot: AssignedSlot,
+        headTimeoutMillis: Long,
+        resumeAfter: (FleetWorker) -> Long?,
+    ): AttemptResult {
         val target = slot.target
         var isAttemptOpen = false
         var outcome = SlotOutcome.USED
@@ -182,7 +198,7 @@
             val exchange = WorkerExchange(connection, forwarding)
             isInFlight = true
             val exchangeResult = exchange.send(
-                outgoingRequest(target, resumeAfter),
+                outgoingRequest(target, resumeAfter(target.worker)),
                 minOf(headTimeoutMillis, remainingMillis).coerceAtLeast(1),
             )
             outcome = exchangeResult.slotOutcome()
@@ -307,6 +323,7 @@
     }
 
     private fun notRunAt(target: WorkerState, reason: String): AttemptResult {
+        excludedWorkers += target.worker.id
         traceAttempt(target, reason)
         return AttemptResult.NotRun(reason)
     }
@@ -324,6 +341,7 @@
     }
 
     private fun outgoingRequest(target: WorkerState, resumeAfter: Long?): OutgoingRequest {
+        isResumed = resumeAfter != null
         val attempt =
             AttemptMetadata(plan.id, target.worker.id, remainingMillis.coerceAtLeast(1), plan.organisation, resumeAfter)
         val headers = forwarding.protocol.requestHeaders(plan.headers, attempt)
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemOutput.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemOutput.kt
@@ -1,15 +1,17 @@
 package org.poplarshift.serving.submission
 
+import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.forward.StreamEvent
 
 /**
- * The data of all events that an item has received so far, joined by line feeds.
+ * The data of all events that an item has received so far from workers of one software version, joined by line feeds.
  *
  * A run is resumed after the last event that has an id. Later events without an id are sent again and must not be kept.
  *
+ * @property origin the service and the software version of the workers
  * @param saved the output of an earlier run up to the event [lastEvent], or null
  */
-class ItemOutput(saved: ByteArray? = null, lastEvent: Long? = null) {
+class ItemOutput(val origin: StreamOrigin, saved: ByteArray? = null, lastEvent: Long? = null) {
     /** A state of the output after which a run can be resumed. */
     class ResumePoint internal constructor(
         internal val length: Int,
@@ -17,6 +19,9 @@
         internal val event: Long?,
     )
 
+    /** Number of characters that have been saved in the log. */
+    var savedLength = 0
+
     private val text = StringBuilder(saved?.decodeToString().orEmpty())
     private var hasData = saved != null
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -9,7 +9,11 @@
 import org.poplarshift.core.ingress.IngressConfiguration
 import org.poplarshift.core.ingress.IngressRoute
 import org.poplarshift.core.ingress.RouteKind
+import org.poplarshift.core.stream.StreamOrigin
+import org.poplarshift.core.stream.VersionRequirement
+import org.poplarshift.core.submission.ItemProgress
 import org.poplarshift.core.submission.ItemState
+import org.poplarshift.core.submission.OriginWait
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.core.submission.SubmissionState
 import org.poplarshift.serving.forward.Attempt
@@ -33,12 +37,13 @@
     private val wallClockMillis: () -> Long,
 ) {
     private val proposal = state.proposal
-    private var output = ItemOutput()
+    private val progressWriter =
+        ItemProgressWriter(partition, proposal.submission, item.proposed.id, forwarding.clock)
+    private var output: ItemOutput? = null
+    private val originWait = OriginWait()
     private var unreadProgress = item.progress
     private var internalErrors = 0
     private var failedWorker: String? = null
-    private var lastSaveMillis = forwarding.clock.millis()
-    private var savedLength = 0
 
     /**
      * Whether the submission has ended or the item already has a result.
@@ -57,7 +62,7 @@
 
     /** Whether the item is so close to its due time that it must not be paused in favour of online requests. */
     val isUrgent: Boolean
-        get() = untilDueMillis in 0..URGENT_MILLIS
+        get() = untilDueMillis in 0..OriginWait.WHOLE_RUN_MILLIS
 
     private val key = key(state, item)
     private var seenConfiguration: IngressConfiguration? = null
@@ -108,42 +113,51 @@
         val session = newSession(body)
         val request = dispatchRequest(onPreempt)
         failedWorker = null
-        val result = session.attempt(request, HEAD_TIMEOUT_MILLIS, output.lastEvent)
+        lateinit var origin: StreamOrigin
+        val result = session.attempt(request, HEAD_TIMEOUT_MILLIS) { worker ->
+            origin = StreamOrigin(worker.service, worker.softwareVersion)
+            output?.takeIf { it.origin == origin }?.lastEvent
+        }
         isWaiting = false
         when (result) {
-            is AttemptResult.NotRun, is AttemptResult.RateExceeded, AttemptResult.Quarantined -> retryLater()
-            is AttemptResult.MayHaveRun -> logger.debug {
-                "batch: item ${item.proposed.id} may have run: ${session.trace}"
+            is AttemptResult.NotRun -> onNotRun(result)
+            is AttemptResult.RateExceeded, AttemptResult.Quarantined -> retryLater()
+            is AttemptResult.MayHaveRun -> {
+                logger.debug { "batch: item ${item.proposed.id} may have run: ${session.trace}" }
+                originWait.onFailed(forwarding.clock.millis())
+            }
+
+            is AttemptResult.Responded -> if (!handleResponse(result, session, origin)) {
+                failedWorker = result.attempt.target.worker.id
+                originWait.onFailed(forwarding.clock.millis())
             }
+        }
+    }
 
-            is AttemptResult.Responded ->
-                if (!handleResponse(result, session)) failedWorker = result.attempt.target.worker.id
+    private fun onNotRun(result: AttemptResult.NotRun) {
+        if (result.reason == AttemptResult.NO_WORKER) {
+            originWait.onFailed(forwarding.clock.millis())
+        } else {
+            originWait.onFull()
         }
+        retryLater()
     }
 
     /** Saves the output so far in the log, so that another node can resume after the last event. */
     suspend fun saveProgress() {
-        val last = output.lastEvent ?: return
-        if (isFinished || output.resumableLength < MINIMUM_UNSAVED_LENGTH) return
-        val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
-        val result = partition.write(record, output.encodeResumable())
-        logger.atInfo {
-            message = "batch: progress of an item saved"
-            payload = mapOf(
-                "submission" to proposal.submission,
-                "item" to item.proposed.id,
-                "event" to last,
-                "result" to result.toString(),
-            )
-        }
+        if (!isFinished) output?.let { progressWriter.save(it) }
     }
 
-    private suspend fun handleResponse(response: AttemptResult.Responded, session: AttemptSession): Boolean {
+    private suspend fun handleResponse(
+        response: AttemptResult.Responded,
+        session: AttemptSession,
+        origin: StreamOrigin,
+    ): Boolean {
         val attempt = response.attempt
-        lastSaveMillis = forwarding.clock.millis()
+        progressWriter.onResponse()
         try {
             return when (val status = response.head.status) {
-                OK -> collectOutput(attempt, session)
+                OK -> collectOutput(outputOf(origin), attempt, session)
                 else -> {
                     val isUsable = discardBody(attempt)
                     if (isUsable && status == INTERNAL_ERROR) internalErrors++
@@ -159,20 +173,48 @@
         } finally {
             attempt.close()
             // An incomplete run is resumed after the last event that has an id.
-            output.restore()
+            output?.restore()
+        }
+    }
+
+    /** Returns the output that a run at [origin] continues, or an empty one that replaces the output of another origin. */
+    private fun outputOf(origin: StreamOrigin): ItemOutput {
+        output?.let { if (it.origin == origin) return it else reportDropped(it.lastEvent, it.origin) }
+        return ItemOutput(origin).also { output = it }
+    }
+
+    private fun reportDropped(lastEvent: Long?, origin: StreamOrigin?) {
+        if (lastEvent == null) return
+        logger.atInfo {
+            message = "batch: an item begins anew"
+            payload = mapOf(
+                "submission" to proposal.submission,
+                "item" to item.proposed.id,
+                "dropped_event" to lastEvent,
+                "dropped_service" to origin?.service,
+                "dropped_version" to origin?.softwareVersion,
+            )
         }
     }
 
     /** Reads the body and the saved progress of the item from the log. Returns null if it can't be read at present. */
     private suspend fun readBody(): ByteArray? {
-        unreadProgress?.let { progress ->
-            val saved = partition.read(progress.output) ?: return null
-            output = ItemOutput(saved, progress.lastEvent)
-            unreadProgress = null
-        }
+        unreadProgress?.let { if (!readProgress(it)) return null }
+        unreadProgress = null
         return partition.read(item.body)
     }
 
+    private suspend fun readProgress(progress: ItemProgress): Boolean {
+        val origin = progress.origin
+        if (origin == null) {
+            reportDropped(progress.lastEvent, origin = null)
+        } else {
+            val saved = partition.read(progress.output) ?: return false
+            output = ItemOutput(origin, saved, progress.lastEvent)
+        }
+        return true
+    }
+
     private fun retryLater() {
         retryMillis = forwarding.clock.millis() + RETRY_MILLIS
     }
@@ -185,12 +227,12 @@
         return body !is BodyResult.Incomplete || !body.isStatusInDoubt
     }
 
-    private suspend fun collectOutput(attempt: Attempt, session: AttemptSession): Boolean {
+    private suspend fun collectOutput(output: ItemOutput, attempt: Attempt, session: AttemptSession): Boolean {
         val reader = EventStreamReader(attempt.exchange, forwarding.clock, output.lastEvent, MAXIMUM_OUTPUT_BYTES)
         val before = output.resumePoint
         while (true) {
             when (val part = reader.next(minOf(IDLE_TIMEOUT_MILLIS, remainingMillis()))) {
-                is EventStreamPart.Events -> append(part.events, attempt, session)
+                is EventStreamPart.Events -> append(part.events, output, attempt, session)
 
                 EventStreamPart.Complete -> {
                     attempt.complete()
@@ -213,12 +255,13 @@
                 EventStreamPart.TimedOut -> return false
             }
             if (isFinished) return true
-            saveProgressPeriodically()
+            progressWriter.savePeriodically(output)
         }
     }
 
-    private fun append(events: List<StreamEvent>, attempt: Attempt, session: AttemptSession) {
+    private fun append(events: List<StreamEvent>, output: ItemOutput, attempt: Attempt, session: AttemptSession) {
         session.onAnswered()
+        originWait.onContinued()
         attempt.run.onEvents(events)
         events.forEach { output.append(it) }
     }
@@ -236,24 +279,9 @@
         }
     }
 
-    // A process that is killed would otherwise lose all output of its runs.
-    private fun saveProgressPeriodically() {
-        val now = forwarding.clock.millis()
-        if (now - lastSaveMillis < SAVE_INTERVAL_MILLIS ||
-            output.resumableLength - savedLength < MINIMUM_UNSAVED_LENGTH
-        ) {
-            return
-        }
-        val last = output.lastEvent ?: return
-        lastSaveMillis = now
-        savedLength = output.resumableLength
-        val record = SubmissionRecord.Progress(proposal.submission, item.proposed.id, last)
-        partition.writeInBackground(record, output.encodeResumable())
-    }
-
     private suspend fun recordResult(isComplete: Boolean, reason: String) {
         val record = SubmissionRecord.Result(proposal.submission, item.proposed.id, isComplete)
-        val content = if (isComplete) output.encode() else ByteArray(0)
+        val content = output?.takeIf { isComplete }?.encode() ?: ByteArray(0)
         while (!isFinished) {
             when (val result = partition.write(record, content)) {
                 is WriteResult.Applied -> break
@@ -299,6 +327,14 @@
     private val serviceChoice: Double
         get() = Math.floorMod(key.hashCode(), SERVICE_CHOICES) / SERVICE_CHOICES.toDouble()
 
+    // A run that continues the output waits for its origin. Any other run begins where the log records that it may.
+    private val versions: VersionRequirement
+        get() {
+            val origin = output?.takeIf { it.lastEvent != null && it.origin.service == service }?.origin
+            val isFree = origin == null || originWait.isOver(forwarding.clock.millis(), untilDueMillis)
+            return if (isFree) VersionRequirement.Recorded else VersionRequirement.Only(origin.softwareVersion)
+        }
+
     private fun dispatchRequest(onPreempt: () -> Unit) = DispatchRequest(
         service,
         BATCH_PRIORITY,
@@ -307,6 +343,7 @@
         onTimeUntilMillis = forwarding.clock.millis() + untilDueMillis,
         excludedWorkers = setOfNotNull(failedWorker),
         onPreempt = onPreempt,
+        versions = versions,
     )
 
     private fun newSession(body: ByteArray): AttemptSession {
@@ -346,9 +383,6 @@
         // Online requests have small priority values, so that batch items are dispatched after all of them.
         private const val BATCH_PRIORITY = 1_000
 
-        // About the run time of an item of typical size on a busy worker.
-        private const val URGENT_MILLIS = 6_500L
-
         private const val WORKER_WAIT_MILLIS = 1_000L
         private const val RETRY_MILLIS = 150L
         private const val SERVICE_CHOICES = 1_000
@@ -361,11 +395,5 @@
         private const val MAXIMUM_OUTPUT_BYTES = 1024 * 1024
         private const val ERROR_BODY_TIMEOUT_MILLIS = 500L
         private const val MAXIMUM_ERROR_BODY_BYTES = 65_536
-
-        // A third of the run time of an item of typical size.
-        private const val SAVE_INTERVAL_MILLIS = 2_000L
-
-        // In characters. Regenerating less output than this is faster than storing it.
-        private const val MINIMUM_UNSAVED_LENGTH = 1_000
     }
 }
