--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -7,13 +7,12 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.SlotUse
 import org.poplarshift.core.ingress.IngressConfiguration
-import org.poplarshift.core.ingress.IngressRoute
-import org.poplarshift.core.ingress.RouteKind
 import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.core.stream.VersionRequirement
 import org.poplarshift.core.submission.ItemProgress
 import org.poplarshift.core.submission.ItemState
 import org.poplarshift.core.submission.OriginWait
+import org.poplarshift.core.submission.ProposedItem
 import org.poplarshift.core.submission.SubmissionRecord
 import org.poplarshift.core.submission.SubmissionState
 import org.poplarshift.serving.forward.Attempt
@@ -33,7 +32,7 @@
     state: SubmissionState,
     private val item: ItemState,
     private val forwarding: ForwardingContext,
-    private val configuration: () -> IngressConfiguration?,
+    configuration: () -> IngressConfiguration?,
     private val wallClockMillis: () -> Long,
 ) {
     private val proposal = state.proposal
@@ -64,20 +63,11 @@
     val isUrgent: Boolean
         get() = untilDueMillis in 0..OriginWait.WHOLE_RUN_MILLIS
 
-    private val key = key(state, item)
-    private var seenConfiguration: IngressConfiguration? = null
-    private var chosenService = proposal.service
+    private val itemService = ItemService(proposal, item.proposed, configuration)
 
     /** The service whose workers run the item: that of its route in the configuration in force. */
     val service: String
-        get() {
-            val current = configuration()
-            if (current != null && current !== seenConfiguration) {
-                seenConfiguration = current
-                updateService(current)
-            }
-            return chosenService
-        }
+        get() = itemService.current
 
     /** The service and the organisation that a run of the item counts for. */
     val account: RunAccount
@@ -303,30 +293,6 @@
         }
     }
 
-    private fun updateService(current: IngressConfiguration) {
-        // An item whose route was removed may still run where it was accepted.
-        val service = routeIn(current)?.keepOrChooseService(chosenService, serviceChoice) ?: return
-        if (service == chosenService) return
-        logger.atInfo {
-            message = "batch: item is moved to another service"
-            payload = mapOf(
-                "submission" to proposal.submission,
-                "item" to item.proposed.id,
-                "configuration" to current.version,
-                "previous" to chosenService,
-                "service" to service,
-            )
-        }
-        chosenService = service
-    }
-
-    private fun routeIn(current: IngressConfiguration): IngressRoute? = current.findRoute(proposal.route)
-        ?: current.findRoute(proposal.host, item.proposed.path)?.takeIf { it.kind == RouteKind.BATCH }
-
-    // Derived from the item, so that all nodes choose the same service.
-    private val serviceChoice: Double
-        get() = Math.floorMod(key.hashCode(), SERVICE_CHOICES) / SERVICE_CHOICES.toDouble()
-
     // A run that continues the output waits for its origin. Any other run begins where the log records that it may.
     private val versions: VersionRequirement
         get() {
@@ -363,7 +329,7 @@
             mayRepeat = true,
             mayCrashWorkers = false,
             route = proposal.route,
-            allowedRegions = configuration()?.let { it.allowedRegions(routeIn(it), proposal.organisation) },
+            allowedRegions = itemService.allowedRegions,
         )
         return AttemptSession(plan, forwarding)
     }
@@ -373,7 +339,10 @@
 
     companion object {
         /** Unique key of [item] of the submission [state] across all submissions. */
-        fun key(state: SubmissionState, item: ItemState): String = "${state.proposal.submission}/${item.proposed.id}"
+        fun key(state: SubmissionState, item: ItemState): String = key(state.proposal, item.proposed)
+
+        internal fun key(proposal: SubmissionRecord.Proposed, item: ProposedItem): String =
+            "${proposal.submission}/${item.id}"
 
         private val logger = KotlinLogging.logger {}
         private const val OK = 200
@@ -385,7 +354,6 @@
 
         private const val WORKER_WAIT_MILLIS = 1_000L
         private const val RETRY_MILLIS = 150L
-        private const val SERVICE_CHOICES = 1_000
 
         // Requests queue at a fully loaded worker. A worker that does not respond for longer has probably failed.
         private const val HEAD_TIMEOUT_MILLIS = 4_000L
