Release the connection of a cancelled message to another node

A node could send no more messages to another one until it was restarted, after 16 messages had been cancelled, or had reached their time limit, while they waited for a connection: the connection was established afterwards and belonged to a request that nobody sent or reset. Lookups of stream origins, which cancel the messages that are no longer needed, would reach the limit soon. The request is now reset as soon as it has its connection.

PeerClientTest, with 40 cancelled messages: 1 of 1 fails without the change (no response in 5 s), passes with it.

--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerClient.kt
@@ -4,7 +4,6 @@
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -41,13 +40,11 @@
         val options = RequestOptions().setMethod(
             HttpMethod.POST,
         ).setHost(socket.host()).setPort(socket.port()).setURI(path)
-        var request: HttpClientRequest? = null
         var isComplete = false
+        val pending = client.request(options)
         try {
             val response = withTimeoutOrNull(timeoutMillis) {
-                val connected = client.request(options).coAwait()
-                request = connected
-                connected.send(Buffer.buffer(body)).compose { response ->
+                pending.coAwait().send(Buffer.buffer(body)).compose { response ->
                     check(response.statusCode() != PeerServer.INTERNAL_ERROR) { "the node's handler has failed" }
                     response.body()
                 }.coAwait().toString()
@@ -61,7 +58,8 @@
             return null
         } finally {
             // A connection without a response may be dead. Closing it makes the next message use a new connection.
-            if (!isComplete) request?.reset()
+            // The same holds for one that is established after the time limit.
+            if (!isComplete) pending.onSuccess { it.reset() }
         }
     }
 
