--- a/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/ingress/IngressConfiguration.kt
@@ -29,6 +29,11 @@
     /** Returns the route [name], or null. */
     fun findRoute(name: String): IngressRoute? = routesByName[name]
 
+    /** Returns [service] and the other services of the streaming routes that send requests to it. */
+    fun servicesBeside(service: String): Set<String> = routes
+        .filter { route -> route.kind == RouteKind.STREAM && route.targets.any { it.service == service } }
+        .flatMapTo(hashSetOf(service)) { route -> route.targets.map { it.service } }
+
     /** Returns the organisation that owns [key], or null. */
     fun findOrganisation(key: String?): IngressOrganisation? = key?.let { organisationsByKey[it] }
 
--- a/core/src/test/kotlin/org/poplarshift/core/ingress/IngressConfigurationTest.kt
+++ b/core/src/test/kotlin/org/poplarshift/core/ingress/IngressConfigurationTest.kt
@@ -49,6 +49,17 @@
             configuration.findOrganisation(null) shouldBe null
         }
 
+        listOf("a" to setOf("a", "b"), "b" to setOf("a", "b", "c"), "d" to setOf("d")).forEach { (service, beside) ->
+            test("a stream of a route to $service may have begun at $beside") {
+                val routes = listOf(listOf("a", "b"), listOf("b", "c"), listOf("d")).map { targets ->
+                    route("r", "a", "/")
+                        .copy(kind = RouteKind.STREAM, targets = targets.map { WeightedService(it, 1.0) })
+                }
+                configuration.copy(routes = routes + route("safe", "a", "/"))
+                    .servicesBeside(service) shouldBe beside
+            }
+        }
+
         test("targets receive requests in proportion to their weights") {
             val weighted = route(
                 "w",
