Find where a stream began at other nodes or in the log

A caller that resumes a stream at another node than before was served at any software version, because nothing that outlives a node says which version began the stream.

A node remembers the origins of the streams that it begins. While the log records more than one version of the services of a route, it also reports them to the first two coordinators of its zone and to the first of the next zone: each start at once, without waiting; the starts of the last 30 s when a second version appears, when these nodes change, and when one of them was restarted (its responses name its process, and it is asked after 1.5 s without a report). A report is repeated until it is acknowledged. A lookup asks the node's own memory, then the two nodes of its zone and the first of every other zone in parallel for at most 250 ms, then the log, which decides if it records exactly one version at the time of the lookup; without an answer the origin is unknown. What a node has read of the log before never decides.

The starts of routes with several services are reported also if each of these has one version, since the log can't tell their streams apart.

ServingNode uses a stand-in without recorded versions for now, and nothing calls onBegun or find yet.

Cost of a stream start: no message while one version is recorded, otherwise three messages (two if the node is one of the first two of its zone), one of them to another zone.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -48,6 +48,11 @@
 import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.scheduling.TokenGate
 import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
+import org.poplarshift.serving.stream.HttpStreamOriginPeers
+import org.poplarshift.serving.stream.NoRecordedVersions
+import org.poplarshift.serving.stream.ReplicatedStreamOrigins
+import org.poplarshift.serving.stream.StreamOriginRecorder
+import org.poplarshift.serving.stream.StreamOriginReplicas
 import org.poplarshift.serving.submission.BatchRunner
 import org.poplarshift.serving.submission.ContentCache
 import org.poplarshift.serving.submission.SubmissionService
@@ -97,6 +102,7 @@
             directory.onMembersChanged()
             shares.onMembersChanged(members.isMember, members.hasPredecessor)
             rateLimiter.updateShares()
+            streamOrigins.onMembersChanged()
         },
     )
     private val directory: SchedulerDirectory = SchedulerDirectory(ownMember, members)
@@ -109,9 +115,22 @@
     private val shareGuard = ShareGuard(clock, settings.zone, members, shares, tokenSource::isResponding) {
         rateLimiter.updateShares()
     }
+    private val streamOriginPeers = HttpStreamOriginPeers(peerClient)
+    private val streamOrigins: ReplicatedStreamOrigins = ReplicatedStreamOrigins(
+        tasks,
+        clock,
+        NoRecordedVersions,
+        StreamOriginReplicas(ownMember, directory),
+        streamOriginPeers,
+        StreamOriginRecorder(metrics),
+        servicesBeside = { configuration.current?.servicesBeside(it) ?: setOf(it) },
+    )
     private val tokenGate = TokenGate(tasks, clock, rateLimiter)
     private val configuration: ConfigurationHolder =
-        ConfigurationHolder(ports::decodeConfiguration, ::onEvacuation) { rateLimiter.update(it) }
+        ConfigurationHolder(ports::decodeConfiguration, ::onEvacuation) {
+            rateLimiter.update(it)
+            streamOrigins.onServicesChanged()
+        }
     private val weights = OrganisationWeights { configuration.current?.organisations }
     private val schedulerHost = SchedulerHost(
         tasks,
@@ -222,16 +241,15 @@
         tasks.launch("rate limit shares") { shareGuard.run() }
         tasks.launch("registry", ALL_DUTIES) { registry.run() }
         tasks.launch("maintenance") { runMaintenance() }
-        tokenSource.serve(peerServer, rateLimiter::lend)
-        schedulerHost.serve(peerServer)
-        relay.serve(peerServer, ports.log)
-        peerServer.listen(settings.peerAddress)
+        tasks.launch("stream origins") { streamOrigins.run() }
+        servePeers()
         tasks.launch("schedulers") { schedulerHost.run() }
         tasks.launch("dispatcher", ALL_DUTIES) { dispatcher.run() }
         val readinessPort = readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
         NodeGauges.registerScheduling(metrics, schedulerHost)
+        NodeGauges.registerStreams(metrics, streamOrigins)
         val callersPort = callerServer.listen(settings.callersAddress)
         tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
             awaitSubmissions { batchRunner.maintainMembership() }
@@ -244,6 +262,14 @@
         return ListeningPorts(callersPort, readinessPort)
     }
 
+    private suspend fun servePeers() {
+        tokenSource.serve(peerServer, rateLimiter::lend)
+        schedulerHost.serve(peerServer)
+        streamOriginPeers.serve(peerServer, streamOrigins::store, streamOrigins::findLocally)
+        relay.serve(peerServer, ports.log)
+        peerServer.listen(settings.peerAddress)
+    }
+
     /**
      * Reports the node as not ready, releases its batch partitions and returns once all requests of callers have ended,
      * at the latest after the configured drain time.
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
@@ -8,6 +8,7 @@
 import org.poplarshift.serving.fleet.WorkerRegistry
 import org.poplarshift.serving.forward.ForwardingContext
 import org.poplarshift.serving.scheduling.SchedulerHost
+import org.poplarshift.serving.stream.ReplicatedStreamOrigins
 import org.poplarshift.serving.submission.BatchRunner
 
 /** Gauges for the state and the activity of a node. */
@@ -40,6 +41,10 @@
             .register(registry)
     }
 
+    /** Registers the number of streams whose origin this node remembers. */
+    fun registerStreams(registry: MeterRegistry, origins: ReplicatedStreamOrigins) =
+        gauge(registry, "stream_origins_held") { origins.size }
+
     private fun gauge(registry: MeterRegistry, name: String, value: () -> Number) {
         Gauge.builder(name, value).register(registry)
     }
