Record the software versions of the workers in the log

Each node appends a record for each version of the registered workers that the member topic does not name yet. The key is a digest, because names may be longer than a key. A version takes streams once the append is acknowledged or the record is read; an append without a response counts only when it is read. All nodes that have not read the record append it, at most one small record per node and version: they learn of a version within 0.6 s, and a delay would hold up its first streams. `confirmed` reads the topic after the call; calls share reads. Nodes of earlier releases ignore the records with a warning. Nothing removes the records yet.

VersionRecordsTest, 13 cases: all pass. Failed when streams begin before the acknowledgement 3, when an append without a response counts 2, when the node's own view is confirmed 6, when a call shares a read that was sent before it 1, when records are forgotten while the log is read anew 1, when a read that missed records is not repeated 1. In virtual time a version is usable as soon as its append is acknowledged. Tests of core, wire, ports and serving: 3059 run, 12 skipped, none failed.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -9,6 +9,7 @@
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.OrganisationWeights
 import org.poplarshift.core.dispatch.RateLimitShares
+import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
@@ -48,6 +49,7 @@
 import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.scheduling.TokenGate
 import org.poplarshift.serving.scheduling.WebSocketSchedulerConnector
+import org.poplarshift.serving.stream.VersionRecords
 import org.poplarshift.serving.submission.BatchRunner
 import org.poplarshift.serving.submission.ContentCache
 import org.poplarshift.serving.submission.SubmissionService
@@ -154,6 +156,9 @@
     )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
+    private val versionRecords: VersionRecords = VersionRecords(tasks, clock, log) {
+        registry.known.mapTo(HashSet()) { StreamOrigin(it.service, it.softwareVersion) }
+    }
     private val contentCache = ContentCache(settings.contentCacheBytes)
     private val store =
         SubmissionStore(tasks, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
@@ -202,7 +207,8 @@
             memberTopicReceiver(),
             READ_WAIT_MILLIS,
             MEMBER_PAUSE_MILLIS,
-        ),
+        )
+            .also { versionRecords.attach(it) },
     )
 
     /** Applies the retention and drain times of [changed], also to a shutdown that has not begun yet. */
@@ -287,14 +293,23 @@
 
     private fun status(): String = NodeStatus(settings.name, isReady, tasks.states).encode()
 
-    // Member records and crash records share a topic, which saves the calls of another follower.
+    // Records of members, crashes and versions share a topic, which saves the calls of further followers.
     private fun memberTopicReceiver() = object : RecordReceiver {
-        override fun onRestart() = members.onRestart()
+        override fun onRestart() {
+            members.onRestart()
+            versionRecords.onRestart()
+        }
 
-        override fun onRecord(record: LogRecord) =
-            if (crashTracker.isStrikeKey(record.key)) crashTracker.onRecord(record) else members.onRecord(record)
+        override fun onRecord(record: LogRecord) = when {
+            crashTracker.isStrikeKey(record.key) -> crashTracker.onRecord(record)
+            versionRecords.isVersionKey(record.key) -> versionRecords.onRecord(record)
+            else -> members.onRecord(record)
+        }
 
-        override fun onCaughtUp() = members.onCaughtUp()
+        override fun onCaughtUp() {
+            members.onCaughtUp()
+            versionRecords.onCaughtUp()
+        }
     }
 
     private fun memoryTokens(service: String): Long? = configuration.current?.services?.get(service)?.memoryTokens
@@ -304,6 +319,7 @@
 
     private fun onWorkersChanged() {
         schedulerHost.update(loadBalancer.workers)
+        versionRecords.onWorkersChanged()
         evictUnusableConnections()
     }
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/fleet/FleetMembersTest.kt
@@ -4,9 +4,11 @@
 import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
 import org.poplarshift.core.allowance.TokenBucketShare
+import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.log.LogRecord
+import org.poplarshift.serving.stream.VersionRecordFormat
 
 /**
  * Guards against nodes that forget each other in a long outage of the log. Each of them would use the whole rate limit of
@@ -108,6 +110,16 @@
             }
         }
 
+        // A node of an earlier release takes the records of versions for those of members.
+        test("the record of a software version is no member") {
+            val fixture = Fixture()
+            fixture.renew("a")
+            val record = VersionRecordFormat.record(StreamOrigin("s", "1"))
+            fixture.members.onRecord(LogRecord(1, record.key, record.value))
+            fixture.members.onRecord(LogRecord(2, record.key, ByteArray(0)))
+            fixture.members.size shouldBe 1
+        }
+
         test("a node that has left is no member any more") {
             val fixture = Fixture()
             listOf("a", "b").forEach { fixture.renew(it) }
