Check in the soak that streams hold one software version

Callers held streams whose events came from workers of several software versions, and no run of real programs could see it: all workers of the stand-ins stated the same version, their events didn't show which one had written them, and callers resumed streams that nobody had begun.

Workers of the stand-ins state a version and write it into their events. Workers of new versions start beside the others and the oldest ones leave, or all nodes are killed at once; these faults are drawn from a sequence of their own, so that the others of a seed stay the same. A fifth of the callers of resumable streams leave early; a caller without the end of its stream takes it up at another node and names the request that brought its first event. It replaces the callers that resumed at event 2 without an earlier request. Two promises: ONE_VERSION, for streams over all calls of a caller and for results, and RESUMED_STREAM, the share of streams that go on.

--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/PlatformHeaders.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/PlatformHeaders.kt
@@ -12,4 +12,5 @@
     const val STAMP = "X-Poplarshift-Response-Stamp"
     const val WAIT = "X-Poplarshift-Wait-Ms"
     const val LAST_EVENT = "Last-Event-Id"
+    const val RESUMED_REQUEST = "Resumes"
 }
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/Call.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/Call.kt
@@ -5,10 +5,11 @@
  *
  * @property waitMillis time in milliseconds for which a read of results may wait, or null
  * @property resumeAfter last event that the caller has, or null
+ * @property resumedRequestId id of the call that brought the first event of the stream to resume, or null
  * @property isChunked whether the body is sent in chunks
  * @property leaveAfterMillis time in milliseconds after which the caller closes the connection, or null
  */
-class Call(
+data class Call(
     val id: String,
     val method: String,
     val uri: String,
@@ -18,6 +19,7 @@
     val deadlineMillis: Long = 5_000,
     val waitMillis: Long? = null,
     val resumeAfter: Int? = null,
+    val resumedRequestId: String? = null,
     val isChunked: Boolean = false,
     val leaveAfterMillis: Long? = null,
 )
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/CallerClient.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/caller/CallerClient.kt
@@ -39,6 +39,7 @@
             .putHeader(PlatformHeaders.KEY, call.key)
         call.waitMillis?.let { options.putHeader(PlatformHeaders.WAIT, it.toString()) }
         call.resumeAfter?.let { options.putHeader(PlatformHeaders.LAST_EVENT, it.toString()) }
+        call.resumedRequestId?.let { options.putHeader(PlatformHeaders.RESUMED_REQUEST, it) }
         client.request(options).onFailure { ended.complete("connect: ${it.message}") }.onSuccess { request ->
             response.onSent { request.reset() }
             request.exceptionHandler { ended.complete("connection lost: ${it.message}") }
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/store/OperatorRecords.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/store/OperatorRecords.kt
@@ -39,17 +39,24 @@
     }.toString()
 
     /** A worker's entry. */
-    fun worker(service: String, address: String, zone: String, slots: Int, isDraining: Boolean, sequence: Int): String =
-        buildJsonObject {
-            put("service", service)
-            put("address", address)
-            put("zone", zone)
-            put("version", "v1")
-            put("slots", slots)
-            put("state", if (isDraining) "draining" else "ready")
-            put("cold_left_ms", 0)
-            put("seq", sequence)
-        }.toString()
+    fun worker(
+        service: String,
+        softwareVersion: String,
+        address: String,
+        zone: String,
+        slots: Int,
+        isDraining: Boolean,
+        sequence: Int,
+    ): String = buildJsonObject {
+        put("service", service)
+        put("address", address)
+        put("zone", zone)
+        put("version", softwareVersion)
+        put("slots", slots)
+        put("state", if (isDraining) "draining" else "ready")
+        put("cold_left_ms", 0)
+        put("seq", sequence)
+    }.toString()
 
     /** The body of a submission with [items], which are ids and paths. */
     fun submission(items: List<Pair<String, String>>): String = buildJsonObject {
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
@@ -12,6 +12,7 @@
  *
  * Must be used on one event loop.
  *
+ * @property softwareVersion version of its software, which its events state
  * @param isEngine whether responses are streams
  * @param chooseFault decides for each request how the worker responds
  * @param onRun called when a run starts
@@ -19,6 +20,7 @@
 class RegisteredWorker(
     private val vertx: Vertx,
     val id: String,
+    val softwareVersion: String,
     private val isEngine: Boolean,
     private val slots: Int,
     private val chooseFault: (ReceivedRequest) -> ResponseFault,
@@ -102,6 +104,7 @@
     private fun run(connection: WorkerConnection, request: ReceivedRequest, requestId: String, fault: ResponseFault) {
         val run = WorkerRun(
             worker = id,
+            softwareVersion = softwareVersion,
             requestId = requestId,
             stamp = "$id.${++runs}.$requestId",
             startMillis = monotonicMillis(),
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerRun.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/WorkerRun.kt
@@ -3,6 +3,7 @@
 /**
  * One run of a request at a worker.
  *
+ * @property softwareVersion version of the worker's software
  * @property stamp the stamp that responses of this run bear
  * @property startMillis monotonic time in milliseconds
  * @property isEngine whether the worker is one of a service with streams
@@ -12,6 +13,7 @@
  */
 class WorkerRun(
     val worker: String,
+    val softwareVersion: String,
     val requestId: String,
     val stamp: String,
     val startMillis: Long,
@@ -23,7 +25,9 @@
 ) {
     /** The body of a success, in the pieces in which it is written. */
     fun pieces(): List<String> = if (isEngine) {
-        (resumeAfter + 1..ResponseContent.eventCount(requestId)).map { ResponseContent.event(requestId, it) }
+        (resumeAfter + 1..ResponseContent.eventCount(requestId)).map {
+            ResponseContent.event(requestId, it, softwareVersion)
+        }
     } else {
         listOf(ResponseContent.plain(requestId))
     }
--- a/stand-ins/src/test/kotlin/org/poplarshift/standins/worker/SecondResponseTest.kt
+++ b/stand-ins/src/test/kotlin/org/poplarshift/standins/worker/SecondResponseTest.kt
@@ -102,6 +102,7 @@
                 val worker = RegisteredWorker(
                     vertx = vertx,
                     id = "w",
+                    softwareVersion = "v1",
                     isEngine = case.isEngine,
                     slots = 8,
                     chooseFault = { if (it.uri == "/a") case.fault else ResponseFault.None },
@@ -128,7 +129,7 @@
                 CrashCase(ResponseForm.Framing.CHUNKS, isReset = false),
             ) { case ->
                 val fault = ResponseFault.Twice(success.copy(framing = case.framing), failure, Moment.IDLE)
-                val worker = RegisteredWorker(vertx, "w", isEngine = true, slots = 8, { fault }, onRun = {})
+                val worker = RegisteredWorker(vertx, "w", "v1", isEngine = true, slots = 8, { fault }, onRun = {})
                 worker.paceMillis = 200
                 worker.listen("127.0.0.1")
                 val connection = RawConnection(vertx.createNetClient().connect(worker.port, "127.0.0.1").coAwait())
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallChecks.kt
@@ -60,7 +60,10 @@
     }
 
     private fun checkStream(call: SentCall, result: CallResult) {
-        val whole = ResponseContent.eventsAfter(call.call.id, call.call.resumeAfter ?: 0)
+        // The versions of events are compared in VersionCheck.
+        val versions = call.versions
+        val missing = versions.values.lastOrNull() ?: runOf(call, result)!!.softwareVersion
+        val whole = ResponseContent.eventsAfter(call.call.id, call.call.resumeAfter ?: 0) { versions[it] ?: missing }
         when {
             !whole.startsWith(result.body) ->
                 report(Promise.STREAM_ORDER, "other events: ${excerpt(result.body.takeLast(EXCERPT))}", call)
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/CallerLoad.kt
@@ -50,13 +50,16 @@
         else -> SoakOrganisations.LASTING_KEY
     }
 
-    private fun pickNode(): SoakNode =
-        fleet.nodes.filter { it.isReady }.randomOrNull(random) ?: fleet.nodes.random(random)
+    private fun pickNode(except: String? = null): SoakNode {
+        val others = fleet.nodes.filter { it.name != except }.ifEmpty { fleet.nodes }
+        return others.filter { it.isReady }.randomOrNull(random) ?: others.random(random)
+    }
 
     private suspend fun send(node: SoakNode, key: String) {
         val kind = CallKind.entries.random(random)
-        val id = "c${sent++}-${random.nextInt(Int.MAX_VALUE)}"
+        val id = nextId()
         val hasBody = random.nextBoolean()
+        val isLeaving = sent % LEAVING == 0 || kind == CallKind.RESUMABLE && sent % RESUMABLE_LEAVING == 0
         val call = Call(
             id = id,
             method = if (hasBody) "POST" else "GET",
@@ -65,24 +68,52 @@
             key = key,
             body = if (hasBody) "body of $id" else "",
             deadlineMillis = DEADLINE_MILLIS,
-            resumeAfter = RESUMED_EVENT.takeIf { kind == CallKind.RESUMABLE && sent % RESUMED == 0 },
             isChunked = hasBody && sent % 2 == 0,
-            leaveAfterMillis = (1 + sent % LONGEST_STAY_MILLIS).takeIf { sent % LEAVING == 0 },
+            leaveAfterMillis = (1 + sent % LONGEST_STAY_MILLIS).takeIf { isLeaving },
         )
-        val organisation =
-            if (key == SoakOrganisations.LIMITED_KEY) SoakOrganisations.LIMITED else SoakOrganisations.FREE
-        val sentCall = SentCall(call, kind, organisation, node.name, SoakFleet.now())
+        val sentCall = transmit(call, kind, node)
+        if (kind == CallKind.RESUMABLE) takeUp(sentCall)
+    }
+
+    /** Resumes the stream that [beginning] has begun, at other nodes, until it is complete. */
+    private suspend fun takeUp(beginning: SentCall) {
+        var last = beginning
+        var events = beginning.versions
+        val version = events.values.firstOrNull() ?: return
+        repeat(TAKE_UPS) {
+            if (last.result?.isComplete == true && last.result?.status == OK) return
+            delay(random.nextLong(1, MAXIMUM_PAUSE_MILLIS))
+            val call = beginning.call.copy(
+                id = nextId(),
+                resumeAfter = events.keys.max(),
+                resumedRequestId = beginning.call.id,
+                leaveAfterMillis = null,
+            )
+            val takeUp = TakeUp(beginning, fleet.workers.servingEngines(version))
+            last = transmit(call, beginning.kind, pickNode(except = last.node), takeUp)
+            events = events + last.versions
+        }
+    }
+
+    private fun nextId() = "c${sent++}-${random.nextInt(Int.MAX_VALUE)}"
+
+    private suspend fun transmit(call: Call, kind: CallKind, node: SoakNode, takeUp: TakeUp? = null): SentCall {
+        val isLimited = call.key == SoakOrganisations.LIMITED_KEY
+        val organisation = if (isLimited) SoakOrganisations.LIMITED else SoakOrganisations.FREE
+        val sentCall = SentCall(call, kind, organisation, node.name, SoakFleet.now(), takeUp)
         fleet.ledger.onSent(sentCall)
         sentCall.result = client.send(call, node.settings.host, node.settings.callersPort)
+        return sentCall
     }
 
     private companion object {
         const val CALLERS = 40
 
-        // One call in so many resumes a stream or leaves early; numbers without a common divisor, so that some do both.
-        const val RESUMED = 5
+        // One call in so many leaves early, of those whose streams may be resumed more.
+        const val RESUMABLE_LEAVING = 5
         const val LEAVING = 23
-        const val RESUMED_EVENT = 2
+        const val TAKE_UPS = 3
+        const val OK = 200
         const val LONGEST_STAY_MILLIS = 300L
         const val CALLS_PER_NODE = 40
         const val KEY_CHOICES = 8
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/FaultInjector.kt
@@ -49,6 +49,7 @@
         is SoakFault.WorkerRestart -> restartWorker(fault)
         SoakFault.AddressTaken -> fleet.workers.takeAddress(fleet.workers.running.random(random))
         SoakFault.WorkerDrain -> drainWorker()
+        is SoakFault.Release -> release(fault)
         is SoakFault.WorkerSlow -> slowWorker(fault)
         SoakFault.ReplaceKey -> replaceKey()
         is SoakFault.Configurations -> writeConfigurations(fault.count)
@@ -149,7 +150,7 @@
         fleet.workers.running.random(random).also { fleet.workers.crash(it) }
 
     private suspend fun replace(worker: RegisteredWorker) {
-        fleet.workers.start(fleet.workers.serviceOf(worker))
+        fleet.workers.startLike(worker)
         fleet.workers.renewEntries()
         delay(LAPSE_MILLIS)
         fleet.workers.removeEntry(worker)
@@ -164,8 +165,18 @@
 
     private suspend fun drainWorker() {
         val worker = fleet.workers.running.filter { !it.isLeaving }.random(random)
-        fleet.workers.start(fleet.workers.serviceOf(worker))
+        fleet.workers.startLike(worker)
         fleet.workers.renewEntries()
+        leave(worker)
+    }
+
+    private suspend fun release(fault: SoakFault.Release) {
+        fleet.workers.release(fault.count)
+        delay(fault.millis)
+        fleet.workers.oldestEngines(fault.count).forEach { worker -> scope.launch { leave(worker) } }
+    }
+
+    private suspend fun leave(worker: RegisteredWorker) {
         fleet.workers.drain(worker)
         drains += Drain(worker.id, SoakFleet.now())
         delay(DRAIN_MILLIS)
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SentCall.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SentCall.kt
@@ -2,12 +2,32 @@
 
 import org.poplarshift.standins.caller.Call
 import org.poplarshift.standins.caller.CallResult
+import org.poplarshift.standins.worker.ResponseContent
 import org.poplarshift.standins.worker.WorkerRun
 
-/** A call, what its caller received and the runs of workers. */
-class SentCall(val call: Call, val kind: CallKind, val organisation: String, val node: String, val sentMillis: Long) {
+/**
+ * A call, what its caller received and the runs of workers.
+ *
+ * @property takeUp the stream that the call resumes, or null
+ */
+class SentCall(
+    val call: Call,
+    val kind: CallKind,
+    val organisation: String,
+    val node: String,
+    val sentMillis: Long,
+    val takeUp: TakeUp? = null,
+) {
     var result: CallResult? = null
 
+    /** The call that brought the first event of the stream. */
+    val beginning: SentCall
+        get() = takeUp?.beginning ?: this
+
+    /** The software versions of the received events, by the numbers of the events. */
+    val versions: Map<Int, String>
+        get() = ResponseContent.versions(result?.takeIf { kind.isStream }?.body.orEmpty())
+
     /** Runs in the order in which they started. */
     val runs = ArrayList<WorkerRun>()
 
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Soak.kt
@@ -49,17 +49,21 @@
         val checks = CallChecks(ledger, fleet.disturbances)
         checks.check()
         checks.checkStops(injector.stops)
+        val resumption = VersionCheck(ledger, fleet.disturbances).check()
         val mustBeRefused = KeyCheck(ledger, fleet.disturbances).check(fleet.organisations.withdrawnMillis)
         DrainCheck(ledger, fleet.disturbances).check(injector.drains)
         checkRate()
         SubmissionChecks(fleet, submissions).check()
-        return createReport(mustBeRefused).also { File(settings.directory, "report.txt").writeText(it.toString()) }
+        return createReport(mustBeRefused, resumption).also {
+            File(settings.directory, "report.txt").writeText(it.toString())
+        }
     }
 
     private suspend fun injectFaults() {
         val plan = FaultPlan(random, settings.nodes)
         val endMillis = SoakFleet.now() + settings.seconds * MILLIS_PER_SECOND
         scope.launch { injectLinkFaults(endMillis) }
+        scope.launch { injectReleases(endMillis) }
         if (settings.secondResponses > 0) scope.launch { injectSecondResponseFaults(endMillis) }
         while (SoakFleet.now() < endMillis) {
             delay(plan.nextPauseMillis())
@@ -74,6 +78,11 @@
         injectUntil(endMillis, plan::nextPauseMillis, plan::next)
     }
 
+    private suspend fun injectReleases(endMillis: Long) {
+        val plan = ReleasePlan(Random(settings.seed + RELEASE_SEED_OFFSET))
+        injectUntil(endMillis, plan::nextPauseMillis, plan::next)
+    }
+
     private suspend fun injectSecondResponseFaults(endMillis: Long) {
         val plan = SecondResponseFaultPlan(Random(settings.seed + SECOND_RESPONSE_SEED_OFFSET))
         injectUntil(endMillis, plan::nextPauseMillis, plan::next)
@@ -105,12 +114,13 @@
         }
     }
 
-    private fun createReport(mustBeRefused: Int) = SoakReport(
+    private fun createReport(mustBeRefused: Int, resumption: Resumption) = SoakReport(
         settings = settings,
         faults = injector.history.toList(),
         statuses = ledger.calls.groupingBy { it.result?.status }.eachCount(),
         served = ledger.calls.count { it.result?.status == OK && it.result?.isComplete == true },
         mustBeRefused = mustBeRefused,
+        resumption = resumption,
         submissions = ledger.submissions.size,
         accepted = ledger.submissions.count { it.acceptedMillis != null },
         violations = ledger.violations.distinct(),
@@ -122,6 +132,7 @@
         // The store and the workers draw from the seed itself and the next one, the second responses from the third.
         const val LINK_SEED_OFFSET = 2
         const val SECOND_RESPONSE_SEED_OFFSET = 4
+        const val RELEASE_SEED_OFFSET = 5
         const val MILLIS_PER_SECOND = 1_000L
         const val LONGEST_FAULT_MILLIS = 12_000L
         const val LONGEST_CALL_MILLIS = 6_000L
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFault.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakFault.kt
@@ -47,6 +47,9 @@
     /** A worker leaves as planned and a new one starts. */
     data object WorkerDrain : SoakFault
 
+    /** Starts [count] workers of a newer software version. As many of the oldest workers leave after [millis]. */
+    data class Release(val count: Int, val millis: Long) : SoakFault
+
     /** A worker is slower for a while. */
     data class WorkerSlow(val paceMillis: Long, val millis: Long) : SoakFault
 
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakReport.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakReport.kt
@@ -6,6 +6,7 @@
  * What a soak did and found.
  *
  * @property statuses number of calls by the status that their callers received, null without one
+ * @property resumption the streams that callers have taken up
  * @property mustBeRefused calls with a withdrawn key that were sent late to nodes in touch
  */
 data class SoakReport(
@@ -14,6 +15,7 @@
     val statuses: Map<Int?, Int>,
     val served: Int,
     val mustBeRefused: Int,
+    val resumption: Resumption,
     val submissions: Int,
     val accepted: Int,
     val violations: List<Violation>,
@@ -27,6 +29,7 @@
         appendLine("$calls calls, $served served; $submissions submissions, $accepted accepted")
         appendLine("statuses: $statuses")
         appendLine("$mustBeRefused calls that had to be refused for a withdrawn key")
+        appendLine(resumption.toString())
         appendLine("${violations.size} violations")
         violations.groupingBy { it.promise }.eachCount().forEach { (promise, count) ->
             appendLine("$promise: $count, %.2f for each 1,000 calls".format(Locale.ROOT, count * THOUSAND / calls))
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
@@ -21,6 +21,7 @@
 ) {
     private val members = ArrayList<Member>()
     private var started = 0
+    private var newestVersion = 1
     private var sequence = 0
 
     /** Response faults that are in effect, each with the share of the requests that it affects. */
@@ -31,10 +32,10 @@
         get() = members.filter { it.isRunning && it.worker.isListening }.map { it.worker }
 
     /** Starts a worker of [service] at [port], or at any port if it is 0. */
-    suspend fun start(service: String, port: Int = 0): RegisteredWorker {
+    suspend fun start(service: String, port: Int = 0, softwareVersion: String = versionText()): RegisteredWorker {
         val id = "i-${started++}"
         val isEngine = service == SoakOrganisations.ENGINE_SERVICE
-        val worker = RegisteredWorker(vertx, id, isEngine, SLOTS, { chooseFault() }, ledger::onRun)
+        val worker = RegisteredWorker(vertx, id, softwareVersion, isEngine, SLOTS, { chooseFault() }, ledger::onRun)
         worker.listen(HOST, port)
         members += Member(worker, service, ZONES[started % ZONES.size])
         return worker
@@ -45,10 +46,32 @@
         crash(worker)
         removeEntry(worker)
         start((SERVICES - serviceOf(worker)).first(), worker.port)
-        start(serviceOf(worker))
+        startLike(worker)
         renewEntries()
     }
 
+    /** Starts a worker of the service and the software version of [worker]. */
+    suspend fun startLike(worker: RegisteredWorker): RegisteredWorker =
+        start(serviceOf(worker), softwareVersion = worker.softwareVersion)
+
+    /** Starts [count] workers with streams of the next software version. */
+    suspend fun release(count: Int) {
+        newestVersion++
+        repeat(count) { start(SoakOrganisations.ENGINE_SERVICE) }
+        renewEntries()
+    }
+
+    /** Number of workers with streams of [softwareVersion] that accept requests. */
+    fun servingEngines(softwareVersion: String): Int =
+        engines().count { it.softwareVersion == softwareVersion && !it.isLeaving }
+
+    /** The [count] workers with streams that were started first. */
+    fun oldestEngines(count: Int): List<RegisteredWorker> = engines().filter { !it.isLeaving }.take(count)
+
+    private fun engines() = running.filter { serviceOf(it) == SoakOrganisations.ENGINE_SERVICE }
+
+    private fun versionText() = "v$newestVersion"
+
     /** Renews the entries of all running workers. */
     fun renewEntries() {
         sequence++
@@ -84,7 +107,15 @@
     private fun writeEntry(member: Member) {
         val address = "$HOST:${member.worker.port}"
         val entry =
-            OperatorRecords.worker(member.service, address, member.zone, SLOTS, member.isDraining, sequence)
+            OperatorRecords.worker(
+                member.service,
+                member.worker.softwareVersion,
+                address,
+                member.zone,
+                SLOTS,
+                member.isDraining,
+                sequence,
+            )
         store.put(OperatorRecords.WORKER_TOPIC, member.worker.id, entry)
     }
 
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SubmissionChecks.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SubmissionChecks.kt
@@ -46,11 +46,7 @@
         val item = submission.items.find { it.id == entry.id }
             ?: return report(submission, "result of ${entry.id}, which is no item")
         if (entry.state == "complete") {
-            if (entry.output !=
-                ResponseContent.output(item.id)
-            ) {
-                report(submission, "other output of ${item.id}: ${item.runs.map { it.fault }}")
-            }
+            checkOutput(submission, item, entry.output)
         } else if (!submission.isEndRequested &&
             item.runs.count { it.status == FAILED } < SoakOrganisations.MAXIMUM_ATTEMPTS
         ) {
@@ -58,6 +54,13 @@
         }
     }
 
+    private fun checkOutput(submission: SentSubmission, item: SentItem, output: String) {
+        val versions = output.lines().map { it.substringAfterLast(' ') }.toSet()
+        if (item.runs.any { output == ResponseContent.output(item.id, it.softwareVersion) }) return
+        val promise = if (versions.size > 1) Promise.ONE_VERSION else Promise.ACCEPTED_SUBMISSION
+        ledger.report(promise, "other output of ${item.id} of ${submission.id}: ${item.runs.map { it.fault }}")
+    }
+
     private fun checkEnd(submission: SentSubmission) {
         val ended = submission.endedMillis ?: return
         val late = submission.items.flatMap { it.runs }.filter { it.startMillis > ended + CANCEL_MILLIS }
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/Violation.kt
@@ -35,6 +35,12 @@
     /** A stream has all events once and in order. */
     STREAM_ORDER,
 
+    /** A stream, over all calls of its caller, and a result hold events of one software version. */
+    ONE_VERSION,
+
+    /** Streams that callers take up go on while workers of their software version serve. */
+    RESUMED_STREAM,
+
     /** No organisation gets more than its rate and burst. */
     RATE_LIMIT,
 
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/CallChecksTest.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/CallChecksTest.kt
@@ -12,7 +12,7 @@
     FunSpec({
         val plain = ResponseContent.plain(ID)
         val failure = ResponseContent.failure(ID)
-        val stream = ResponseContent.eventsAfter(ID, after = 0)
+        val stream = ResponseContent.eventsAfter(ID, after = 0) { "v1" }
 
         data class Case(
             val name: String,
@@ -82,7 +82,7 @@
                     CallKind.RESUMABLE,
                     listOf(200),
                     200,
-                    ResponseContent.eventsAfter(ID, after = 2),
+                    ResponseContent.eventsAfter(ID, after = 2) { "v1" },
                     resumeAfter = 2,
                     expected = null,
                 ),
--- a/verification/src/test/kotlin/org/poplarshift/verification/soak/WorkerRuns.kt
+++ b/verification/src/test/kotlin/org/poplarshift/verification/soak/WorkerRuns.kt
@@ -9,6 +9,7 @@
 internal fun workerRun(
     requestId: String = "id",
     worker: String = "worker",
+    softwareVersion: String = "v1",
     stamp: String = "stamp",
     startMillis: Long = 0,
     isEngine: Boolean = false,
@@ -16,6 +17,7 @@
     request: ReceivedRequest = ReceivedRequest("GET", "/x", MultiMap.caseInsensitiveMultiMap(), ByteArray(0)),
 ) = WorkerRun(
     worker = worker,
+    softwareVersion = softwareVersion,
     requestId = requestId,
     stamp = stamp,
     startMillis = startMillis,
