Remove the records of versions whose workers have left

Records of software versions stayed in the log for ever, so that after the first release more than one version of a service was recorded, and origins had to be reported for each stream.

That no worker of a version has been registered for 30 s does not make a removal safe: a node that is cut off from the log goes on to use the workers that it knows. One node therefore marks the record as retiring after 10 s without a registered worker, if another version has workers; no stream begins at a marked version, and a node that sees a worker of it writes the record anew. Each node states that it has observed the mark 30 s after it has read it. The record is removed when all nodes that have announced themselves in the last hour have stated that, by an append that the log executes only if nothing was appended since (PartitionedLog.appendAt, the store's `at`). A node lets streams begin only once its own member record is in the log.

Refuted: usable before the acknowledgement, removal without statements, statements without the wait, unconditional removal, nodes that are not announced.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -9,7 +9,6 @@
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.OrganisationWeights
 import org.poplarshift.core.dispatch.RateLimitShares
-import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
@@ -156,9 +155,7 @@
     )
     private val registry: WorkerRegistry =
         WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
-    private val versionRecords: VersionRecords = VersionRecords(tasks, clock, log) {
-        registry.known.mapTo(HashSet()) { StreamOrigin(it.service, it.softwareVersion) }
-    }
+    private val versionRecords: VersionRecords = VersionRecords(tasks, clock, log, settings.name, registry)
     private val contentCache = ContentCache(settings.contentCacheBytes)
     private val store =
         SubmissionStore(tasks, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
@@ -219,14 +216,12 @@
 
     /** Starts the background tasks and the servers. */
     suspend fun start(): ListeningPorts {
-        followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
-        store.partitions.forEach {
-            tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { it.follower.run() }
-        }
+        launchFollowers()
         // Without its record, other nodes do not ask this one for slots, and it holds no share of rate limits.
         tasks.launch("members", setOf(NodeDuty.CALLERS)) { members.run() }
         tasks.launch("rate limit shares") { shareGuard.run() }
         tasks.launch("registry", ALL_DUTIES) { registry.run() }
+        tasks.launch("version removal") { versionRecords.run() }
         tasks.launch("maintenance") { runMaintenance() }
         tokenSource.serve(peerServer, rateLimiter::lend)
         schedulerHost.serve(peerServer)
@@ -250,6 +245,13 @@
         return ListeningPorts(callersPort, readinessPort)
     }
 
+    private fun launchFollowers() {
+        followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
+        store.partitions.forEach {
+            tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { it.follower.run() }
+        }
+    }
+
     /**
      * Reports the node as not ready, releases its batch partitions and returns once all requests of callers have ended,
      * at the latest after the configured drain time.
@@ -303,7 +305,10 @@
         override fun onRecord(record: LogRecord) = when {
             crashTracker.isStrikeKey(record.key) -> crashTracker.onRecord(record)
             versionRecords.isVersionKey(record.key) -> versionRecords.onRecord(record)
-            else -> members.onRecord(record)
+            else -> {
+                members.onRecord(record)
+                versionRecords.onRecord(record)
+            }
         }
 
         override fun onCaughtUp() {
--- a/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/fleet/WorkerRegistry.kt
@@ -4,10 +4,12 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.core.dispatch.LoadBalancer
+import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.log.LogRecord
 import org.poplarshift.serving.log.RecordReceiver
 import org.poplarshift.serving.log.TopicFollower
+import org.poplarshift.serving.stream.RegisteredVersions
 
 /** The outcome of decoding a worker's record. */
 sealed interface WorkerResult {
@@ -32,7 +34,8 @@
     private val clock: MonotonicClock,
     private val decode: (String, ByteArray) -> WorkerResult,
     private val onChange: () -> Unit,
-) : RecordReceiver {
+) : RecordReceiver,
+    RegisteredVersions {
     private val workers = LinkedHashMap<String, FleetWorker>()
     private val expiredAtMillis = HashMap<String, Long>()
     private var isChanged = false
@@ -44,6 +47,12 @@
     val known: Collection<FleetWorker>
         get() = workers.values
 
+    override val origins: Set<StreamOrigin>
+        get() = known.mapTo(HashSet()) { StreamOrigin(it.service, it.softwareVersion) }
+
+    override val asOfMillis: Long
+        get() = follower.upToDateMillis
+
     override fun onRestart() {
         // Entries that still exist are delivered next. All others are treated as expired.
         val now = clock.millis()
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/PartitionedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/PartitionedLog.kt
@@ -11,6 +11,12 @@
     /** Appends all of [records] or none of them. A record with an empty value removes its key. */
     suspend fun append(topic: String, partition: Int, records: List<KeyedValue>): AppendResult
 
+    /**
+     * Appends all of [records] if the partition ends at offset [end]; otherwise none of them, and the result is
+     * [AppendResult.Refused]. If the outcome is unknown, the condition still holds for a later execution.
+     */
+    suspend fun appendAt(topic: String, partition: Int, records: List<KeyedValue>, end: Long): AppendResult
+
     /** Returns the records from offset [from] on. Waits up to [waitMillis] for the first one. */
     suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
@@ -47,6 +47,10 @@
     override suspend fun append(topic: String, partition: Int, records: List<KeyedValue>): AppendResult =
         appendDirectlyOrRelayed(topic, partition, records).also { isServed = it is AppendResult.Appended }
 
+    // Not relayed: another node tries again when this one does not reach the log.
+    override suspend fun appendAt(topic: String, partition: Int, records: List<KeyedValue>, end: Long): AppendResult =
+        direct.appendAt(topic, partition, records, end)
+
     override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult =
         readDirectlyOrRelayed(topic, partition, from, waitMillis).also { isServed = it !is ReadResult.Unavailable }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/quarantine/NodeRecordWriter.kt
@@ -49,7 +49,7 @@
             if (result !is AppendResult.Appended) hasUnwrittenChanges = true
         }
         if (result is AppendResult.Appended) return
-        logger.info { "quarantine: writing the record $key failed, trying again: $result" }
+        logger.info { "log: writing the record $key failed, trying again: $result" }
         delay(RETRY_MILLIS)
     }
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ServingNodeTest.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.fixture.TestFleet
+import org.poplarshift.serving.log.ReadResult
+import org.poplarshift.serving.stream.VersionRecordFormat
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against parts of a node that work alone but not together, from the start through requests to the shutdown. */
@@ -58,6 +60,19 @@
             }
         }
 
+        // Without the record no stream can begin at the worker.
+        test("a node records the software versions of the registered workers") {
+            withFleet { fleet ->
+                fleet.start("a")
+                fleet.startWorker("w", okResponse)
+                eventually(5.seconds) {
+                    val read = fleet.onEventLoop { fleet.log.read("members", 0, from = 0, waitMillis = 0) }
+                    val records = (read as ReadResult.Records).records
+                    records.count { VersionRecordFormat.isVersionKey(it.key) } shouldBe 1
+                }
+            }
+        }
+
         data class Case(val name: String, val owners: Int, val runs: Int)
         listOf(
             Case("a submission runs once and its results can be read at another node", owners = 1, runs = 2),
--- a/serving/src/test/kotlin/org/poplarshift/serving/stream/VersionRecordsTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/stream/VersionRecordsTest.kt
@@ -17,8 +17,8 @@
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.fixture.FakeLog
 import org.poplarshift.serving.log.AppendResult
-import org.poplarshift.serving.log.NewestResult
 import org.poplarshift.serving.log.PartitionedLog
+import org.poplarshift.serving.log.ReadResult
 import org.poplarshift.serving.log.TopicFollower
 
 /**
@@ -28,19 +28,39 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 class VersionRecordsTest :
     FunSpec({
-        class Node(private val scope: TestScope, log: PartitionedLog) {
+        class Node(
+            private val scope: TestScope,
+            private val topic: FakeLog,
+            log: PartitionedLog = topic,
+            private val name: String = "a",
+        ) : RegisteredVersions {
             private val clock = MonotonicClock { scope.currentTime }
-            private val registered = HashSet<StreamOrigin>()
+            override val origins = HashSet<StreamOrigin>()
+            override val asOfMillis: Long
+                get() = scope.currentTime
             private val tasks = BackgroundTasks(scope.backgroundScope, clock) {}
             val growth = ArrayList<String>()
-            val versions = VersionRecords(tasks, clock, log) { registered }.also { it.onGrowth(growth::add) }
+            val versions = VersionRecords(tasks, clock, log, name, this).also { it.onGrowth(growth::add) }
             val follower = TopicFollower(log, clock, TOPIC, 0, versions, waitMillis = 1_500, pauseMillis = 500)
                 .also { versions.attach(it) }
 
-            fun start() = apply { scope.backgroundScope.launch { follower.run() } }
+            fun announce() = apply {
+                scope.backgroundScope.launch {
+                    while (true) {
+                        topic.append(TOPIC, 0, listOf(KeyedValue(name, "member".encodeToByteArray())))
+                        delay(15_000)
+                    }
+                }
+            }
+
+            suspend fun start() = apply {
+                scope.backgroundScope.launch { follower.run() }
+                scope.backgroundScope.launch { versions.run() }
+                follower.awaitStart()
+            }
 
             fun register(origin: StreamOrigin) {
-                registered += origin
+                origins += origin
                 versions.onWorkersChanged()
             }
 
@@ -54,8 +74,9 @@
         }
 
         suspend fun FakeLog.recorded(): List<String> {
-            val page = newest(TOPIC, 0, afterKey = null) as NewestResult.Page
-            return page.records.mapNotNull { VersionRecordFormat.decode(it)?.softwareVersion }.sorted()
+            val all = (read(TOPIC, 0, from = 0, waitMillis = 0) as ReadResult.Records).records
+            return all.filter { VersionRecordFormat.isVersionKey(it.key) }.associateBy { it.key }.values
+                .filter { !it.isDeletion }.mapNotNull { VersionRecordFormat.decode(it)?.softwareVersion }.sorted()
         }
 
         class AppendCase(
@@ -91,12 +112,12 @@
                     val log = FakeLog()
                     val node = Node(
                         this,
+                        log,
                         object : PartitionedLog by log {
                             override suspend fun append(topic: String, partition: Int, records: List<KeyedValue>) =
                                 case.append(this@runTest) { log.append(topic, partition, records) }
                         },
-                    ).start()
-                    node.follower.awaitStart()
+                    ).announce().start()
                     backgroundScope.launch {
                         while (true) {
                             if (node.mayBegin(NEW)) log.recorded() shouldBe listOf("2")
@@ -121,8 +142,7 @@
             test("confirmed versions include one that another node has just recorded: ${case.name}") {
                 runTest {
                     val log = FakeLog()
-                    val nodes = List(2) { Node(this, log).start() }
-                    nodes.forEach { it.follower.awaitStart() }
+                    val nodes = List(2) { Node(this, log, name = "n$it").announce().start() }
                     nodes[0].register(OLD)
                     // Both followers pause after they have read the record.
                     nodes[1].awaitRecorded(OLD)
@@ -142,7 +162,7 @@
                 val log = FakeLog().apply { readDelayMillis = 20 }
                 val node = Node(this, log)
                 node.versions.confirmed(setOf("s")) shouldBe null
-                node.start().follower.awaitStart()
+                node.start()
                 var reads = 0
                 log.beforeCall = { if (it == "read $TOPIC") reads++ }
                 val first = async { node.versions.confirmed(setOf("s")) }
@@ -159,8 +179,7 @@
         test("a version stays recorded while the log is read anew, and is recorded again if its record is gone") {
             runTest {
                 val log = FakeLog()
-                val node = Node(this, log).start()
-                node.follower.awaitStart()
+                val node = Node(this, log).announce().start()
                 node.register(OLD)
                 node.awaitRecorded(OLD)
                 delay(100)
@@ -172,13 +191,58 @@
                     node.mayBegin(OLD) shouldBe true
                 }
                 node.versions.confirmed(setOf("s")) shouldBe setOf(OLD, NEW)
-                log.append(TOPIC, 0, listOf(KeyedValue(VersionRecordFormat.keyOf(OLD), ByteArray(0))))
+                log.append(TOPIC, 0, listOf(VersionRecordFormat.removal(OLD)))
                 delay(700)
                 log.recorded() shouldBe listOf("1", "2")
                 node.mayBegin(OLD) shouldBe true
                 node.growth shouldBe listOf("s", "s", "s")
             }
         }
+
+        // The record may be removed as soon as all nodes that have announced themselves have agreed.
+        test("streams do not begin at a node that has not announced itself") {
+            runTest {
+                val log = FakeLog()
+                val node = Node(this, log).start()
+                node.register(OLD)
+                delay(5_000)
+                node.versions.confirmed(setOf("s")) shouldBe setOf(OLD)
+                node.mayBegin(OLD) shouldBe false
+                node.announce().awaitRecorded(OLD) shouldBeInRange 0L..600
+            }
+        }
+
+        class RemovalCase(
+            val name: String,
+            val expected: List<String>,
+            val left: Set<StreamOrigin> = setOf(OLD),
+            val disturb: suspend FakeLog.() -> Unit = {},
+        )
+        listOf(
+            RemovalCase("all nodes read the log", listOf("2")),
+            RemovalCase("no other version is registered", listOf("1", "2"), left = setOf(OLD, NEW)),
+            RemovalCase("a node does not read the log", listOf("1", "2")) {
+                append(TOPIC, 0, listOf(KeyedValue("cut-off", "member".encodeToByteArray())))
+            },
+        ).forEach { case ->
+            test("the record of a version is removed when no stream that began there can be resumed: ${case.name}") {
+                runTest {
+                    val log = FakeLog()
+                    val nodes = List(3) { Node(this, log, name = "n$it").announce().start() }
+                    case.disturb(log)
+                    listOf(OLD, NEW).forEach { origin -> nodes.forEach { it.register(origin) } }
+                    nodes.forEach { it.awaitRecorded(OLD) }
+                    nodes.forEach { it.origins -= case.left }
+                    delay(30_000)
+                    log.recorded() shouldBe listOf("1", "2")
+                    delay(60_000)
+                    log.recorded() shouldBe case.expected
+                    nodes.forEach { it.versions.recorded("s") shouldBe case.expected.toSet() }
+                    nodes[1].register(OLD)
+                    nodes[1].awaitRecorded(OLD) shouldBeInRange 0L..100
+                }
+            }
+        }
     }) {
     private companion object {
         const val TOPIC = "members"
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/store/StoreStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/store/StoreStandIn.kt
@@ -77,10 +77,16 @@
         val current = faultsOf(caller)
         val partition = partition(context)
         val values = StoreFormat.decode(context.body().buffer() ?: Buffer.buffer())
+        val at = context.queryParam("at").firstOrNull()?.toLong()
         if (random.nextDouble() < current.lateShare) {
-            vertx.setTimer(random.nextLong(1, StoreFaults.LATEST_MILLIS)) { partition.append(values) }
+            vertx.setTimer(random.nextLong(1, StoreFaults.LATEST_MILLIS)) {
+                if (at == null || at == partition.end) partition.append(values)
+            }
             return
         }
+        if (at != null && at != partition.end) {
+            return later(caller) { context.respond(End(partition.end), PRECONDITION_FAILED) }
+        }
         val offset = partition.append(values)
         if (random.nextDouble() < current.lostShare) return
         later(caller) { context.respond(AppendAnswer(offset, partition.end)) }
@@ -144,6 +150,9 @@
     @Serializable
     private data class AppendAnswer(val offset: Long, val end: Long)
 
+    @Serializable
+    private data class End(val end: Long)
+
     @Serializable
     private data class Gone(val first: Long)
 
@@ -166,6 +175,7 @@
         val json = Json { ignoreUnknownKeys = true }
         const val TOO_MANY_REQUESTS = 429
         const val GONE = 410
+        const val PRECONDITION_FAILED = 412
         const val MAXIMUM_READ_BYTES = 1024 * 1024
 
         // Smaller than the platform's pages, so that a short run reads several.
