--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -9,7 +9,6 @@
 import org.poplarshift.core.dispatch.LoadBalancer
 import org.poplarshift.core.dispatch.OrganisationWeights
 import org.poplarshift.core.dispatch.RateLimitShares
-import org.poplarshift.core.stream.StreamOrigin
 import org.poplarshift.serving.fleet.ConfigurationHolder
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
@@ -118,9 +117,9 @@
     private val shareGuard = ShareGuard(clock, settings.zone, members, shares, tokenSource::isResponding) {
         rateLimiter.updateShares()
     }
-    private val versionRecords: VersionRecords = VersionRecords(tasks, clock, log) {
-        registry.known.mapTo(HashSet()) { StreamOrigin(it.service, it.softwareVersion) }
-    }
+    private val registry: WorkerRegistry =
+        WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
+    private val versionRecords: VersionRecords = VersionRecords(tasks, clock, log, settings.name, registry)
     private val streamOriginPeers = HttpStreamOriginPeers(peerClient)
     private val streamOrigins: ReplicatedStreamOrigins = ReplicatedStreamOrigins(
         tasks,
@@ -180,8 +179,6 @@
         ResponseMemory(ForwardingContext.RESPONSE_MEMORY_BYTES, clients.account),
         tokensPerEvent = ::tokensPerEvent,
     )
-    private val registry: WorkerRegistry =
-        WorkerRegistry(loadBalancer, clock, ports::decodeWorker) { onWorkersChanged() }
     private val contentCache = ContentCache(settings.contentCacheBytes)
     private val store =
         SubmissionStore(tasks, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
@@ -242,12 +239,12 @@
 
     /** Starts the background tasks and the servers. */
     suspend fun start(): ListeningPorts {
-        followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
-        store.partitions.forEach { tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { follow(it) } }
+        launchFollowers()
         // Without its record, other nodes do not ask this one for slots, and it holds no share of rate limits.
         tasks.launch("members", setOf(NodeDuty.CALLERS)) { members.run() }
         tasks.launch("rate limit shares") { shareGuard.run() }
         tasks.launch("registry", ALL_DUTIES) { registry.run() }
+        tasks.launch("version removal") { versionRecords.run() }
         tasks.launch("maintenance") { runMaintenance() }
         tasks.launch("stream origins") { streamOrigins.run() }
         servePeers()
@@ -276,6 +273,13 @@
         streamOriginPeers.serve(peerServer, streamOrigins::store, streamOrigins::findLocally)
         relay.serve(peerServer, ports.log)
         peerServer.listen(settings.peerAddress)
+    }
+
+    private fun launchFollowers() {
+        followers.forEach { tasks.launch("follower of ${it.topic}", ALL_DUTIES) { it.run() } }
+        store.partitions.forEach { tasks.launch("follower of submissions ${it.number}", ALL_DUTIES) { follow(it) } }
+    }
+
     // Callers can be served before the submissions, whose topic is by far the largest, have been read.
     private suspend fun follow(partition: SubmissionPartition) {
         followers.forEach { it.awaitStart() }
@@ -308,7 +312,7 @@
         get() = !callerServer.isShuttingDown &&
             configuration.current != null &&
             registry.known.isNotEmpty() &&
-            versionRecords.isRead &&
+            versionRecords.isReady &&
             NodeDuty.CALLERS !in tasks.suspendedDuties
 
     private fun readinessStatus(): Int = if (isReady) OK else UNAVAILABLE
@@ -336,7 +340,10 @@
         override fun onRecord(record: LogRecord) = when {
             crashTracker.isStrikeKey(record.key) -> crashTracker.onRecord(record)
             versionRecords.isVersionKey(record.key) -> versionRecords.onRecord(record)
-            else -> members.onRecord(record)
+            else -> {
+                members.onRecord(record)
+                versionRecords.onRecord(record)
+            }
         }
 
         override fun onCaughtUp() {
