Recognise a worker that restarts while a request is being sent, and replicate origins while the log is away

A worker that restarts under its id gets a new state, so that the comparison of the version of a slot with that of its state compared the old state with itself, and a stream could be joined while a connection was being made. And with one recorded version no other node held the origin of a stream, so that each one that a caller resumed while the log could not be read was refused.

A state that the registry has replaced is marked. Origins are replicated also while a follower of the node fails to read the log, with those of the last seconds when that begins. StreamVersionTest (1 of 9) and ReplicatedStreamOriginsTest (1 of 60) fail without the two changes.

--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/LoadBalancer.kt
@@ -65,10 +65,12 @@
     /** Replaces the set of registered workers. The state of workers that remain is kept unless they have restarted. */
     fun update(workers: Collection<FleetWorker>) {
         val ids = workers.map { it.id }.toSet()
+        statesById.values.filter { it.worker.id !in ids }.forEach { it.isReplaced = true }
         statesById.keys.retainAll(ids)
         for (worker in workers) {
             val existing = statesById[worker.id]
             if (existing == null || existing.worker.startedMillis != worker.startedMillis) {
+                existing?.isReplaced = true
                 statesById[worker.id] = newState(worker)
             } else {
                 existing.worker = worker
--- a/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/dispatch/WorkerState.kt
@@ -54,6 +54,10 @@
     var isEvacuated = false
         internal set
 
+    /** Whether the registry does not list this start of the worker any more: it has restarted or is gone. */
+    var isReplaced = false
+        internal set
+
     /** Whether the worker accepts new requests. */
     val isAvailable: Boolean
         get() = !worker.isDraining && !isLeaving && !isSuspect && !isEvacuated
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -190,7 +190,7 @@
         var connection: WorkerConnection? = null
         try {
             connection = connectTo(target.worker)
-            if (connection == null || slot.hasOtherVersion) {
+            if (connection == null || slot.mayHaveOtherVersion) {
                 outcome = if (connection == null) SlotOutcome.UNREACHABLE else SlotOutcome.UNUSED
                 return notSent(target, isConnected = connection != null)
             }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/Dispatcher.kt
@@ -71,9 +71,9 @@
     /** Version of the worker's software when the slot was assigned, which meets [DispatchRequest.versions]. */
     val softwareVersion = target.worker.softwareVersion
 
-    /** Whether the registry states another software version since then. */
-    val hasOtherVersion: Boolean
-        get() = target.worker.softwareVersion != softwareVersion
+    /** Whether the worker may run another software version, because its registry entry has changed since then. */
+    val mayHaveOtherVersion: Boolean
+        get() = target.isReplaced || target.worker.softwareVersion != softwareVersion
 
     /** Whether a batch item uses the slot. */
     val isBatch = use != SlotUse.ONLINE
--- a/serving/src/main/kotlin/org/poplarshift/serving/stream/ReplicatedStreamOrigins.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/stream/ReplicatedStreamOrigins.kt
@@ -18,9 +18,11 @@
  * Remembers the origins of streams at the nodes that begin them and, while the log records several versions of the
  * services of a route, at a few other nodes.
  *
- * Nothing is exchanged while there is only one version, because the log then determines the origin of all streams.
+ * Nothing is exchanged while there is only one version and the log can be read, because it then determines the origin of
+ * all streams.
  *
  * @param servicesBeside returns the services at which a stream may begin whose route has the given service
+ * @param isLogDisturbed returns whether this node can't read the log at present
  */
 class ReplicatedStreamOrigins(
     private val tasks: BackgroundTasks,
@@ -30,6 +32,7 @@
     private val peers: StreamOriginPeers,
     private val recorder: StreamOriginRecorder,
     private val servicesBeside: (service: String) -> Set<String> = { setOf(it) },
+    private val isLogDisturbed: () -> Boolean = { false },
 ) : StreamOrigins {
     private class Answer(val origin: StreamOrigin, val source: StreamOriginSource)
 
@@ -73,13 +76,8 @@
     private suspend fun findElsewhere(stream: String?, services: Set<String>): Answer? {
         val fromReplicas = flow { if (stream != null) emit(askReplicas(stream)) }
         val fromLog = flow { emit(askLog(services)) }
-        val answers = if (recordedVersions(services) <=
-            1
-        ) {
-            merge(fromReplicas, fromLog)
-        } else {
-            fromReplicas.followedBy(fromLog)
-        }
+        val hasOneVersion = recordedVersions(services) <= 1
+        val answers = if (hasOneVersion) merge(fromReplicas, fromLog) else fromReplicas.followedBy(fromLog)
         return answers.filterNotNull().firstOrNull()
     }
 
@@ -117,8 +115,11 @@
 
     /** Detects restarts of the replicas until cancelled. */
     suspend fun run() {
+        var wasDisturbed = false
         while (true) {
             delay(MAINTENANCE_INTERVAL_MILLIS)
+            if (isLogDisturbed() && !wasDisturbed) onServicesChanged()
+            wasDisturbed = isLogDisturbed()
             listOf(begun, held).forEach { it.expire(clock.millis()) }
             if (replicatedOrigins().isNotEmpty()) replicators.values.forEach { it.probe(PROBE_AFTER_MILLIS) }
         }
@@ -130,7 +131,8 @@
         return recent.filterValues { it in replicated }
     }
 
-    private fun isReplicated(origin: StreamOrigin) = recordedVersions(servicesBeside(origin.service)) > 1
+    private fun isReplicated(origin: StreamOrigin) =
+        isLogDisturbed() || recordedVersions(servicesBeside(origin.service)) > 1
 
     private fun recordedVersions(services: Set<String>): Int = services.sumOf { versions.recorded(it).size }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/stream/StreamOriginRecorder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/stream/StreamOriginRecorder.kt
@@ -16,7 +16,7 @@
                 "stream" to stream,
                 "source" to source.name.lowercase(),
                 "service" to origin?.service,
-                "version" to origin?.softwareVersion,
+                "software_version" to origin?.softwareVersion,
                 "duration_ms" to durationMillis,
             )
         }
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/StreamVersionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/StreamVersionTest.kt
@@ -49,6 +49,7 @@
             val resumeAfter: Long? = null,
             val origin: StreamOrigin? = null,
             val changedVersion: String? = null,
+            val changedStartMillis: Long = 1,
             val expected: String,
             val isComplete: Boolean,
             val received: List<Int>,
@@ -120,12 +121,24 @@
                 received = listOf(0, 1),
                 begun = listOf("id" to old),
             ),
+            Case(
+                "is not sent to a worker whose entry states another version after it was assigned",
+                listOf(Worker("old", whole("new"))),
+                resumeAfter = 1,
+                origin = old,
+                changedVersion = "new",
+                expected = "Refused(reason=workers_full, retryMillis=null)",
+                isComplete = false,
+                received = listOf(0),
+                begun = emptyList(),
+            ),
             Case(
                 "is not sent to a worker that restarts with another version after it was assigned",
                 listOf(Worker("old", whole("new"))),
                 resumeAfter = 1,
                 origin = old,
                 changedVersion = "new",
+                changedStartMillis = 2,
                 expected = "Refused(reason=workers_full, retryMillis=null)",
                 isComplete = false,
                 received = listOf(0),
@@ -155,7 +168,10 @@
                 val origins = FakeStreamOrigins(unrecorded = setOf("unrecorded"))
                 val dispatcher = FakeDispatcher(loadBalancer, origins::isRecorded) {
                     case.changedVersion?.let { version ->
-                        loadBalancer.update(entries.map { it.copy(softwareVersion = version) })
+                        val changed = entries.map {
+                            it.copy(softwareVersion = version, startedMillis = case.changedStartMillis)
+                        }
+                        loadBalancer.update(changed)
                     }
                 }
                 val forwarding = TestForwarding.of(vertx, scope, loadBalancer, dispatcher, origins, registry)
--- a/serving/src/test/kotlin/org/poplarshift/serving/stream/ReplicatedStreamOriginsTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/stream/ReplicatedStreamOriginsTest.kt
@@ -43,6 +43,11 @@
             Case("by the log with one version without its id", origin, stream = null) {},
             Case("not without its id with two versions", null, stream = null, before = both) {},
             Case("not with one version and the log away", null) { withoutLog += "c3" },
+            Case("at a replica with one version after all nodes have lost the log", origin) {
+                withoutLog += nodes.keys
+                delay(1_000)
+                nodes.getValue("a3").restart()
+            },
             Case("not by a view that lacks the second version", null) { recorded += "2" },
             Case("at a replica", origin, before = both) { nodes.getValue("a3").restart() },
             Case("at a replica of a route with two services", origin, services = setOf("service", "other")) {
