Keep late pages of large topics from diverting short calls, and their limits from falling at refusals

Found by the review, by reading. A page that reached its time limit was requested from another node as well, with a limit of 600 ms, and all other calls of the node went through other nodes for a second. A refusal of the log after 3 ms reset the limit of pages to its minimum. A page could be cut after 5 s because another call had replaced the connections.

RelayedLogTest (1 of 6) fails without the first.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -94,7 +94,7 @@
         isRestricted = { configuration.current?.hasAllowedRegions == true },
     ) { members.peers }
     private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock, relayPeers::forTopic)
-    private val log = RelayedLog(ports.log, relay, clock)
+    private val log = RelayedLog(ports.log, relay, clock, largeTopics = setOf(settings.submissionTopic))
     private val members: FleetMembers = FleetMembers(
         log,
         clock,
@@ -129,6 +129,7 @@
         streamOriginPeers,
         StreamOriginRecorder(metrics),
         servicesBeside = { configuration.current?.servicesBeside(it) ?: setOf(it) },
+        isLogDisturbed = { followers.any { it.isFailing } },
     )
     private val tokenGate = TokenGate(tasks, clock, rateLimiter)
     private val configuration: ConfigurationHolder =
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/AdaptiveTimeout.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/AdaptiveTimeout.kt
@@ -16,9 +16,9 @@
         millis = minOf(millis * 2, maximumMillis)
     }
 
-    /** Records that a call was answered after [durationMillis]. */
+    /** Records that a call was answered after [durationMillis]. A single fast answer at most halves the limit. */
     fun onAnswer(durationMillis: Long) {
-        millis = (durationMillis * ANSWER_MARGIN).coerceIn(minimumMillis, maximumMillis)
+        millis = maxOf(durationMillis * ANSWER_MARGIN, millis / 2).coerceIn(minimumMillis, maximumMillis)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/PageGate.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/PageGate.kt
@@ -22,6 +22,6 @@
 
     private companion object {
         const val PAUSE_FACTOR = 3
-        const val MAXIMUM_PAUSE_MILLIS = 5_000L
+        const val MAXIMUM_PAUSE_MILLIS = 2_000L
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
@@ -25,9 +25,15 @@
  *
  * Without the relay, a node that can't reach the log would serve with an outdated configuration. Items that it has
  * completed would run again on other nodes, because it could not record their results.
+ *
+ * @param largeTopics topics whose pages are large and are read directly only
  */
-class RelayedLog(private val direct: PartitionedLog, private val relay: LogRelay, private val clock: MonotonicClock) :
-    PartitionedLog {
+class RelayedLog(
+    private val direct: PartitionedLog,
+    private val relay: LogRelay,
+    private val clock: MonotonicClock,
+    private val largeTopics: Set<String> = emptySet(),
+) : PartitionedLog {
     private var bypassUntilMillis = Long.MIN_VALUE
 
     override val maximumValueBytes: Int
@@ -54,8 +60,12 @@
     override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult =
         readDirectlyOrRelayed(topic, partition, from, waitMillis).also { isServed = it !is ReadResult.Unavailable }
 
-    override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult =
-        newestDirectlyOrRelayed(topic, partition, afterKey).also { isServed = it is NewestResult.Page }
+    override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult {
+        // A page that is late was delayed by the pages of other nodes. A relay would make the log send it once more, and
+        // it says nothing about short calls.
+        if (topic in largeTopics) return direct.newest(topic, partition, afterKey)
+        return newestDirectlyOrRelayed(topic, partition, afterKey).also { isServed = it is NewestResult.Page }
+    }
 
     private suspend fun appendDirectlyOrRelayed(
         topic: String,
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -116,7 +116,7 @@
     private suspend fun call(request: Request, timeoutMillis: Long): Response? {
         val body = Json.encodeToString(Request.serializer(), request)
         var refused: Response? = null
-        for (peer in candidates(request)) {
+        for (peer in candidates(request.topic)) {
             val response = client.post(peer, PATH, body, timeoutMillis)
                 ?.let { PeerMessages.decode(Response.serializer(), it, COMPONENT) }
             if (response == null) reachability.onFailure(peer.name)
@@ -132,12 +132,11 @@
         return refused
     }
 
-    // Each node that relays a page makes the log send it once more.
-    private fun candidates(request: Request): List<FleetMember> = peers(request.topic)
+    private fun candidates(topic: String): List<FleetMember> = peers(topic)
         .filter { !reachability.isSuspect(it.name) }
         .shuffled()
         .sortedBy { it.name != lastPeer }
-        .take(if (request is Request.Newest) 1 else MAXIMUM_PEERS_PER_CALL)
+        .take(MAXIMUM_PEERS_PER_CALL)
 
     private suspend fun execute(request: Request, log: PartitionedLog): Response = when (request) {
         is Request.Append -> {
--- a/serving/src/test/kotlin/org/poplarshift/serving/log/RelayedLogTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/log/RelayedLogTest.kt
@@ -98,4 +98,14 @@
             relay.calls shouldBe 4
             log.isReachable shouldBe true
         }
+
+        test("a page of a large topic that is late is not relayed and does not divert other calls") {
+            val relay = FakeRelay(FakeLog())
+            val direct = FakeLog().apply { downTopics += "large" }
+            val log = RelayedLog(direct, relay, MonotonicClock { 0 }, largeTopics = setOf("large"))
+            log.newest("large", 0, afterKey = null) shouldBe NewestResult.Unavailable("down")
+            log.read("topic", 0, from = 0, waitMillis = 0)
+            log.isReachable shouldBe true
+            relay.calls shouldBe 0
+        }
     })
