Keep the contents of submissions out of the topic that all nodes follow

Cause: every node read the bodies and outputs of all items, so that the log sent each content to every node, and again at every start, in pages that timed out after 1, 2 and 4 s behind each other.

Bodies and outputs over 256 bytes go to a topic of their own that no node follows. The followed records state where they are. A content is read by the node that runs the item or answers for it, one record at a time where the log can limit a read. Contents are removed before the records that name them.

--- a/core/src/main/kotlin/org/poplarshift/core/submission/RecordAssembler.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/RecordAssembler.kt
@@ -31,15 +31,22 @@
         if (assembled.parts.any { it == null }) return null
         partial.remove(partKey.id)
         headerExtractor.remove(partKey.id)
-        val header = RecordFormat.decodeHeader(assembled.heads.filterNotNull())
+        val heads = assembled.heads.filterNotNull()
+        val header = RecordFormat.decodeHeader(heads)
         val parts = assembled.parts.filterNotNull()
-        val content = RecordContent.of(parts, header.bytes, parts.sumOf { it.bytes } - header.bytes)
+        val content = if (partKey.isReference) {
+            val places = RecordFormat.decodePlaces(partKey.id, heads, header.bytes)
+            RecordContent.of(places, start = 0, places.sumOf { it.bytes })
+        } else {
+            RecordContent.of(parts, header.bytes, parts.sumOf { it.bytes } - header.bytes)
+        }
         return AssembledRecord(partKey.id, parts.map { it.key }, header.record, content)
     }
 
     /** Returns the beginning of [value] that [add] needs. The first part of a record must be passed first. */
     fun shorten(key: String, value: ByteArray, valueBytes: Int = value.size): ByteArray {
         val partKey = PartKey.parse(key) ?: return value
+        if (partKey.isReference) return value
         return headerExtractor.extract(partKey, value, valueBytes)
     }
 }
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
@@ -16,6 +16,9 @@
     // because the deletion may fail.
     private val obsoleteKeys = LinkedHashSet<String>()
 
+    // Keys of their contents by the ids of the records.
+    private val obsoleteContentKeys = LinkedHashMap<String, List<String>>()
+
     /** Accepted submissions in the order in which they were accepted. */
     val submissions: Collection<SubmissionState>
         get() = submissionsById.values
@@ -53,6 +56,10 @@
     fun keysToRemove(ids: Collection<String>): List<String> =
         obsoleteKeys.toList() + ids.mapNotNull { submissionsById[it] }.flatMap { it.keys }
 
+    /** Returns the keys to delete from the topic of contents before those that [keysToRemove] returns are deleted. */
+    fun contentKeysToRemove(ids: Collection<String>): List<String> =
+        obsoleteContentKeys.values.flatten() + ids.mapNotNull { submissionsById[it] }.flatMap { it.contentKeys }
+
     /**
      * Applies the deletion of [key] from the log.
      *
@@ -60,6 +67,7 @@
      */
     fun onKeyDeleted(key: String): SubmissionState? {
         obsoleteKeys -= key
+        PartKey.parse(key)?.let { obsoleteContentKeys.remove(it.id) }
         val removed = submissionsByFirstKey.remove(key)?.let { submissionsById.remove(it) } ?: return null
         obsoleteKeys += removed.keys.filter { it != key }
         val open = removed.items.filter { !it.hasResult && !removed.isEnded }.sumOf { it.proposed.tokens }
@@ -70,7 +78,7 @@
     private fun propose(record: SubmissionRecord.Proposed, content: RecordContent, keys: List<String>): LedgerEffect {
         val existing = submissionsById[record.submission]
         if (existing != null) {
-            existing.keys += keys
+            existing.add(keys, content)
             return if (existing.proposal.organisation ==
                 record.organisation
             ) {
@@ -82,10 +90,12 @@
         val tokens = record.items.sumOf { it.tokens }
         if (!fits(record.organisation, record.route, tokens, record.waitingTokensLimit)) {
             obsoleteKeys += keys
+            content.separateKeys().takeIf { it.isNotEmpty() }
+                ?.let { obsoleteContentKeys[keys.first().substringBefore(':')] = it }
             return LedgerEffect.Rejected
         }
         val state = SubmissionState(record, content)
-        state.keys += keys
+        state.add(keys, content)
         submissionsById[record.submission] = state
         submissionsByFirstKey[keys.first()] = record.submission
         waitingTokens.merge(record.organisation to record.route, tokens, Long::plus)
@@ -94,7 +104,7 @@
 
     private fun addResult(record: SubmissionRecord.Result, content: RecordContent, keys: List<String>): LedgerEffect {
         val state = submissionsById[record.submission] ?: return LedgerEffect.Unknown
-        state.keys += keys
+        state.add(keys, content)
         val item = state.item(record.item) ?: return LedgerEffect.Unknown
         if (item.hasResult) return LedgerEffect.Duplicate
         if (!state.isEnded) releaseTokens(state, item.proposed.tokens)
@@ -108,7 +118,7 @@
         keys: List<String>,
     ): LedgerEffect {
         val state = submissionsById[record.submission] ?: return LedgerEffect.Unknown
-        state.keys += keys
+        state.add(keys, content)
         val item = state.item(record.item) ?: return LedgerEffect.Unknown
         val progress = ItemProgress(record.lastEvent, record.origin, content)
         if (item.hasResult || item.progress?.isReplacedBy(progress) == false) return LedgerEffect.Duplicate
@@ -125,6 +135,13 @@
         return LedgerEffect.Ended(state)
     }
 
+    private fun SubmissionState.add(keys: List<String>, content: RecordContent) {
+        this.keys += keys
+        contentKeys += content.separateKeys()
+    }
+
+    private fun RecordContent.separateKeys(): List<String> = parts.filter { it.isSeparate }.map { it.key }
+
     private fun releaseTokens(state: SubmissionState, tokens: Long) {
         val account = state.proposal.organisation to state.proposal.route
         waitingTokens.merge(account, -tokens, Long::plus)
--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionState.kt
@@ -14,6 +14,9 @@
     /** Keys of all log records of the submission, needed to delete them. */
     internal val keys = ArrayList<String>()
 
+    /** Keys of the contents of the submission that are in a topic of their own, needed to delete them. */
+    internal val contentKeys = ArrayList<String>()
+
     init {
         var position = 0
         for (item in proposal.items) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -89,12 +89,13 @@
     private val peerServer = PeerServer(vertx, tasks, clients)
     private val relayPeers = RelayPeers(
         ownMember,
-        settings.submissionTopic,
+        setOf(settings.submissionTopic, settings.contentTopic),
         settings.zones,
         isRestricted = { configuration.current?.hasAllowedRegions == true },
     ) { members.peers }
     private val relay: PeerLogRelay = PeerLogRelay(peerClient, clock, relayPeers::forTopic)
-    private val log = RelayedLog(ports.log, relay, clock, largeTopics = setOf(settings.submissionTopic))
+    private val log =
+        RelayedLog(ports.log, relay, clock, largeTopics = setOf(settings.submissionTopic, settings.contentTopic))
     private val members: FleetMembers = FleetMembers(
         log,
         clock,
@@ -181,8 +182,15 @@
         tokensPerEvent = ::tokensPerEvent,
     )
     private val contentCache = ContentCache(settings.contentCacheBytes)
-    private val store =
-        SubmissionStore(tasks, log, clock, settings.submissionTopic, settings.submissionPartitions, contentCache)
+    private val store = SubmissionStore(
+        tasks,
+        log,
+        clock,
+        settings.submissionTopic,
+        settings.contentTopic,
+        settings.submissionPartitions,
+        contentCache,
+    )
     private val batchRunner = BatchRunner(
         tasks,
         store,
--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingSettings.kt
@@ -11,6 +11,7 @@
  * @property peerAddress where other nodes connect
  * @property metricsAddress where metrics are served, or null
  * @property submissionTopic keyed topic of batch submissions
+ * @property contentTopic keyed topic of the large bodies and outputs of batch submissions, with as many partitions
  * @property memberTopic keyed topic of member and crash records
  * @property configurationTopic keyed topic of the records that the operator writes
  * @property workerTopic keyed topic of the workers' registry entries
@@ -31,6 +32,7 @@
     val peerAddress: String,
     val metricsAddress: String?,
     val submissionTopic: String,
+    val contentTopic: String,
     val memberTopic: String,
     val configurationTopic: String,
     val workerTopic: String,
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/PartitionedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/PartitionedLog.kt
@@ -20,6 +20,13 @@
     /** Returns the records from offset [from] on. Waits up to [waitMillis] for the first one. */
     suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult
 
+    /**
+     * Returns the record at [offset], whose value has [valueBytes], and possibly some that follow. Costs the log no more than
+     * the record where it can limit a response.
+     */
+    suspend fun readAt(topic: String, partition: Int, offset: Long, valueBytes: Int): ReadResult =
+        read(topic, partition, offset, waitMillis = 0)
+
     /** Returns a page with the newest record of each key after [afterKey], in the order of the keys. */
     suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
@@ -58,7 +58,13 @@
         direct.appendAt(topic, partition, records, end)
 
     override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult =
-        readDirectlyOrRelayed(topic, partition, from, waitMillis).also { isServed = it !is ReadResult.Unavailable }
+        readDirectlyOrRelayed(topic, partition, from, waitMillis) { direct.read(topic, partition, from, waitMillis) }
+            .also { isServed = it !is ReadResult.Unavailable }
+
+    override suspend fun readAt(topic: String, partition: Int, offset: Long, valueBytes: Int): ReadResult =
+        readDirectlyOrRelayed(topic, partition, offset, waitMillis = 0) {
+            direct.readAt(topic, partition, offset, valueBytes)
+        }
 
     override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult {
         // A page that is late was delayed by the pages of other nodes. A relay would make the log send it once more, and
@@ -85,9 +91,10 @@
         partition: Int,
         from: Long,
         waitMillis: Long,
+        readDirectly: suspend () -> ReadResult,
     ): ReadResult {
         if (isBypassed()) readThroughRelay(topic, partition, from, waitMillis)?.let { return it }
-        val result = direct.read(topic, partition, from, waitMillis)
+        val result = readDirectly()
         updateReachability(result !is ReadResult.Unavailable)
         if (result !is ReadResult.Unavailable) return result
         return readThroughRelay(topic, partition, from, waitMillis) ?: result
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/RelayPeers.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/RelayPeers.kt
@@ -14,14 +14,14 @@
  */
 class RelayPeers(
     private val self: FleetMember,
-    private val submissionTopic: String,
+    private val submissionTopics: Set<String>,
     private val regions: Map<String, String>,
     private val isRestricted: () -> Boolean,
     private val peers: () -> List<FleetMember>,
 ) {
     /** Returns the nodes that may relay calls for [topic]. */
     fun forTopic(topic: String): List<FleetMember> =
-        if (topic == submissionTopic && isRestricted()) peers().filter { isInOwnRegion(it) } else peers()
+        if (topic in submissionTopics && isRestricted()) peers().filter { isInOwnRegion(it) } else peers()
 
     private fun isInOwnRegion(peer: FleetMember): Boolean =
         peer.zone == self.zone || (regions[peer.zone] != null && regions[peer.zone] == regions[self.zone])
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ContentCache.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ContentCache.kt
@@ -7,7 +7,7 @@
  * a submission that begins to run while the previous ones were read often.
  */
 class ContentCache(private val maximumBytes: Long) {
-    private data class Place(val partition: Int, val offset: Long)
+    private data class Place(val partition: Int, val offset: Long, val isSeparate: Boolean)
 
     private val values = LinkedHashMap<Place, ByteArray>(INITIAL_CAPACITY, LOAD_FACTOR, true)
 
@@ -15,12 +15,17 @@
     var bytes = 0L
         private set
 
-    /** Returns the value of the record at [offset] of [partition], or null if it is not in the cache. */
-    fun find(partition: Int, offset: Long): ByteArray? = values[Place(partition, offset)]
-
-    /** Adds the [value] of the record at [offset] of [partition]. */
-    fun add(partition: Int, offset: Long, value: ByteArray) {
-        val previous = values.put(Place(partition, offset), value)
+    /**
+     * Returns the value of the record at [offset] of [partition], or null if it is not in the cache.
+     *
+     * @param isSeparate whether the record is in the topic of contents
+     */
+    fun find(partition: Int, offset: Long, isSeparate: Boolean = false): ByteArray? =
+        values[Place(partition, offset, isSeparate)]
+
+    /** Adds the [value] of the record at [offset] of [partition], see [find]. */
+    fun add(partition: Int, offset: Long, value: ByteArray, isSeparate: Boolean = false) {
+        val previous = values.put(Place(partition, offset, isSeparate), value)
         bytes += weight(value) - (previous?.let { weight(it) } ?: 0)
         val eldest = values.values.iterator()
         while (bytes > maximumBytes && eldest.hasNext()) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -6,6 +6,7 @@
 import org.poplarshift.core.submission.AssembledRecord
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.core.submission.LedgerEffect
+import org.poplarshift.core.submission.PartKey
 import org.poplarshift.core.submission.RecordAssembler
 import org.poplarshift.core.submission.RecordContent
 import org.poplarshift.core.submission.RecordFormat
@@ -38,13 +39,14 @@
     private val log: PartitionedLog,
     private val clock: MonotonicClock,
     private val topic: String,
+    contentTopic: String,
     val number: Int,
     private val tasks: BackgroundTasks,
     cache: ContentCache,
     pages: PageGate = PageGate(clock),
     private val newId: () -> String,
 ) : RecordReceiver {
-    private val contents = PartitionContents(log, topic, number, cache)
+    private val contents = PartitionContents(log, topic, contentTopic, number, cache)
     private val pendingWrites = HashMap<String, CompletableDeferred<LedgerEffect>>()
     private var assembler = RecordAssembler()
     private var changed = CompletableDeferred<Unit>()
@@ -72,7 +74,7 @@
     }
 
     override fun shorten(record: LogRecord): LogRecord {
-        contents.keep(record)
+        if (!isReference(record)) contents.keep(record)
         val head = assembler.shorten(record.key, record.value)
         return LogRecord(record.offset, record.key, head, record.valueBytes)
     }
@@ -83,7 +85,7 @@
             ledger.onKeyDeleted(record.key)?.let { firstReadMillis.remove(it.proposal.submission) }
             return
         }
-        if (!record.isShortened) contents.keep(record)
+        if (!record.isShortened && !isReference(record)) contents.keep(record)
         val assembled = try {
             assembler.add(record.offset, record.key, record.value, record.valueBytes) ?: return
         } catch (exception: IllegalArgumentException) {
@@ -95,6 +97,8 @@
         apply(assembled)
     }
 
+    private fun isReference(record: LogRecord): Boolean = PartKey.parse(record.key)?.isReference == true
+
     override fun onCaughtUp() {
         val previous = changed
         changed = CompletableDeferred()
@@ -173,12 +177,20 @@
         val effect = CompletableDeferred<LedgerEffect>()
         pendingWrites[id] = effect
         try {
-            val values = RecordFormat.encode(id, record, content, log.maximumValueBytes)
+            val encoded = when (val result = encode(id, record, content)) {
+                is EncodeResult.Encoded -> result
+                is EncodeResult.Failed -> return WriteResult.Refused(result.reason)
+            }
             var unknownReason: String? = null
-            for (records in splitIntoAppends(values)) {
+            for (records in splitIntoAppends(encoded.values)) {
                 when (val result = log.append(topic, number, records)) {
                     is AppendResult.Appended -> Unit
-                    is AppendResult.Refused -> return WriteResult.Refused(result.reason)
+
+                    is AppendResult.Refused -> {
+                        removeUnused(encoded.contentKeys)
+                        return WriteResult.Refused(result.reason)
+                    }
+
                     is AppendResult.Unknown -> unknownReason = result.reason
                 }
             }
@@ -199,21 +211,68 @@
 
     /** Writes [record] without waiting for the outcome. The record may be lost. */
     fun writeInBackground(record: SubmissionRecord, content: ByteArray) {
-        val values = RecordFormat.encode(newId(), record, content, log.maximumValueBytes)
         tasks.launchOnce("background write") {
-            for (records in splitIntoAppends(values)) {
-                val result = log.append(topic, number, records)
-                if (result !is AppendResult.Appended) {
-                    logger.info { "submission: a record of submission ${record.submission} was not appended: $result" }
-                    return@launchOnce
-                }
-            }
+            val failure = append(newId(), record, content) ?: return@launchOnce
+            logger.info { "submission: a record of submission ${record.submission} was not appended: $failure" }
+        }
+    }
+
+    /** Appends [record] and returns the reason why it may not be in the log, or null. */
+    private suspend fun append(id: String, record: SubmissionRecord, content: ByteArray): String? {
+        val values = when (val result = encode(id, record, content)) {
+            is EncodeResult.Encoded -> result.values
+            is EncodeResult.Failed -> return result.reason
+        }
+        for (records in splitIntoAppends(values)) {
+            val result = log.append(topic, number, records)
+            if (result !is AppendResult.Appended) return "$result"
+        }
+        return null
+    }
+
+    /** Writes a large [content] to its own topic, and returns the values that hold [record]. */
+    private suspend fun encode(id: String, record: SubmissionRecord, content: ByteArray): EncodeResult {
+        val maximumBytes = log.maximumValueBytes
+        if (content.size <= MAXIMUM_FOLLOWED_BYTES) {
+            return EncodeResult.Encoded(RecordFormat.encode(id, record, content, maximumBytes))
         }
+        val parts = RecordFormat.splitContent(id, content, boundaries(record), maximumBytes)
+        return when (val result = contents.write(splitIntoAppends(parts))) {
+            is PartitionContents.Written.Stored ->
+                EncodeResult.Encoded(
+                    RecordFormat.encodeReference(id, record, result.places, maximumBytes),
+                    result.places.map { it.key },
+                )
+
+            is PartitionContents.Written.Failed -> EncodeResult.Failed(result.reason)
+        }
+    }
+
+    private fun removeUnused(contentKeys: List<String>) {
+        tasks.launchOnce("removal of an unused content") { contents.remove(contentKeys) }
     }
 
-    /** Removes the records of the submissions [ids] from the log. The ledger follows when the deletions are read. */
-    suspend fun remove(ids: List<String>): AppendResult =
-        log.append(topic, number, ledger.keysToRemove(ids).map { KeyedValue(it, ByteArray(0)) })
+    // Items run at different nodes, each of which needs the body of its item only.
+    private fun boundaries(record: SubmissionRecord): List<Int> = when (record) {
+        is SubmissionRecord.Proposed -> record.items.runningFold(0) { end, item -> end + item.bodyBytes }
+        else -> listOf(0)
+    }
+
+    /**
+     * Removes the records of the submissions [ids] from the log. The ledger follows when the deletions are read.
+     *
+     * The contents are removed first, because only the records name them.
+     */
+    suspend fun remove(ids: List<String>): AppendResult {
+        if (!contents.remove(ledger.contentKeysToRemove(ids))) return AppendResult.Refused("contents not removed")
+        return log.append(topic, number, ledger.keysToRemove(ids).map { KeyedValue(it, ByteArray(0)) })
+    }
+
+    private sealed interface EncodeResult {
+        data class Encoded(val values: List<KeyedValue>, val contentKeys: List<String> = emptyList()) : EncodeResult
+
+        data class Failed(val reason: String) : EncodeResult
+    }
 
     private fun apply(assembled: AssembledRecord) {
         val record = assembled.record
@@ -245,6 +304,9 @@
     private companion object {
         val logger = KotlinLogging.logger {}
 
+        // Contents up to this size cost all nodes less than the second append of a content of its own.
+        const val MAXIMUM_FOLLOWED_BYTES = 256
+
         // Bounds the time until a read on a stalled connection is detected.
         const val READ_WAIT_MILLIS = 1_500L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionStore.kt
@@ -20,6 +20,7 @@
     log: PartitionedLog,
     clock: MonotonicClock,
     topic: String,
+    contentTopic: String,
     partitions: Int,
     cache: ContentCache,
     private val random: Random = SecureRandom(),
@@ -27,7 +28,9 @@
     private val pages = PageGate(clock)
 
     /** All partitions, in order of their numbers. */
-    val partitions = List(partitions) { SubmissionPartition(log, clock, topic, it, tasks, cache, pages, ::newId) }
+    val partitions = List(partitions) {
+        SubmissionPartition(log, clock, topic, contentTopic, it, tasks, cache, pages, ::newId)
+    }
 
     /** Changes whenever records of any partition have been read. */
     val revision: Long
--- a/serving/src/test/kotlin/org/poplarshift/serving/ingress/ResumedStreamTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/ingress/ResumedStreamTest.kt
@@ -95,7 +95,7 @@
             suspend fun start(): Int {
                 val holder = ConfigurationHolder({ _, _ -> ConfigurationResult.Valid(configuration) })
                 holder.onRecord(LogRecord(0, "configuration", byteArrayOf(1)))
-                val store = SubmissionStore(tasks, FakeLog(), clock, "submissions", 1, ContentCache(1_000))
+                val store = SubmissionStore(tasks, FakeLog(), clock, "submissions", "contents", 1, ContentCache(1_000))
                 val submissions = SubmissionService(store, protocol, clock)
                 val workers = startWorkers()
                 val dispatcher = FakeDispatcher(workers, origins::isRecorded)
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/PartitionContentsTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/PartitionContentsTest.kt
@@ -22,7 +22,7 @@
         fun part(offset: Int) = RecordPart(values[offset].key, offset.toLong(), 100)
         suspend fun filledLog() = FakeLog().also { it.append("t", 0, values) }
         fun contents(log: PartitionedLog, cacheBytes: Long = 0) =
-            PartitionContents(log, "t", 0, ContentCache(cacheBytes))
+            PartitionContents(log, "t", "c", 0, ContentCache(cacheBytes))
 
         data class Case(val name: String, val change: FakeLog.() -> Unit, val isReadable: Boolean = true)
         listOf(
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/ResultSimulationTest.kt
@@ -49,7 +49,7 @@
             val disturbed = DisturbedLog(log, scope.backgroundScope, random)
             val tasks = TestTasks.of(scope.backgroundScope)
             val cache = ContentCache(if (it == 0) 0 else CACHE_BYTES)
-            SubmissionStore(tasks, disturbed, clock, "t", partitions = 1, cache, random.asJavaRandom())
+            SubmissionStore(tasks, disturbed, clock, "t", "c", partitions = 1, cache, random.asJavaRandom())
         }
         private val protocol = object : CallerProtocol by PlainCallerProtocol {
             override fun encodeResults(total: Int, next: Int, results: List<ItemResult>): Buffer =
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionPartitionTest.kt
@@ -33,7 +33,7 @@
         suspend fun withPartition(log: PartitionedLog, use: suspend CoroutineScope.(SubmissionPartition) -> Unit) =
             coroutineScope {
                 val partition =
-                    SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, TestTasks.of(this), ContentCache(0)) {
+                    SubmissionPartition(log, MonotonicClock.SYSTEM, "t", "c", 0, TestTasks.of(this), ContentCache(0)) {
                         "id${ids++}"
                     }
                 launch { partition.follower.run() }
@@ -86,7 +86,7 @@
                     val partition =
                         SubmissionPartition(FakeLog(), {
                             now
-                        }, "t", 0, TestTasks.of(this), ContentCache(0)) { "id${ids++}" }
+                        }, "t", "c", 0, TestTasks.of(this), ContentCache(0)) { "id${ids++}" }
                     launch { partition.follower.run() }
                     partition.follower.awaitStart()
                     partition.write(sent, ByteArray(5_000)).shouldBeInstanceOf<WriteResult.Applied>()
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SubmissionServiceTest.kt
@@ -43,8 +43,11 @@
                     var ids = 0
                     val tasks = TestTasks.of(this)
                     val partition =
-                        SubmissionPartition(log, MonotonicClock.SYSTEM, "t", 0, tasks, ContentCache(0)) { "id${ids++}" }
-                    val store = SubmissionStore(tasks, log, MonotonicClock.SYSTEM, "t", partitions = 1, ContentCache(0))
+                        SubmissionPartition(log, MonotonicClock.SYSTEM, "t", "c", 0, tasks, ContentCache(0)) {
+                            "id${ids++}"
+                        }
+                    val store =
+                        SubmissionStore(tasks, log, MonotonicClock.SYSTEM, "t", "c", partitions = 1, ContentCache(0))
                     listOf(partition, store.partitions.single()).forEach {
                         launch { it.follower.run() }
                         it.follower.awaitStart()
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/UncachedContentTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/UncachedContentTest.kt
@@ -48,6 +48,7 @@
                         log,
                         MonotonicClock.SYSTEM,
                         "t",
+                        "c",
                         partitions = 1,
                         ContentCache(0),
                     )
