Limit relayed reads of single contents as direct ones

Callers saw nothing yet: found in the review of the contents in a topic of their own. A node that reads a body or an output directly limits the response to the record. If the log does not answer, or rejects the call, the node asks up to three others, and each of them read a page of up to 320 KiB for it. An overloaded log thus had to send many times the bytes of the call that was late.

The relayed call did not state the size of the record. It does now; a node of an earlier release ignores the field and reads a page.

--- a/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
@@ -16,6 +16,9 @@
     /** See [PartitionedLog.read]. */
     suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult?
 
+    /** See [PartitionedLog.readAt]. */
+    suspend fun readAt(topic: String, partition: Int, offset: Long, valueBytes: Int): ReadResult?
+
     /** See [PartitionedLog.newest]. */
     suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult?
 }
@@ -58,13 +61,16 @@
         direct.appendAt(topic, partition, records, end)
 
     override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult =
-        readDirectlyOrRelayed(topic, partition, from, waitMillis) { direct.read(topic, partition, from, waitMillis) }
-            .also { isServed = it !is ReadResult.Unavailable }
+        readDirectlyOrRelayed(
+            readDirectly = { direct.read(topic, partition, from, waitMillis) },
+            readThroughRelay = { relay.read(topic, partition, from, minOf(waitMillis, MAXIMUM_RELAYED_WAIT_MILLIS)) },
+        ).also { isServed = it !is ReadResult.Unavailable }
 
     override suspend fun readAt(topic: String, partition: Int, offset: Long, valueBytes: Int): ReadResult =
-        readDirectlyOrRelayed(topic, partition, offset, waitMillis = 0) {
-            direct.readAt(topic, partition, offset, valueBytes)
-        }
+        readDirectlyOrRelayed(
+            readDirectly = { direct.readAt(topic, partition, offset, valueBytes) },
+            readThroughRelay = { relay.readAt(topic, partition, offset, valueBytes) },
+        )
 
     override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult {
         // A page that is late was delayed by the pages of other nodes. A relay would make the log send it once more, and
@@ -87,17 +93,14 @@
     }
 
     private suspend fun readDirectlyOrRelayed(
-        topic: String,
-        partition: Int,
-        from: Long,
-        waitMillis: Long,
         readDirectly: suspend () -> ReadResult,
+        readThroughRelay: suspend () -> ReadResult?,
     ): ReadResult {
-        if (isBypassed()) readThroughRelay(topic, partition, from, waitMillis)?.let { return it }
+        if (isBypassed()) readThroughRelay()?.let { return it }
         val result = readDirectly()
         updateReachability(result !is ReadResult.Unavailable)
         if (result !is ReadResult.Unavailable) return result
-        return readThroughRelay(topic, partition, from, waitMillis) ?: result
+        return readThroughRelay() ?: result
     }
 
     private suspend fun newestDirectlyOrRelayed(topic: String, partition: Int, afterKey: String?): NewestResult {
@@ -108,9 +111,6 @@
         return relay.newest(topic, partition, afterKey) ?: result
     }
 
-    private suspend fun readThroughRelay(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult? =
-        relay.read(topic, partition, from, minOf(waitMillis, MAXIMUM_RELAYED_WAIT_MILLIS))
-
     private fun isBypassed(): Boolean = clock.millis() < bypassUntilMillis
 
     private fun updateReachability(isSuccess: Boolean) {
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -41,9 +41,16 @@
         @SerialName("append")
         data class Append(override val topic: String, val partition: Int, val records: List<RelayedRecord>) : Request
 
+        /** @property valueBytes the size of the value of the only record that is needed, or null for a page */
         @Serializable
         @SerialName("read")
-        data class Read(override val topic: String, val partition: Int, val from: Long, val waitMillis: Long) : Request
+        data class Read(
+            override val topic: String,
+            val partition: Int,
+            val from: Long,
+            val waitMillis: Long,
+            val valueBytes: Int? = null,
+        ) : Request
 
         @Serializable
         @SerialName("newest")
@@ -96,15 +103,19 @@
         }
     }
 
-    override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult? {
-        val request = Request.Read(topic, partition, from, waitMillis)
-        return when (val response = call(request, waitMillis + READ_TIMEOUT_MILLIS)) {
+    override suspend fun read(topic: String, partition: Int, from: Long, waitMillis: Long): ReadResult? =
+        read(Request.Read(topic, partition, from, waitMillis))
+
+    override suspend fun readAt(topic: String, partition: Int, offset: Long, valueBytes: Int): ReadResult? =
+        read(Request.Read(topic, partition, offset, waitMillis = 0, valueBytes))
+
+    private suspend fun read(request: Request.Read): ReadResult? =
+        when (val response = call(request, request.waitMillis + READ_TIMEOUT_MILLIS)) {
             is Response.Records ->
                 ReadResult.Records(response.records.map { it.toLogRecord() }, response.next, response.end)
             is Response.Trimmed -> ReadResult.Trimmed(response.first)
             else -> null
         }
-    }
 
     override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult? {
         val response =
@@ -149,7 +160,7 @@
         }
 
         is Request.Read ->
-            when (val result = log.read(request.topic, request.partition, request.from, request.waitMillis)) {
+            when (val result = read(request, log)) {
                 is ReadResult.Records -> Response.Records(result.records.map { encode(it) }, result.next, result.end)
                 is ReadResult.Trimmed -> Response.Trimmed(result.first)
                 is ReadResult.Unavailable -> Response.Refused(result.reason)
@@ -162,6 +173,10 @@
             }
     }
 
+    private suspend fun read(request: Request.Read, log: PartitionedLog): ReadResult = request.valueBytes
+        ?.let { log.readAt(request.topic, request.partition, request.from, it) }
+        ?: log.read(request.topic, request.partition, request.from, request.waitMillis)
+
     private fun encode(record: LogRecord) = encode(record.offset, record.key, record.value)
 
     private fun encode(offset: Long, key: String, value: ByteArray) =
--- a/serving/src/test/kotlin/org/poplarshift/serving/log/RelayedLogTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/log/RelayedLogTest.kt
@@ -25,6 +25,9 @@
                 return log?.read(topic, partition, from, waitMillis)
             }
 
+            override suspend fun readAt(topic: String, partition: Int, offset: Long, valueBytes: Int): ReadResult? =
+                read(topic, partition, offset, waitMillis = 0)
+
             override suspend fun newest(topic: String, partition: Int, afterKey: String?): NewestResult? {
                 calls++
                 return log?.newest(topic, partition, afterKey)
