Remove contents of records that arrive during the removal of their submission

Callers saw nothing: such a content stayed in the log forever, because no record named it any more. The removal took the keys of the contents before it removed them and the keys of the records after that, so a record that was read in between lost its key but not its content. A record that was read after both was removed later, without its content.

Both lists of keys are now taken at once, and the ledger keeps the keys of contents of a removed submission until the deletion of their record has been read, as it does for the keys of records.

--- a/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
+++ b/core/src/main/kotlin/org/poplarshift/core/submission/SubmissionLedger.kt
@@ -70,6 +70,7 @@
         PartKey.parse(key)?.let { obsoleteContentKeys.remove(it.id) }
         val removed = submissionsByFirstKey.remove(key)?.let { submissionsById.remove(it) } ?: return null
         obsoleteKeys += removed.keys.filter { it != key }
+        obsoleteContentKeys += removed.contentKeys.groupBy { it.substringBefore(':') } - key.substringBefore(':')
         val open = removed.items.filter { !it.hasResult && !removed.isEnded }.sumOf { it.proposed.tokens }
         releaseTokens(removed, open)
         return removed
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionPartition.kt
@@ -261,11 +261,13 @@
     /**
      * Removes the records of the submissions [ids] from the log. The ledger follows when the deletions are read.
      *
-     * The contents are removed first, because only the records name them.
+     * The contents are removed first, because only the records name them. Records that are read meanwhile stay for the next
+     * removal.
      */
     suspend fun remove(ids: List<String>): AppendResult {
+        val keys = ledger.keysToRemove(ids)
         if (!contents.remove(ledger.contentKeysToRemove(ids))) return AppendResult.Refused("contents not removed")
-        return log.append(topic, number, ledger.keysToRemove(ids).map { KeyedValue(it, ByteArray(0)) })
+        return log.append(topic, number, keys.map { KeyedValue(it, ByteArray(0)) })
     }
 
     private sealed interface EncodeResult {
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/SeparateContentTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/SeparateContentTest.kt
@@ -200,6 +200,34 @@
             }
         }
 
+        test(
+            "the content of a record that is written during the removal of its submission is removed with the next one",
+        ) {
+            withLog { log ->
+                var followed: SubmissionPartition? = null
+                var isWritten = false
+                val disturbed = object : PartitionedLog by log {
+                    override suspend fun append(
+                        topic: String,
+                        partition: Int,
+                        records: List<KeyedValue>,
+                    ): AppendResult {
+                        if (topic == "c" && records.all { it.value.isEmpty() } && !isWritten) {
+                            isWritten = true
+                            followed?.write(SubmissionRecord.Result("s", "s-1", isComplete = true), ByteArray(1_500))
+                        }
+                        return log.append(topic, partition, records)
+                    }
+                }
+                followed = follow(disturbed).also { it.submit("s", contentBytes = 1_500) }
+                followed.remove(listOf("s"))
+                eventually(5.seconds) { followed.ledger.find("s") shouldBe null }
+                followed.remove(emptyList())
+                log.keysIn("c") shouldBe 0
+                log.keysIn("t") shouldBe 0
+            }
+        }
+
         test("a record that refers to contents takes a small part of their size") {
             withLog { log ->
                 follow(log).submit("s", contentBytes = 1_500)
