Bound the time of writes and reads of contents while the log is slow

A review in virtual time found three costs of contents in a topic of their own. With a log that does not answer, three writes took 6.6, 15.6 and 19.6 s (4.0 s each before), because each content was appended twice and looked up in a page of the topic. 60 outputs took 1.5 s at 25 ms a call, because they were read one after the other. Items could not begin while the log was away, because nodes read their bodies only then.

Outputs of a page are read eight at a time. A node reads the bodies of its items when it is assigned them.

--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/BatchRunner.kt
@@ -185,10 +185,13 @@
         if (revision == seenRevision && !isAssignmentChanged) return
         seenRevision = revision
         isAssignmentChanged = false
-        store.partitions.forEach { addEntries(it) }
+        val added = store.partitions.flatMap { addEntries(it) }
+        // The items can then begin while the log is away.
+        if (added.isNotEmpty()) tasks.launchOnce("bodies of items") { added.forEach { it.readAhead() } }
     }
 
-    private fun addEntries(partition: SubmissionPartition) {
+    private fun addEntries(partition: SubmissionPartition): List<ItemRun> {
+        val added = ArrayList<ItemRun>()
         for (state in partition.ledger.submissions.filter { !it.isEnded && !it.isComplete }) {
             for (item in state.items) {
                 if (item.hasResult || item.share !in startMillisByShare) continue
@@ -196,9 +199,11 @@
                 if (key !in entries) {
                     val run = ItemRun(partition, state, item, forwarding, configuration, wallClockMillis)
                     entries[key] = Entry(run, item.share)
+                    added += run
                 }
             }
         }
+        return added
     }
 
     private fun startRuns() {
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -133,6 +133,11 @@
         retryLater()
     }
 
+    /** Reads the body, so that the run finds it in memory. */
+    suspend fun readAhead() {
+        if (!isFinished) partition.read(item.body)
+    }
+
     /** Saves the output so far in the log, so that another node can resume after the last event. */
     suspend fun saveProgress() {
         if (!isFinished) output?.let { progressWriter.save(it) }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/PartitionContents.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/PartitionContents.kt
@@ -2,7 +2,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.sync.withPermit
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.core.submission.PartKey
 import org.poplarshift.core.submission.RecordContent
@@ -12,7 +14,6 @@
 import org.poplarshift.serving.log.NewestResult
 import org.poplarshift.serving.log.PartitionedLog
 import org.poplarshift.serving.log.ReadResult
-import java.util.TreeSet
 
 /**
  * Bodies and outputs of the submissions of one partition, read from the log when they are needed.
@@ -30,14 +31,18 @@
     // A response of the log has up to a megabyte, which often contains the next record that is needed. One read at a
     // time bounds the memory and lets waiting callers find their record in the cache.
     private val reading = Mutex()
+    private val separateReads = Semaphore(SEPARATE_READS)
 
     /** The outcome of writing a content. */
     sealed interface Written {
         /** The content is in the log at [places]. */
         data class Stored(val places: List<RecordPart>) : Written
 
-        /** The content can't be written. Parts of it may be in the log, where nothing refers to them. */
-        data class Failed(val reason: String) : Written
+        /** The log has refused the content or a part of it. */
+        data class Refused(val reason: String) : Written
+
+        /** The places of the content are not known. */
+        data object Unknown : Written
     }
 
     /** Keeps a record that has been read for other reasons. */
@@ -47,49 +52,18 @@
     suspend fun write(appends: List<List<KeyedValue>>): Written {
         val places = ArrayList<RecordPart>()
         for (records in appends) {
-            val offsets = when (val result = append(records)) {
-                is OffsetsResult.Known -> result.offsets
-                is OffsetsResult.Unknown -> return Written.Failed(result.reason)
-            }
-            records.zip(offsets) { record, offset ->
-                places += RecordPart(record.key, offset, record.value.size, isSeparate = true)
-                cache.add(partition, offset, record.value, isSeparate = true)
-            }
-        }
-        return Written.Stored(places)
-    }
-
-    private sealed interface OffsetsResult {
-        data class Known(val offsets: List<Long>) : OffsetsResult
-
-        data class Unknown(val reason: String) : OffsetsResult
-    }
-
-    // A second copy is harmless, because only the stated offset, or the newest record of the key, is read.
-    private suspend fun append(records: List<KeyedValue>): OffsetsResult {
-        var reason = ""
-        repeat(APPENDS) {
             when (val result = log.append(separateTopic, partition, records)) {
-                is AppendResult.Appended -> return OffsetsResult.Known(records.indices.map { result.offset + it })
-                is AppendResult.Refused -> return OffsetsResult.Unknown(result.reason)
-                is AppendResult.Unknown -> reason = result.reason
+                is AppendResult.Appended -> records.forEachIndexed { index, record ->
+                    val offset = result.offset + index
+                    places += RecordPart(record.key, offset, record.value.size, isSeparate = true)
+                    cache.add(partition, offset, record.value, isSeparate = true)
+                }
+
+                is AppendResult.Refused -> return Written.Refused(result.reason)
+                is AppendResult.Unknown -> return Written.Unknown
             }
-            findOffsets(records)?.let { return OffsetsResult.Known(it) }
         }
-        return OffsetsResult.Unknown(reason)
-    }
-
-    /** Returns the offsets of [records] if all of them are in the log, although the response to their append was lost. */
-    private suspend fun findOffsets(records: List<KeyedValue>): List<Long>? {
-        val missing = records.mapTo(TreeSet()) { it.key }
-        val offsets = HashMap<String, Long>()
-        while (missing.isNotEmpty()) {
-            val page = log.newest(separateTopic, partition, PartKey.predecessor(missing.first()))
-            val found = (page as? NewestResult.Page)?.records.orEmpty().filter { missing.remove(it.key) }
-            if (found.isEmpty()) return null
-            found.associateTo(offsets) { it.key to it.offset }
-        }
-        return records.map { offsets.getValue(it.key) }
+        return Written.Stored(places)
     }
 
     /** Removes the contents with [keys]. Returns whether that succeeds. */
@@ -100,10 +74,16 @@
 
     /** Returns the bytes of [content], or null if the log can't be read at present. */
     suspend fun read(content: RecordContent): ByteArray? {
-        val values = content.parts.map { find(it) ?: reading.withLock { find(it) ?: readPart(it) } ?: return null }
+        val values = content.parts.map { find(it) ?: readOnce(it) ?: return null }
         return content.extract(values)
     }
 
+    private suspend fun readOnce(part: RecordPart): ByteArray? = if (part.isSeparate) {
+        separateReads.withPermit { find(part) ?: readPart(part) }
+    } else {
+        reading.withLock { find(part) ?: readPart(part) }
+    }
+
     private fun find(part: RecordPart): ByteArray? = cache.find(partition, part.offset, part.isSeparate)
 
     private suspend fun readPart(part: RecordPart): ByteArray? {
@@ -129,16 +109,12 @@
     private fun select(part: RecordPart, records: List<LogRecord>): ByteArray? {
         // The requested record is added last, so that the other ones can't displace it.
         records.asReversed().filter { !it.isDeletion }.forEach { keep(it, part.isSeparate) }
-        val found = records.firstOrNull { isPart(it, part) } ?: return null
+        val found = records.firstOrNull { it.key == part.key && it.offset == part.offset } ?: return null
         val value = found.value.takeIf { it.size == part.bytes } ?: return null
         cache.add(partition, part.offset, value, part.isSeparate)
         return value
     }
 
-    // A repeated append may leave the same content at two offsets, of which the log keeps the newer one.
-    private fun isPart(record: LogRecord, part: RecordPart): Boolean =
-        record.key == part.key && (part.isSeparate || record.offset == part.offset)
-
     private fun keep(record: LogRecord, isSeparate: Boolean) =
         cache.add(partition, record.offset, record.value, isSeparate)
 
@@ -160,6 +136,8 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        const val APPENDS = 2
+
+        // Outputs of a page are read at the same time. Bounds the memory of the responses.
+        const val SEPARATE_READS = 8
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/SubmissionService.kt
@@ -2,6 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.buffer.Buffer
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.ingress.IngressOrganisation
@@ -245,14 +247,28 @@
     private suspend fun readPage(partition: SubmissionPartition, results: List<StoredResult>): List<ItemResult> {
         val page = ArrayList<ItemResult>()
         withTimeoutOrNull(MAXIMUM_CONTENT_READ_MILLIS) {
-            for (result in selectPage(results)) {
-                val output = partition.read(result.output) ?: break
-                page += ItemResult(result.item, result.isComplete, output)
+            for (results in selectPage(results).chunked(CONCURRENT_READS)) {
+                if (!readConcurrently(partition, results, page)) break
             }
         }
         return page
     }
 
+    /** Adds [results] with their outputs to [page], up to the first one that can't be read. Returns whether all were added. */
+    private suspend fun readConcurrently(
+        partition: SubmissionPartition,
+        results: List<StoredResult>,
+        page: MutableList<ItemResult>,
+    ): Boolean = coroutineScope {
+        val outputs = results.map { async { partition.read(it.output) } }
+        for ((result, output) in results.zip(outputs)) {
+            val bytes = output.await() ?: break
+            page += ItemResult(result.item, result.isComplete, bytes)
+        }
+        outputs.forEach { it.cancel() }
+        page.lastOrNull()?.item == results.last().item
+    }
+
     private fun selectPage(results: List<StoredResult>): List<StoredResult> {
         var bytes = 0L
         val following = results.drop(1).takeWhile {
@@ -298,6 +314,7 @@
         // The limit for a page is 1 MB. The difference leaves room for escaping.
         const val MAXIMUM_PAGE_BYTES = 800_000
         const val APPEND_RETRIES = 1
+        const val CONCURRENT_READS = 8
         const val APPEND_RETRY_MILLIS = 80L
     }
 }
