Open connections to workers through other nodes while this node reaches none

Cause: a node had no other way to a worker than its own.

If it reaches none, it opens its connections through a node that reaches workers. That node carries bytes only, so that attempts, deadlines, versions, slots and cancellation stay with the node that has the caller. The end and the reset of a worker's connection have frames of their own, since the loss of the relaying node must not look like the end of a response. The choice of the relaying nodes, and whether the direct path is used, are shared with the relayed calls of the log.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -17,6 +17,7 @@
     private val excludedWorkers = HashSet<String>()
     private var sentMillis = 0L
     private var headMillis = 0L
+    private var connection: WorkerConnection? = null
     private var connectionLabel = ""
     private var isAnswered = false
     private var isResumed = false
@@ -38,7 +39,8 @@
      * Outcomes of the attempts so far, for the log.
      *
      * `i-7afd:200@17#3+35` is a response with status 200 of the worker `i-7afd` on the connection with the number 17,
-     * which had carried 3 requests before. The body ended 35 ms after the head.
+     * which had carried 3 requests before. The body ended 35 ms after the head. A connection through another node is
+     * followed by `via` and the name of the node.
      */
     val trace = ArrayList<String>()
 
@@ -157,17 +159,20 @@
         }
     }
 
-    private fun recordConnectionLoss(worker: FleetWorker) = forwarding.crashTracker.onConnectionLost(
-        WorkerRun(
-            fingerprint = plan.fingerprint,
-            worker = "${worker.id}/${worker.startedMillis}",
-            requestId = plan.id,
-            promptParts = sharedPromptParts,
-            sentMillis = sentMillis,
-            hasBegun = isAnswered,
-            isSuspect = plan.mayCrashWorkers,
-        ),
-    )
+    private fun recordConnectionLoss(worker: FleetWorker) {
+        if (connection?.isRelayLost == true) return
+        forwarding.crashTracker.onConnectionLost(
+            WorkerRun(
+                fingerprint = plan.fingerprint,
+                worker = "${worker.id}/${worker.startedMillis}",
+                requestId = plan.id,
+                promptParts = sharedPromptParts,
+                sentMillis = sentMillis,
+                hasBegun = isAnswered,
+                isSuspect = plan.mayCrashWorkers,
+            ),
+        )
+    }
 
     private fun rateExceeded(retryMillis: Long): AttemptResult {
         notAssigned("rate")
@@ -191,7 +196,8 @@
         try {
             connection = connectTo(target.worker)
             if (connection == null || slot.mayHaveOtherVersion) {
-                outcome = if (connection == null) SlotOutcome.UNREACHABLE else SlotOutcome.UNUSED
+                val isWorkerLost = connection == null && !forwarding.connections.isCutOff
+                outcome = if (isWorkerLost) SlotOutcome.UNREACHABLE else SlotOutcome.UNUSED
                 return notSent(target, isConnected = connection != null)
             }
             val exchange = WorkerExchange(connection, forwarding)
@@ -220,9 +226,11 @@
     }
 
     private suspend fun connectTo(worker: FleetWorker): WorkerConnection? {
-        val connection = forwarding.connections.acquire(worker, plan.id, plan.mayRepeat)
-        connectionLabel = connection?.let { "@${it.number}#${it.sentRequests}" }.orEmpty()
-        return connection
+        val acquired = forwarding.connections.acquire(worker, plan.id, plan.mayRepeat)
+        val via = acquired?.relay?.let { "via$it" }.orEmpty()
+        connectionLabel = acquired?.let { "@${it.number}#${it.sentRequests}$via" }.orEmpty()
+        connection = acquired
+        return acquired
     }
 
     private fun ExchangeResult.slotOutcome(): SlotOutcome = when (this) {
@@ -243,7 +251,7 @@
         result: ExchangeResult,
     ): AttemptResult = when (result) {
         is ExchangeResult.ConnectionLost -> {
-            slot.target.onConnectionLost()
+            if (!connection.isRelayLost) slot.target.onConnectionLost()
             recordConnectionLoss(slot.target.worker)
             mayHaveRunAt(slot.target, result.reason, isTimeout = false)
         }
@@ -261,6 +269,7 @@
         }
 
         ExchangeResult.TimedOut -> {
+            forwarding.connections.onSilent(connection)
             forwarding.prober.markUnreachable(slot.target)
             mayHaveRunAt(slot.target, "silent", isTimeout = true)
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -29,9 +29,10 @@
     val worker: String,
     val address: String,
     val number: Long,
-    private val socket: NetSocketInternal,
+    private val source: WorkerSocket,
     private val onForeignBytes: (connection: WorkerConnection, found: String) -> Unit,
 ) {
+    private val socket: NetSocketInternal = source.socket
     private var receiver: ResponseReceiver? = null
     private var endedReceiver: ResponseReceiver? = null
     private var isInterim = false
@@ -40,6 +41,14 @@
     private val sentIds = SentRequestIds(MAXIMUM_REQUESTS)
     private val closed = CompletableDeferred<Unit>()
 
+    /** Name of the node through which the connection goes, or null if it is direct. */
+    val relay: String?
+        get() = source.relay
+
+    /** Whether the connection has ended because the relaying node was lost. This says nothing about the worker. */
+    val isRelayLost: Boolean
+        get() = source.isRelayLost
+
     /** Id of the latest request, or null before the first one. */
     var lastRequest: String? = null
         private set
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -1,16 +1,7 @@
 package org.poplarshift.serving.forward
 
-import io.github.oshai.kotlinlogging.KotlinLogging
-import io.vertx.core.Vertx
-import io.vertx.core.internal.net.NetSocketInternal
-import io.vertx.core.net.NetClientOptions
-import io.vertx.core.net.SocketAddress
-import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.withTimeoutOrNull
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.serving.MonotonicClock
-import org.poplarshift.serving.http.SocketAddresses
 import org.poplarshift.serving.observe.UnusableResponseRecorder
 
 /**
@@ -20,18 +11,13 @@
  * time. A request that may not be repeated gets a new connection while the worker is known to send second responses.
  */
 class WorkerConnectionPool(
-    vertx: Vertx,
-    localHost: String,
+    private val connector: WorkerConnector,
     private val clock: MonotonicClock,
     private val recorder: UnusableResponseRecorder,
+    private val observer: WorkerConnectionObserver = WorkerConnectionObserver.None,
 ) {
     private val misattributions = MisattributionTracker(clock)
     private val idle = HashMap<String, ArrayDeque<WorkerConnection>>()
-    private val client = vertx.createNetClient(
-        NetClientOptions().setLocalAddress(
-            localHost,
-        ).setTcpNoDelay(true).setConnectTimeout(CONNECT_TIMEOUT_MILLIS.toInt()),
-    )
 
     /** Number of connections opened since the node started. */
     var connectionsOpened = 0L
@@ -55,6 +41,16 @@
         return connect(worker)
     }
 
+    /** Whether this node is cut off from all workers. */
+    val isCutOff: Boolean
+        get() = connector.isCutOff
+
+    /** Records that the response on [connection] takes unusually long to begin. */
+    fun onSlow(connection: WorkerConnection) = observer.onSlow(connection)
+
+    /** Records that nothing was received on [connection] in time, so that its request was given up. */
+    fun onSilent(connection: WorkerConnection) = observer.onSilent(connection)
+
     /** Records that the worker [id] has sent something that is not the response to the waiting request. */
     fun onUnusableResponse(id: String) = misattributions.onForeignBytes(id)
 
@@ -74,7 +70,8 @@
         val reusableMillis =
             (keepAliveMillis ?: DEFAULT_KEEP_ALIVE_MILLIS) -
                 maxOf(CLOSE_MARGIN_MILLIS, (keepAliveMillis ?: 0) / CLOSE_MARGIN_DIVISOR)
-        if (connection.isClosed || reusableMillis <= 0) {
+        val isDetour = connection.relay != null && !connector.isCutOff
+        if (connection.isClosed || reusableMillis <= 0 || isDetour) {
             connection.close()
             return
         }
@@ -88,6 +85,16 @@
         idle.remove(worker)?.forEach { it.close() }
     }
 
+    /** Closes the idle connections for which [isUnusable] returns true. */
+    fun closeIdle(isUnusable: (WorkerConnection) -> Boolean) {
+        for (queue in idle.values) {
+            val (closed, kept) = queue.partition(isUnusable)
+            queue.clear()
+            queue += kept
+            closed.forEach { it.close() }
+        }
+    }
+
     /** Closes idle connections that can't be reused any more, and those to workers that are not in [workers]. */
     fun evictUnusable(workers: Set<String>) {
         val now = clock.millis()
@@ -120,29 +127,12 @@
             address == worker.address &&
             canIdentify(requestId)
 
-    private suspend fun connect(worker: FleetWorker): WorkerConnection? {
-        val address = socketAddress(worker) ?: return null
-        // The connection must handle what it receives from the event on that reports that it is open.
-        val pending = client.connect(address).map { newConnection(worker, it as NetSocketInternal) }
-        val connection = try {
-            withTimeoutOrNull(CONNECT_TIMEOUT_MILLIS) { pending.coAwait() }
-        } catch (exception: CancellationException) {
-            pending.onSuccess { it.close() }
-            throw exception
-        } catch (exception: Exception) {
-            logger.debug { "forward: connecting to ${worker.id} at ${worker.address} failed: ${exception.message}" }
-            return null
-        }
-        if (connection == null) {
-            pending.onSuccess { it.close() }
-            return null
-        }
-        return connection.takeUnless { it.isClosed }
-    }
+    private suspend fun connect(worker: FleetWorker): WorkerConnection? =
+        connector.connect(worker) { newConnection(worker, it) }?.takeUnless { it.isClosed }
 
-    private fun newConnection(worker: FleetWorker, socket: NetSocketInternal): WorkerConnection {
+    private fun newConnection(worker: FleetWorker, source: WorkerSocket): WorkerConnection {
         connectionsOpened++
-        return WorkerConnection(worker.id, worker.address, connectionsOpened, socket, ::onForeignBytes)
+        return WorkerConnection(worker.id, worker.address, connectionsOpened, source, ::onForeignBytes)
     }
 
     private fun onForeignBytes(connection: WorkerConnection, found: String) {
@@ -150,20 +140,7 @@
         recorder.onForeignBytes(connection, found)
     }
 
-    private fun socketAddress(worker: FleetWorker): SocketAddress? = try {
-        SocketAddresses.parse(worker.address)
-    } catch (exception: IllegalArgumentException) {
-        logger.warn { "forward: ${worker.id} has the invalid address ${worker.address}: ${exception.message}" }
-        null
-    }
-
     private companion object {
-        val logger = KotlinLogging.logger {}
-
-        // More than a hundred times the network delay between zones. Waiting longer does not help after a lost SYN
-        // packet, because it is retransmitted only after a second.
-        const val CONNECT_TIMEOUT_MILLIS = 400L
-
         // More than ten times the network delay between zones. A worker that keeps its side open costs this time.
         const val CLOSE_TIMEOUT_MILLIS = 50L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerExchange.kt
@@ -86,7 +86,7 @@
     /** Sends [request] and waits up to [timeoutMillis] for the response head. */
     suspend fun send(request: OutgoingRequest, timeoutMillis: Long): ExchangeResult {
         connection.send(request, Receiver(request.id))
-        val received = withTimeoutOrNull(timeoutMillis) { result.await() } ?: ExchangeResult.TimedOut
+        val received = awaitResult(timeoutMillis)
         when (received) {
             is ExchangeResult.Response -> responseHead = received.head
             is ExchangeResult.ForeignResponse -> recorder.onForeignResponse(connection, received.identity)
@@ -98,6 +98,12 @@
         return received
     }
 
+    private suspend fun awaitResult(timeoutMillis: Long): ExchangeResult {
+        withTimeoutOrNull(minOf(SLOW_MILLIS, timeoutMillis)) { result.await() }?.let { return it }
+        forwarding.connections.onSlow(connection)
+        return withTimeoutOrNull(timeoutMillis - SLOW_MILLIS) { result.await() } ?: ExchangeResult.TimedOut
+    }
+
     /** Returns the next part of the body; waits up to [timeoutMillis]. */
     suspend fun next(timeoutMillis: Long): ResponsePart {
         val part = withTimeoutOrNull(timeoutMillis) { parts.receive() } ?: return ResponsePart.TimedOut
@@ -219,6 +225,9 @@
     private companion object {
         const val EVENT_STREAM = "text/event-stream"
 
+        // Longer than most responses take to begin. The request still waits for its response.
+        const val SLOW_MILLIS = 600L
+
         // Enough to keep a fast connection busy while a part is forwarded.
         const val MAXIMUM_UNREAD_BYTES = 65_536
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/log/RelayedLog.kt
@@ -1,8 +1,8 @@
 package org.poplarshift.serving.log
 
-import io.github.oshai.kotlinlogging.KotlinLogging
 import org.poplarshift.core.submission.KeyedValue
 import org.poplarshift.serving.MonotonicClock
+import org.poplarshift.serving.peer.DirectPath
 
 /**
  * Calls the log through another node that can reach it.
@@ -34,10 +34,10 @@
 class RelayedLog(
     private val direct: PartitionedLog,
     private val relay: LogRelay,
-    private val clock: MonotonicClock,
+    clock: MonotonicClock,
     private val largeTopics: Set<String> = emptySet(),
 ) : PartitionedLog {
-    private var bypassUntilMillis = Long.MIN_VALUE
+    private val path = DirectPath(clock, "the log")
 
     override val maximumValueBytes: Int
         get() = direct.maximumValueBytes
@@ -46,8 +46,8 @@
         get() = direct.maximumAppendBytes
 
     /** Whether the last direct call to the log succeeded. */
-    var isReachable = true
-        private set
+    val isReachable: Boolean
+        get() = path.isUsable
 
     /** Whether the last call to the log succeeded, directly or through another node. */
     var isServed = true
@@ -84,9 +84,9 @@
         partition: Int,
         records: List<KeyedValue>,
     ): AppendResult {
-        if (isBypassed()) relay.append(topic, partition, records)?.let { return it }
+        if (path.isBypassed) relay.append(topic, partition, records)?.let { return it }
         val result = direct.append(topic, partition, records)
-        updateReachability(result is AppendResult.Appended)
+        recordDirectCall(result is AppendResult.Appended)
         // If the outcome is unknown, the records may already be in the log. The caller decides whether to append again.
         if (result !is AppendResult.Refused) return result
         return relay.append(topic, partition, records) ?: result
@@ -96,37 +96,24 @@
         readDirectly: suspend () -> ReadResult,
         readThroughRelay: suspend () -> ReadResult?,
     ): ReadResult {
-        if (isBypassed()) readThroughRelay()?.let { return it }
+        if (path.isBypassed) readThroughRelay()?.let { return it }
         val result = readDirectly()
-        updateReachability(result !is ReadResult.Unavailable)
+        recordDirectCall(result !is ReadResult.Unavailable)
         if (result !is ReadResult.Unavailable) return result
         return readThroughRelay() ?: result
     }
 
     private suspend fun newestDirectlyOrRelayed(topic: String, partition: Int, afterKey: String?): NewestResult {
-        if (isBypassed()) relay.newest(topic, partition, afterKey)?.let { return it }
+        if (path.isBypassed) relay.newest(topic, partition, afterKey)?.let { return it }
         val result = direct.newest(topic, partition, afterKey)
-        updateReachability(result is NewestResult.Page)
+        recordDirectCall(result is NewestResult.Page)
         if (result is NewestResult.Page) return result
         return relay.newest(topic, partition, afterKey) ?: result
     }
 
-    private fun isBypassed(): Boolean = clock.millis() < bypassUntilMillis
-
-    private fun updateReachability(isSuccess: Boolean) {
-        bypassUntilMillis = if (isSuccess) Long.MIN_VALUE else clock.millis() + BYPASS_MILLIS
-        if (isSuccess == isReachable) return
-        isReachable = isSuccess
-        logger.info { "log: this node ${if (isSuccess) "reaches the log again" else "does not reach the log"}" }
-    }
+    private fun recordDirectCall(isSuccess: Boolean) = if (isSuccess) path.onSuccess() else path.onFailure()
 
     private companion object {
-        val logger = KotlinLogging.logger {}
-
-        // Time for which calls go through other nodes before a direct call is tried again. A failing direct call may
-        // take a second.
-        const val BYPASS_MILLIS = 1_000L
-
         // Limits how long a relayed read occupies a connection between nodes.
         const val MAXIMUM_RELAYED_WAIT_MILLIS = 500L
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerLogRelay.kt
@@ -26,9 +26,7 @@
     clock: MonotonicClock,
     private val peers: (topic: String) -> List<FleetMember>,
 ) : LogRelay {
-    // A peer that does not answer these calls usually waits for the log. It can still run schedulers.
-    private val reachability = PeerReachability(clock)
-    private var lastPeer: String? = null
+    private val route = RelayRoute(clock, maximumProven = 1)
 
     @Serializable
     private data class RelayedRecord(val offset: Long, val key: String, val value: String)
@@ -127,15 +125,11 @@
     private suspend fun call(request: Request, timeoutMillis: Long): Response? {
         val body = Json.encodeToString(Request.serializer(), request)
         var refused: Response? = null
-        for (peer in candidates(request.topic)) {
+        for (peer in route.candidates(peers(request.topic))) {
             val response = client.post(peer, PATH, body, timeoutMillis)
                 ?.let { PeerMessages.decode(Response.serializer(), it, COMPONENT) }
-            if (response == null) reachability.onFailure(peer.name)
-            if (response != null && response !is Response.Refused) {
-                lastPeer = peer.name
-                return response
-            }
-            lastPeer = null
+            if (response != null && response !is Response.Refused) return response.also { route.onServed(peer.name) }
+            if (response == null) route.onFailed(peer.name) else route.onRefused(peer.name)
             refused = response
             // Without a response the records of an append may already be in the log.
             if (response == null && request is Request.Append) return Response.Unknown("no response")
@@ -143,12 +137,6 @@
         return refused
     }
 
-    private fun candidates(topic: String): List<FleetMember> = peers(topic)
-        .filter { !reachability.isSuspect(it.name) }
-        .shuffled()
-        .sortedBy { it.name != lastPeer }
-        .take(MAXIMUM_PEERS_PER_CALL)
-
     private suspend fun execute(request: Request, log: PartitionedLog): Response = when (request) {
         is Request.Append -> {
             val records = request.records.map { KeyedValue(it.key, it.valueBytes()) }
@@ -193,8 +181,5 @@
         // Many times the usual response time of the log, including the latency between nodes.
         const val APPEND_TIMEOUT_MILLIS = 1_000L
         const val READ_TIMEOUT_MILLIS = 600L
-
-        // The log may turn a third of the nodes away at the same time.
-        const val MAXIMUM_PEERS_PER_CALL = 3
     }
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerServer.kt
@@ -26,6 +26,7 @@
     private val gate = ClientGate(PORT, clients, CONNECTION_SHARE)
     private val handlers = HashMap<String, suspend (String) -> String?>()
     private val socketHandlers = HashMap<String, (String, PeerSocket) -> Unit>()
+    private val upgradeHandlers = HashMap<String, (String, HttpServerRequest) -> Unit>()
 
     /** Registers [handler] for [path]. It returns the response body, or null if it can't decode the message. */
     fun on(path: String, handler: suspend (String) -> String?) {
@@ -37,6 +38,14 @@
         socketHandlers[prefix] = handler
     }
 
+    /**
+     * Registers [handler] for requests to change the protocol of their connection whose path begins with [prefix]. It receives
+     * the rest of the path.
+     */
+    fun onUpgrade(prefix: String, handler: (String, HttpServerRequest) -> Unit) {
+        upgradeHandlers[prefix] = handler
+    }
+
     /** Starts to accept connections at [address], an IP address and port. */
     suspend fun listen(address: String) {
         val socket = SocketAddresses.parse(address)
@@ -61,6 +70,8 @@
     }
 
     private fun receive(request: HttpServerRequest) {
+        val upgrade = upgradeHandlers.entries.firstOrNull { request.path().startsWith(it.key) }
+        if (upgrade != null) return upgrade.value(request.path().removePrefix(upgrade.key), request)
         val isKnown = request.path() in handlers
         val body = RequestBody(request, MAXIMUM_MESSAGE_BYTES, isKnown, clients.account, owners = emptyList())
         gate.find(request.connection())?.body = body
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/JoinedHeadTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/JoinedHeadTest.kt
@@ -89,7 +89,12 @@
                             val worker =
                                 FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                             val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                            val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
+                            val pool =
+                                WorkerConnectionPool(
+                                    DirectWorkerConnector(vertx, "127.0.0.1"),
+                                    MonotonicClock.SYSTEM,
+                                    recorder,
+                                )
                             isUsed(pool, worker) shouldBe true
                             for (cut in 1 until first.length) {
                                 response = first.take(cut) + second
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/ReusedConnectionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/ReusedConnectionTest.kt
@@ -101,7 +101,12 @@
                         val worker =
                             FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                         val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                        val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
+                        val pool =
+                            WorkerConnectionPool(
+                                DirectWorkerConnector(vertx, "127.0.0.1"),
+                                MonotonicClock.SYSTEM,
+                                recorder,
+                            )
                         val first = pool.acquire(worker, "a", mayRepeat = true).shouldNotBeNull()
                         val isEnded = CompletableDeferred<Unit>()
 
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionPoolTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionPoolTest.kt
@@ -44,8 +44,7 @@
                         FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                     val pool =
                         WorkerConnectionPool(
-                            vertx,
-                            "127.0.0.1",
+                            DirectWorkerConnector(vertx, "127.0.0.1"),
                             MonotonicClock.SYSTEM,
                             UnusableResponseRecorder(registry),
                         )
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerConnectionTest.kt
@@ -75,7 +75,8 @@
                     val worker =
                         FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                     val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                    val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
+                    val pool =
+                        WorkerConnectionPool(DirectWorkerConnector(vertx, "127.0.0.1"), MonotonicClock.SYSTEM, recorder)
                     pool.acquire(worker, request.id, mayRepeat = true).shouldNotBeNull().send(request, receiver)
                     delay(EXCHANGE_MILLIS)
                 }.await()
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerProberTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/WorkerProberTest.kt
@@ -35,7 +35,8 @@
                         FleetWorker("w", "s", address, "here", slots = 1, isDraining = false, startedMillis = 1)
                     val loadBalancer = LoadBalancer("here").apply { update(listOf(worker)) }
                     val recorder = UnusableResponseRecorder(SimpleMeterRegistry())
-                    val pool = WorkerConnectionPool(vertx, "127.0.0.1", MonotonicClock.SYSTEM, recorder)
+                    val pool =
+                        WorkerConnectionPool(DirectWorkerConnector(vertx, "127.0.0.1"), MonotonicClock.SYSTEM, recorder)
                     val state = loadBalancer.state("w").shouldNotBeNull()
                     val connection = pool.acquire(worker, "r", mayRepeat = true).shouldNotBeNull()
 
