--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -13,16 +13,9 @@
 import org.poplarshift.serving.fleet.FleetMember
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.fleet.WorkerRegistry
-import org.poplarshift.serving.forward.DirectWorkerConnector
 import org.poplarshift.serving.forward.ForwardingContext
-import org.poplarshift.serving.forward.ObservedWorkerConnector
-import org.poplarshift.serving.forward.RelayedWorkerConnector
 import org.poplarshift.serving.forward.ResponseMemory
-import org.poplarshift.serving.forward.WorkerConnection
-import org.poplarshift.serving.forward.WorkerConnectionObserver
-import org.poplarshift.serving.forward.WorkerConnectionPool
-import org.poplarshift.serving.forward.WorkerConnector
-import org.poplarshift.serving.forward.WorkerPathMonitor
+import org.poplarshift.serving.forward.WorkerLinks
 import org.poplarshift.serving.forward.WorkerProber
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerServer
@@ -39,14 +32,11 @@
 import org.poplarshift.serving.observe.NodeStatus
 import org.poplarshift.serving.observe.ResumedStreamRecorder
 import org.poplarshift.serving.observe.UnusableResponseRecorder
-import org.poplarshift.serving.peer.DirectPath
 import org.poplarshift.serving.peer.PeerClient
 import org.poplarshift.serving.peer.PeerLogRelay
 import org.poplarshift.serving.peer.PeerReachability
 import org.poplarshift.serving.peer.PeerServer
-import org.poplarshift.serving.peer.PeerWorkerRelay
 import org.poplarshift.serving.peer.RelayPeers
-import org.poplarshift.serving.peer.WorkerRelayServer
 import org.poplarshift.serving.quarantine.CrashTracker
 import org.poplarshift.serving.ratelimit.PeerTokenSource
 import org.poplarshift.serving.ratelimit.RateLimitCounters
@@ -175,22 +165,17 @@
         isRecorded = streamOrigins::isRecorded,
     )
     private val unusableResponses = UnusableResponseRecorder(metrics)
-    private val workerPath = DirectPath(clock, "any worker", ::onWorkerPathChanged)
-    private val directWorkers: WorkerConnector =
-        ObservedWorkerConnector(DirectWorkerConnector(vertx, settings.localHost), workerPath) {
-            pathMonitor.onSuspicion()
-        }
-    private val workerRelay =
-        PeerWorkerRelay(vertx, settings.localHost, clock, metrics, relayPeers::forRequests)
-    private val connections: WorkerConnectionPool = WorkerConnectionPool(
-        RelayedWorkerConnector(directWorkers, workerRelay, workerPath),
+    private val workerLinks = WorkerLinks(
+        vertx,
+        settings.localHost,
+        tasks,
         clock,
+        metrics,
+        loadBalancer,
         unusableResponses,
-        connectionObserver(),
+        relayPeers::forRequests,
     )
-    private val pathMonitor: WorkerPathMonitor =
-        WorkerPathMonitor(tasks, loadBalancer, directWorkers, connections, workerPath)
-    private val relayServer = WorkerRelayServer(tasks, clock, loadBalancer, directWorkers, workerPath)
+    private val connections = workerLinks.connections
     private val prober = WorkerProber(tasks, loadBalancer, connections)
     private val crashTracker = CrashTracker(tasks, clock, log, settings.memberTopic, settings.name, wallClockMillis)
     private val forwarding = ForwardingContext(
@@ -284,13 +269,13 @@
         servePeers()
         tasks.launch("schedulers") { schedulerHost.run() }
         tasks.launch("dispatcher", ALL_DUTIES) { dispatcher.run() }
-        tasks.launch("worker path") { pathMonitor.run() }
+        tasks.launch("worker path") { workerLinks.run() }
         val readinessPort = readinessServer.listen(settings.readinessAddress)
         settings.metricsAddress?.let { metricsServer.listen(it) }
         NodeGauges.register(metrics, configuration, members, registry, batchRunner, forwarding)
         NodeGauges.registerScheduling(metrics, schedulerHost)
         NodeGauges.registerStreams(metrics, streamOrigins)
-        NodeGauges.registerRelays(metrics, workerPath, relayServer)
+        NodeGauges.registerRelays(metrics, workerLinks)
         val callersPort = callerServer.listen(settings.callersAddress)
         tasks.launch("batch membership", setOf(NodeDuty.ITEMS)) {
             awaitSubmissions { batchRunner.maintainMembership() }
@@ -308,7 +293,7 @@
         schedulerHost.serve(peerServer)
         streamOriginPeers.serve(peerServer, streamOrigins::store, streamOrigins::findLocally)
         relay.serve(peerServer, ports.log)
-        relayServer.serve(peerServer)
+        workerLinks.relayServer.serve(peerServer)
         peerServer.listen(settings.peerAddress)
     }
 
@@ -331,7 +316,7 @@
         logger.info { "node: shutting down, ${callerServer.activeRequests} requests are active" }
         callerServer.isShuttingDown = true
         val handover = tasks.launchOnce("hand-over") { batchRunner.leave() }
-        val relays = tasks.launchOnce("end of relayed connections") { relayServer.stop(drainMillis) }
+        val relays = tasks.launchOnce("end of relayed connections") { workerLinks.relayServer.stop(drainMillis) }
         callerServer.drain(DEREGISTRATION_MILLIS, drainMillis)
         relays.await()
         if (handover.await() is TaskResult.Failed) {
@@ -413,25 +398,6 @@
         schedulerHost.evacuate(zones)
     }
 
-    // Connections from before the change would hold up requests, or take a way that is longer than needed. Workers that this
-    // node did not reach may be reached through others.
-    private fun onWorkerPathChanged(isDirect: Boolean) {
-        connections.closeIdle { isDirect == (it.relay != null) }
-        if (!isDirect) loadBalancer.workerStates.forEach { it.onReachable() }
-    }
-
-    private fun connectionObserver() = object : WorkerConnectionObserver {
-        override fun onSlow(connection: WorkerConnection) {
-            if (connection.relay == null) pathMonitor.onSuspicion()
-        }
-
-        override fun onSilent(connection: WorkerConnection) {
-            val peer = connection.relay ?: return pathMonitor.onSuspicion()
-            workerRelay.onSilent(peer)
-            connections.closeIdle { it.relay == peer }
-        }
-    }
-
     private fun evictUnusableConnections() = connections.evictUnusable(loadBalancer.workers.map { it.id }.toSet())
 
     private suspend fun runMaintenance() {
--- a/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/observe/NodeGauges.kt
@@ -7,8 +7,7 @@
 import org.poplarshift.serving.fleet.FleetMembers
 import org.poplarshift.serving.fleet.WorkerRegistry
 import org.poplarshift.serving.forward.ForwardingContext
-import org.poplarshift.serving.peer.DirectPath
-import org.poplarshift.serving.peer.WorkerRelayServer
+import org.poplarshift.serving.forward.WorkerLinks
 import org.poplarshift.serving.scheduling.SchedulerHost
 import org.poplarshift.serving.stream.ReplicatedStreamOrigins
 import org.poplarshift.serving.submission.BatchRunner
@@ -48,9 +47,9 @@
         gauge(registry, "stream_origins_held") { origins.size }
 
     /** Registers whether this node reaches workers, and the connections to workers that it relays for other nodes. */
-    fun registerRelays(registry: MeterRegistry, path: DirectPath, relays: WorkerRelayServer) {
-        gauge(registry, "workers_reached_directly") { if (path.isUsable) 1 else 0 }
-        gauge(registry, "worker_connections_relayed") { relays.size }
+    fun registerRelays(registry: MeterRegistry, links: WorkerLinks) {
+        gauge(registry, "workers_reached_directly") { if (links.path.isUsable) 1 else 0 }
+        gauge(registry, "worker_connections_relayed") { links.relayServer.size }
     }
 
     private fun gauge(registry: MeterRegistry, name: String, value: () -> Number) {
