Let the origin end relayed connections when the relaying node shuts down

Callers of a node that is cut off from all workers saw a truncated body with status 200, or 502, when the node that relayed its connections was stopped.

A stopping node ended each tunnel that had carried nothing for a second with the frame of an orderly end. A worker that is silent for a second looks the same as an idle connection: the response without a length then looked complete, and a request that had not been answered yet was lost and counted against the worker. A connection in steady use was never quiet, so that it was ended with a reset in the middle of a request at the end of the drain time.

The stopping node now says so in a frame of its own, and the other node, which alone knows when a request has ended, closes the connection after it or at once. What is left at the end of the drain time is closed without a frame, which says nothing about the worker.

The new cases of CutOffNodeTest and TunnelFramesTest pass.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -49,6 +49,10 @@
     val isRelayLost: Boolean
         get() = source.isRelayLost
 
+    /** Whether the relaying node shuts down, so that the connection is not used for another request. */
+    val isRelayLeaving: Boolean
+        get() = source.isRelayLeaving
+
     /** Id of the latest request, or null before the first one. */
     var lastRequest: String? = null
         private set
@@ -93,6 +97,7 @@
             .addBefore(context.name(), "decoder", ResponseDecoder(decoding) { lastMethod != HttpMethod.HEAD })
             .addBefore(context.name(), "encoder", HttpRequestEncoder())
             .addBefore(context.name(), "responses", ResponseMessageHandler(::onMessage, ::reportEnd, ::onLost))
+        source.relayLeavingHandler = { if (isIdle) close() }
         // Failures are reported by the handler of responses.
         socket.exceptionHandler { }
         socket.closeHandler {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -70,7 +70,7 @@
         val reusableMillis =
             (keepAliveMillis ?: DEFAULT_KEEP_ALIVE_MILLIS) -
                 maxOf(CLOSE_MARGIN_MILLIS, (keepAliveMillis ?: 0) / CLOSE_MARGIN_DIVISOR)
-        val isDetour = connection.relay != null && !connector.isCutOff
+        val isDetour = connection.isRelayLeaving || (connection.relay != null && !connector.isCutOff)
         if (connection.isClosed || reusableMillis <= 0 || isDetour) {
             connection.close()
             return
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnector.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnector.kt
@@ -19,6 +19,19 @@
 class WorkerSocket(val socket: NetSocketInternal, val relay: String? = null) {
     /** Whether the connection has ended because the relaying node was lost, so that the worker may be sound. */
     var isRelayLost = false
+
+    /** Whether the relaying node shuts down, so that the connection is not used for another request. */
+    var isRelayLeaving = false
+        private set
+
+    /** Called when the relaying node shuts down. */
+    var relayLeavingHandler: () -> Unit = {}
+
+    /** Records that the relaying node shuts down. */
+    fun onRelayLeaving() {
+        isRelayLeaving = true
+        relayLeavingHandler()
+    }
 }
 
 /** Opens connections to workers. */
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerWorkerRelay.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/PeerWorkerRelay.kt
@@ -113,7 +113,7 @@
             val opened = WorkerSocket(socket, peer.name)
             socket.channelHandlerContext().pipeline().addFirst(
                 "frames",
-                TunnelDecoder { opened.isRelayLost = true },
+                TunnelDecoder(opened::onRelayLeaving) { opened.isRelayLost = true },
             )
             Outcome.Opened(accept(opened))
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/TunnelFrames.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/TunnelFrames.kt
@@ -10,11 +10,13 @@
  * The bytes of a worker in frames, as a relaying node sends them: a length of four bytes and the bytes.
  *
  * The end of a connection may end a response. The loss of the relaying node must not look like it, so that the end and the
- * reset of the worker's connection have frames of their own.
+ * reset of the worker's connection have frames of their own. So has the shutdown of the relaying node, which can't tell a
+ * connection between two requests from one whose worker is silent.
  */
 object TunnelFrames {
     internal const val END = 0
     internal const val RESET = -1
+    internal const val LEAVING = -2
 
     /** The worker has closed its connection in an orderly way. */
     val end: Buffer = Buffer.buffer().appendInt(END)
@@ -22,6 +24,9 @@
     /** The worker's connection was reset. */
     val reset: Buffer = Buffer.buffer().appendInt(RESET)
 
+    /** The relaying node shuts down: the connection is to be closed once its request has ended. */
+    val leaving: Buffer = Buffer.buffer().appendInt(LEAVING)
+
     /** Returns the frame that contains [bytes]. */
     fun of(bytes: Buffer): Buffer =
         Buffer.buffer(Int.SIZE_BYTES + bytes.length()).appendInt(bytes.length()).appendBuffer(bytes)
@@ -30,9 +35,11 @@
 /**
  * Passes on the bytes of the frames that are received.
  *
+ * @param onRelayLeaving called when the relaying node shuts down
  * @param onRelayLost called before the end of a connection that the worker has not ended
  */
-class TunnelDecoder(private val onRelayLost: () -> Unit) : ByteToMessageDecoder() {
+class TunnelDecoder(private val onRelayLeaving: () -> Unit, private val onRelayLost: () -> Unit) :
+    ByteToMessageDecoder() {
     private var remaining = 0
     private var isEnded = false
 
@@ -59,10 +66,15 @@
 
     private fun readLength(context: ChannelHandlerContext, input: ByteBuf): Boolean {
         if (input.readableBytes() < Int.SIZE_BYTES) return false
-        remaining = input.readInt()
-        if (remaining > 0) return true
+        val length = input.readInt()
+        remaining = maxOf(0, length)
+        if (length > 0) return true
+        if (length == TunnelFrames.LEAVING) {
+            onRelayLeaving()
+            return false
+        }
         isEnded = true
-        if (remaining != TunnelFrames.END) context.fireExceptionCaught(IOException("reset at the relaying node"))
+        if (length != TunnelFrames.END) context.fireExceptionCaught(IOException("reset at the relaying node"))
         context.close()
         return false
     }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/WorkerRelayServer.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/WorkerRelayServer.kt
@@ -30,10 +30,6 @@
 ) {
     private inner class Tunnel(private val caller: NetSocket, private val worker: NetSocket) {
         private var isEnded = false
-        private var activeMillis = clock.millis()
-
-        val isQuiet: Boolean
-            get() = clock.millis() - activeMillis > QUIET_MILLIS
 
         fun start() {
             tunnels += this
@@ -47,6 +43,12 @@
             connect(caller, worker) { it }
             worker.resume()
             caller.resume()
+            if (isStopping) onStopping()
+        }
+
+        /** Asks the other node to end the connection after the current request. */
+        fun onStopping() {
+            caller.write(TunnelFrames.leaving)
         }
 
         /** Ends both connections, after [frame] has been sent to the other node. */
@@ -60,7 +62,6 @@
 
         private fun connect(from: NetSocket, to: NetSocket, encode: (Buffer) -> Buffer) {
             from.handler { bytes ->
-                activeMillis = clock.millis()
                 if (isEnded) return@handler
                 to.write(encode(bytes))
                 if (!to.writeQueueFull()) return@handler
@@ -82,15 +83,14 @@
         tasks.launchOnce("relayed connection") { accept(rest, request) }
     }
 
-    /** Refuses new connections, and ends the open ones once they carry nothing, at the latest after [millis]. */
+    /** Refuses new connections, and waits up to [millis] until the other nodes have ended the open ones. */
     suspend fun stop(millis: Long) {
         isStopping = true
+        tunnels.forEach { it.onStopping() }
         val endMillis = clock.millis() + millis
-        while (tunnels.isNotEmpty() && clock.millis() < endMillis) {
-            tunnels.filter { it.isQuiet }.forEach { it.end(TunnelFrames.end) }
-            delay(CHECK_INTERVAL_MILLIS)
-        }
-        tunnels.toList().forEach { it.end(TunnelFrames.reset) }
+        while (tunnels.isNotEmpty() && clock.millis() < endMillis) delay(CHECK_INTERVAL_MILLIS)
+        // Without a frame, because the workers have not ended their connections.
+        tunnels.toList().forEach { it.end(frame = null) }
     }
 
     private suspend fun accept(rest: String, request: HttpServerRequest) {
@@ -147,9 +147,6 @@
 
         // A node checks its path within this time when a connection fails.
         private const val SOUND_MILLIS = 2_000L
-
-        // Longer than the pause between two events of a stream.
-        private const val QUIET_MILLIS = 1_000L
         private const val CHECK_INTERVAL_MILLIS = 100L
 
         /** Returns the request for a connection to [worker], for the node at [address]. */
--- a/serving/src/test/kotlin/org/poplarshift/serving/forward/CutOffNodeTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/forward/CutOffNodeTest.kt
@@ -186,6 +186,39 @@
             }
         }
 
+        listOf(
+            "before its head" to { request: RawRequest ->
+                listOf(RawStep.Pause(SILENT_MILLIS), RawStep.Write(RawResponses.sound(request)))
+            },
+            "before the end of its connection" to { request: RawRequest ->
+                val head = RawResponses.head(request, more = RawResponses.STAMP) + "good "
+                listOf(RawStep.Write(head), RawStep.Pause(SILENT_MILLIS), RawStep.Write(request.id), RawStep.Close)
+            },
+        ).forEach { (name, steps) ->
+            test("a response that is silent for a while $name is whole although the relaying node stops") {
+                val respond = { request: RawRequest ->
+                    if (request.path == "/unsafe/safe/x") {
+                        steps(request)
+                    } else {
+                        listOf(RawStep.Write(RawResponses.sound(request)))
+                    }
+                }
+                withFleet(nodes = 2, respond) {
+                    cutOff(1, WorkerLinkFault.RESET)
+                    awaitService("/safe/x")
+                    coroutineScope {
+                        val id = "r$requests"
+                        val response = async { send(nodes[0], "/unsafe/safe/x") }
+                        delay(RESPONSE_MILLIS / 2)
+                        val stop = async { fleet.onEventLoop { nodes[1].node.stop() } }
+                        response.await().body shouldBe RawResponses.soundBody(id, isPlain = true)
+                        eventually(1.seconds) { nodes[1].relaysCarried shouldBe 0 }
+                        stop.cancel()
+                    }
+                }
+            }
+        }
+
         test("a draining worker gets no relayed request") {
             withFleet(nodes = 2) {
                 cutOff(1, WorkerLinkFault.RESET)
@@ -210,5 +243,8 @@
         const val MEMBERS_MILLIS = 1_500L
         const val REGISTRY_MILLIS = 1_000L
         const val RESPONSE_MILLIS = 600L
+
+        // Longer than a worker is usually silent.
+        const val SILENT_MILLIS = 1_700L
     }
 }
--- a/serving/src/test/kotlin/org/poplarshift/serving/peer/TunnelFramesTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/peer/TunnelFramesTest.kt
@@ -18,6 +18,7 @@
             val received: String,
             val isReset: Boolean,
             val isRelayLost: Boolean,
+            val isRelayLeaving: Boolean = false,
         )
         val content = Buffer.buffer()
             .appendBuffer(TunnelFrames.of(Buffer.buffer("ab")))
@@ -37,6 +38,17 @@
                 isReset = true,
                 isRelayLost = false,
             ),
+            Case(
+                "the shutdown of the relaying node between two frames",
+                TunnelFrames.of(Buffer.buffer("ab"))
+                    .appendBuffer(TunnelFrames.leaving)
+                    .appendBuffer(TunnelFrames.of(Buffer.buffer("c")))
+                    .appendBuffer(TunnelFrames.end),
+                "abc",
+                isReset = false,
+                isRelayLost = false,
+                isRelayLeaving = true,
+            ),
             Case("the loss of the relaying node", content, "abc", isReset = true, isRelayLost = true),
             Case("its loss within a frame", content.getBuffer(0, 5), "a", isReset = true, isRelayLost = true),
             Case("its loss within a length", content.getBuffer(0, 2), "", isReset = true, isRelayLost = true),
@@ -51,6 +63,7 @@
             listOf(1, 3, 100).forEach { size ->
                 test("${case.name} in segments of $size bytes") {
                     var isRelayLost = false
+                    var isRelayLeaving = false
                     var isReset = false
                     val received = StringBuilder()
                     val last = object : ChannelInboundHandlerAdapter() {
@@ -63,7 +76,7 @@
                             isReset = true
                         }
                     }
-                    val channel = EmbeddedChannel(TunnelDecoder { isRelayLost = true }, last)
+                    val channel = EmbeddedChannel(TunnelDecoder({ isRelayLeaving = true }) { isRelayLost = true }, last)
                     case.sent.bytes.toList().chunked(size).forEach {
                         if (channel.isOpen) channel.writeInbound(Unpooled.wrappedBuffer(it.toByteArray()))
                     }
@@ -71,6 +84,7 @@
                     "$received" shouldBe case.received
                     isReset shouldBe case.isReset
                     isRelayLost shouldBe case.isRelayLost
+                    isRelayLeaving shouldBe case.isRelayLeaving
                 }
             }
         }
