--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerPathMonitor.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerPathMonitor.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import org.poplarshift.core.dispatch.FleetWorker
 import org.poplarshift.core.dispatch.LoadBalancer
+import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.serving.BackgroundTasks
 import org.poplarshift.serving.peer.DirectPath
 
@@ -32,7 +33,9 @@
         isChecking = true
         tasks.launchOnce("path check") {
             try {
-                if (!reachesAny()) path.onFailure()
+                val succeededMillis = path.succeededMillis
+                val isCutOff = !reachesAny() && path.succeededMillis == succeededMillis
+                if (isCutOff) path.onFailure()
             } finally {
                 isChecking = false
             }
@@ -61,13 +64,15 @@
         }
     }
 
-    /** The workers of the services by turns, beginning with the service that has the fewest. */
+    private val usable: List<WorkerState>
+        get() = workers.workerStates.filter { !it.worker.isDraining && !it.isLeaving && !it.isEvacuated }
+
+    /** One worker of each service by turns, and first those that are not known to have failed. */
     private fun candidates(): List<FleetWorker> {
-        val byService = workers.workers.filter {
-            !it.isDraining
-        }.shuffled().groupBy { it.service }.values.sortedBy { it.size }
+        val byService = usable.shuffled().groupBy { it.worker.service }.values.sortedBy { it.size }
         val rounds = byService.maxOfOrNull { it.size } ?: 0
-        return (0 until rounds).flatMap { round -> byService.mapNotNull { it.getOrNull(round) } }
+        val byTurns = (0 until rounds).flatMap { round -> byService.mapNotNull { it.getOrNull(round) } }
+        return byTurns.sortedBy { it.isSuspect }.map { it.worker }
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/DirectPath.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/DirectPath.kt
@@ -14,7 +14,9 @@
     private val remote: String,
     private val onChange: (Boolean) -> Unit = {},
 ) {
-    private var succeededMillis = Long.MIN_VALUE / 2
+    /** Time of the latest direct call that has succeeded, in monotonic milliseconds. */
+    var succeededMillis = Long.MIN_VALUE / 2
+        private set
     private var bypassUntilMillis = Long.MIN_VALUE
 
     /** Whether the latest direct call gives no reason to go through other nodes. */
