Know the process behind a connection before a stream depends on its version

What callers saw: a stream went on at a worker of another software version, or an item's result held events of two versions, when a worker had restarted under its id and address and the node had not read its new registry entry: because the worker had not registered yet, because the node was cut off from the log, or because its reads of the log stood still.

Cause: the version of a worker is that of its registry entry, and nothing tied the entry to the process that a connection leads to.

Fix: a worker states its start in its entry and in its report. Plain requests are sent as before. Stand-ins state their start in their entries and reports.

--- a/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/ServingNode.kt
@@ -17,6 +17,7 @@
 import org.poplarshift.serving.forward.ResponseMemory
 import org.poplarshift.serving.forward.WorkerConnectionPool
 import org.poplarshift.serving.forward.WorkerProber
+import org.poplarshift.serving.forward.WorkerStartVerifier
 import org.poplarshift.serving.ingress.CallHandlers
 import org.poplarshift.serving.ingress.CallerServer
 import org.poplarshift.serving.ingress.ClientContext
@@ -178,6 +179,7 @@
         streamOrigins,
         ResumedStreamRecorder(metrics),
         ResponseMemory(ForwardingContext.RESPONSE_MEMORY_BYTES, clients.account),
+        WorkerStartVerifier(ports.workerProtocol, clock, connections.doubts) { registry.asOfMillis },
         tokensPerEvent = ::tokensPerEvent,
     )
     private val contentCache = ContentCache(settings.contentCacheBytes)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/AttemptSession.kt
@@ -6,6 +6,7 @@
 import org.poplarshift.core.dispatch.SlotOutcome
 import org.poplarshift.core.dispatch.WorkerState
 import org.poplarshift.core.quarantine.SuspectStatus
+import org.poplarshift.core.stream.VersionRequirement
 import org.poplarshift.serving.MonotonicClock
 import org.poplarshift.serving.forward.AttemptResult.Companion.NO_WORKER
 import org.poplarshift.serving.quarantine.WorkerRun
@@ -75,7 +76,7 @@
      * Sends the request as the other function does, with a stream that may be resumed at some workers only.
      *
      * @param resumeAfter returns the id of the event after which the stream resumes at a worker, or null if it begins
-     *   anew there; called when the request is sent to the worker
+     *   anew there; called before the request is sent to the worker
      */
     suspend fun attempt(
         request: DispatchRequest,
@@ -98,7 +99,7 @@
             }
             sentMillis = clock.millis()
             isAnswered = false
-            val result = sendTo(slot, headTimeoutMillis, resumeAfter)
+            val result = sendTo(slot, headTimeoutMillis, request.versions, resumeAfter)
             if (result !is AttemptResult.NotRun) return result
             refusals++
             if (remainingMillis <= 0 || refusals >= MAXIMUM_REFUSALS) return result
@@ -112,6 +113,9 @@
     /** Records that the connection to [worker] was lost before the response was complete. */
     fun onConnectionLostDuringResponse(worker: FleetWorker) = recordConnectionLoss(worker)
 
+    /** Records that [worker] has stopped sending its response. */
+    fun onSilentDuringResponse(worker: FleetWorker) = forwarding.connections.doubts.add(worker.id)
+
     /** Records that the worker of the current attempt has begun to write its response. */
     fun onAnswered() {
         if (isAnswered) return
@@ -157,16 +161,19 @@
         }
     }
 
-    private fun recordConnectionLoss(worker: FleetWorker) = forwarding.crashTracker.onConnectionLost(
-        WorkerRun(
-            fingerprint = plan.fingerprint,
-            worker = "${worker.id}/${worker.startedMillis}",
-            requestId = plan.id,
-            promptParts = sharedPromptParts,
-            sentMillis = sentMillis,
-            hasBegun = isAnswered,
-            isSuspect = plan.mayCrashWorkers,
-        ),
+    private fun recordConnectionLoss(worker: FleetWorker) {
+        forwarding.connections.doubts.add(worker.id)
+        forwarding.crashTracker.onConnectionLost(workerRun(worker))
+    }
+
+    private fun workerRun(worker: FleetWorker) = WorkerRun(
+        fingerprint = plan.fingerprint,
+        worker = "${worker.id}/${worker.startedMillis}",
+        requestId = plan.id,
+        promptParts = sharedPromptParts,
+        sentMillis = sentMillis,
+        hasBegun = isAnswered,
+        isSuspect = plan.mayCrashWorkers,
     )
 
     private fun rateExceeded(retryMillis: Long): AttemptResult {
@@ -182,6 +189,7 @@
     private suspend fun sendTo(
         slot: AssignedSlot,
         headTimeoutMillis: Long,
+        versions: VersionRequirement,
         resumeAfter: (FleetWorker) -> Long?,
     ): AttemptResult {
         val target = slot.target
@@ -190,14 +198,15 @@
         var connection: WorkerConnection? = null
         try {
             connection = connectTo(target.worker)
-            if (connection == null || slot.mayHaveOtherVersion) {
+            val after = resumeAfter(target.worker)
+            if (connection == null || !isOfVersion(slot, connection, versions, after)) {
                 outcome = if (connection == null) SlotOutcome.UNREACHABLE else SlotOutcome.UNUSED
                 return notSent(target, isConnected = connection != null)
             }
             val exchange = WorkerExchange(connection, forwarding)
             isInFlight = true
             val exchangeResult = exchange.send(
-                outgoingRequest(target, resumeAfter(target.worker)),
+                outgoingRequest(target, after),
                 minOf(headTimeoutMillis, remainingMillis).coerceAtLeast(1),
             )
             outcome = exchangeResult.slotOutcome()
@@ -213,6 +222,29 @@
         }
     }
 
+    /**
+     * Whether [connection] leads to a process of the version that the worker had when [slot] was assigned.
+     *
+     * At a worker that does not state its start, streams begin, and go on unless it may just have restarted.
+     */
+    private suspend fun isOfVersion(
+        slot: AssignedSlot,
+        connection: WorkerConnection,
+        versions: VersionRequirement,
+        resumeAfter: Long?,
+    ): Boolean {
+        if (versions == VersionRequirement.Any) return !slot.mayHaveOtherVersion
+        val worker = slot.target.worker
+        val isCritical = resumeAfter != null || forwarding.streamOrigins.hasSeveralVersions(worker.service)
+        val isRegistered = when (forwarding.starts.verify(connection, worker, isCritical, remainingMillis)) {
+            WorkerStart.Registered -> true
+            WorkerStart.Other, WorkerStart.NoAnswer -> false
+            WorkerStart.NotStated -> resumeAfter == null || forwarding.starts.isRegistryLaterThanDoubt(worker)
+        }
+        // The registry may have changed meanwhile.
+        return isRegistered && !slot.mayHaveOtherVersion
+    }
+
     private fun notSent(target: WorkerState, isConnected: Boolean): AttemptResult {
         if (isConnected) return notRunAt(target, "version_changed")
         forwarding.prober.markUnreachable(target)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/ForwardingContext.kt
@@ -22,6 +22,7 @@
     val streamOrigins: StreamOrigins,
     val streamRecorder: ResumedStreamRecorder,
     val responseMemory: ResponseMemory = ResponseMemory(RESPONSE_MEMORY_BYTES),
+    val starts: WorkerStartVerifier = WorkerStartVerifier(protocol, clock, connections.doubts, clock::millis),
     val tokensPerEvent: (service: String) -> Int = { 1 },
 ) {
     companion object {
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/StreamForwarder.kt
@@ -90,8 +90,7 @@
                     return part.reason
                 }
 
-                EventStreamPart.TimedOut ->
-                    return if (session.remainingMillis <= 0) "time is up" else "silent within the stream"
+                EventStreamPart.TimedOut -> return silence(attempt)
 
                 EventStreamPart.Complete -> {
                     attempt.run.onCompleted()
@@ -103,6 +102,11 @@
         }
     }
 
+    private fun silence(attempt: Attempt): String {
+        session.onSilentDuringResponse(attempt.target.worker)
+        return if (session.remainingMillis <= 0) "time is up" else "silent within the stream"
+    }
+
     private suspend fun deliver(events: List<StreamEvent>, origin: StreamOrigin) {
         session.onAnswered()
         if (!hasDelivered) onBegun(origin)
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnection.kt
@@ -68,6 +68,9 @@
     var isIdle = false
         internal set
 
+    /** Start of the worker's process that the connection leads to, in Unix milliseconds, or null if it is not known. */
+    var startedMillis: Long? = null
+
     /** Monotonic time in milliseconds until which the idle connection may be reused. */
     var reusableUntilMillis = 0L
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerConnectionPool.kt
@@ -25,6 +25,9 @@
     private val clock: MonotonicClock,
     private val recorder: UnusableResponseRecorder,
 ) {
+    /** The workers that may have ended, as seen by their connections. */
+    val doubts = WorkerDoubts(clock)
+
     private val misattributions = MisattributionTracker(clock)
     private val idle = HashMap<String, ArrayDeque<WorkerConnection>>()
     private val client = vertx.createNetClient(
@@ -85,6 +88,7 @@
 
     /** Closes the idle connections to [worker], which may be dead without having been closed. */
     fun closeIdle(worker: String) {
+        doubts.add(worker)
         idle.remove(worker)?.forEach { it.close() }
     }
 
@@ -92,10 +96,11 @@
     fun evictUnusable(workers: Set<String>) {
         val now = clock.millis()
         misattributions.expire(workers)
+        doubts.retain(workers)
         idle.keys.filter { it !in workers }.forEach { closeIdle(it) }
         for (queue in idle.values) {
             while (queue.isNotEmpty() && (queue.first().reusableUntilMillis <= now || queue.first().isClosed)) {
-                queue.removeFirst().close()
+                discard(queue.removeFirst())
             }
         }
     }
@@ -109,11 +114,16 @@
                 connection.isIdle = false
                 return connection
             }
-            connection.close()
+            discard(connection)
         }
         return null
     }
 
+    private fun discard(connection: WorkerConnection) {
+        if (connection.isClosed) doubts.add(connection.worker)
+        connection.close()
+    }
+
     private fun WorkerConnection.isUsableFor(worker: FleetWorker, requestId: String, nowMillis: Long): Boolean =
         !isClosed &&
             reusableUntilMillis > nowMillis &&
--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerProtocol.kt
@@ -27,6 +27,12 @@
 
     /** Returns those response headers that are forwarded to the caller. */
     fun responseHeaders(headers: MultiMap): MultiMap
+
+    /** Returns the request that asks a worker for its start, or null if workers do not state it. */
+    fun startRequest(): OutgoingRequest? = null
+
+    /** Returns the start in Unix milliseconds that the response [body] states, or null if it states none. */
+    fun readStart(body: ByteArray): Long? = null
 }
 
 /**
--- a/serving/src/main/kotlin/org/poplarshift/serving/stream/ReplicatedStreamOrigins.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/stream/ReplicatedStreamOrigins.kt
@@ -50,7 +50,7 @@
 
     override fun onBegun(stream: String, origin: StreamOrigin) {
         begun.record(stream, origin, clock.millis())
-        if (isReplicated(origin)) replicators.values.forEach { it.add(mapOf(stream to origin)) }
+        if (hasSeveralVersions(origin.service)) replicators.values.forEach { it.add(mapOf(stream to origin)) }
     }
 
     override fun isRecorded(service: String, softwareVersion: String): Boolean =
@@ -127,12 +127,12 @@
 
     private fun replicatedOrigins(): Map<String, StreamOrigin> {
         val recent = begun.recent(clock.millis() - REPORTED_MILLIS)
-        val replicated = recent.values.toSet().filter(::isReplicated).toSet()
+        val replicated = recent.values.toSet().filter { hasSeveralVersions(it.service) }.toSet()
         return recent.filterValues { it in replicated }
     }
 
-    private fun isReplicated(origin: StreamOrigin) =
-        isLogDisturbed() || recordedVersions(servicesBeside(origin.service)) > 1
+    override fun hasSeveralVersions(service: String): Boolean =
+        isLogDisturbed() || recordedVersions(servicesBeside(service)) > 1
 
     private fun recordedVersions(services: Set<String>): Int = services.sumOf { versions.recorded(it).size }
 
--- a/serving/src/main/kotlin/org/poplarshift/serving/stream/StreamOrigins.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/stream/StreamOrigins.kt
@@ -17,4 +17,7 @@
 
     /** Whether streams may begin at workers of [service] with [softwareVersion], see [StreamOrigin]. */
     fun isRecorded(service: String, softwareVersion: String): Boolean
+
+    /** Whether streams of the routes with [service] may have begun at several versions, as far as this node knows. */
+    fun hasSeveralVersions(service: String): Boolean
 }
--- a/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/submission/ItemRun.kt
@@ -242,7 +242,10 @@
                     return false
                 }
 
-                EventStreamPart.TimedOut -> return false
+                EventStreamPart.TimedOut -> {
+                    session.onSilentDuringResponse(attempt.target.worker)
+                    return false
+                }
             }
             if (isFinished) return true
             progressWriter.savePeriodically(output)
--- a/serving/src/test/kotlin/org/poplarshift/serving/stream/MixedVersionsTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/stream/MixedVersionsTest.kt
@@ -138,6 +138,57 @@
                 begin("b", "service/1")
                 takeUp("a", "c")
             },
+            Case(
+                "a worker with idle connections restarts with another version that no node has read",
+                mustGoOn = true,
+            ) {
+                serveOneVersion()
+                beginAndRead("a")
+                restart("2", "old-1")
+                beginAnywhere("a")
+                takeUp("b", "c")
+            },
+            Case("a worker restarts with the other of two versions and no node has read that", mustGoOn = true) {
+                serveTwoVersions()
+                release("1", "old-3")
+                restart("2", "old-1", "old-2")
+                beginAnywhere("a")
+                takeUp("b", "c")
+            },
+            Case("a worker restarts with another version unread by the node that the stream began at") {
+                serveOneVersion()
+                begin("b", "service/1")
+                cutOff("b")
+                restart("2", "old-1", "old-2", isAnnounced = true)
+                awaitOrigin("service/2", setOf("a"))
+                takeUp("b")
+            },
+            Case(
+                "a worker restarts with another version while a node is cut off, without open connections",
+                mustGoOn = true,
+            ) {
+                serveOneVersion()
+                awaitOrigin("service/1")
+                cutOff("b")
+                closeIdleConnections()
+                restart("2", "old-1", isAnnounced = true)
+                awaitOrigin("service/2", setOf("a"))
+                beginAnywhere("b")
+                takeUp("b")
+            },
+            Case(
+                "a worker restarts with another version while a node's reads of the log stand still",
+                mustGoOn = true,
+            ) {
+                serveOneVersion()
+                awaitOrigin("service/1")
+                nodes.getValue("b").haltLog()
+                nodes.getValue("b").cutOffFromPeers()
+                closeIdleConnections()
+                restart("2", "old-1", isAnnounced = true)
+                beginAnywhere("b")
+                takeUp("b")
+            },
             Case("both services of the route have two versions", mustGoOn = true, listOf("one", "two")) {
                 for (service in listOf("one", "two")) {
                     for (version in listOf("1", "2")) {
--- a/serving/src/test/kotlin/org/poplarshift/serving/submission/MixedItemVersionsTest.kt
+++ b/serving/src/test/kotlin/org/poplarshift/serving/submission/MixedItemVersionsTest.kt
@@ -33,6 +33,12 @@
                 fleet.drain("old-1")
                 crash("old-1")
             },
+            Case("its worker restarts with another version that no node has read", isMoved = false) {
+                runAtOneVersion()
+                awaitSavedProgress()
+                restart("2", "old-1", slots = SLOTS)
+                release("2", "new-1", slots = SLOTS)
+            },
             Case("its node is killed after saving progress, and another version has replaced the first") {
                 runAtOneVersion()
                 awaitSavedProgress()
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/store/OperatorRecords.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/store/OperatorRecords.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
+import org.poplarshift.standins.worker.RegisteredWorker
 
 /** The records that the operator and the workers of the users' platform write to its store. */
 object OperatorRecords {
@@ -38,10 +39,10 @@
         putJsonArray("tenants") { organisations.forEach { addJsonObject { organisation(it) } } }
     }.toString()
 
-    /** A worker's entry. */
+    /** The entry of [worker]. */
     fun worker(
         service: String,
-        softwareVersion: String,
+        worker: RegisteredWorker,
         address: String,
         zone: String,
         slots: Int,
@@ -51,10 +52,11 @@
         put("service", service)
         put("address", address)
         put("zone", zone)
-        put("version", softwareVersion)
+        put("version", worker.softwareVersion)
         put("slots", slots)
         put("state", if (isDraining) "draining" else "ready")
         put("cold_left_ms", 0)
+        put("born", worker.startedMillis)
         put("seq", sequence)
     }.toString()
 
--- a/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
+++ b/stand-ins/src/main/kotlin/org/poplarshift/standins/worker/RegisteredWorker.kt
@@ -41,6 +41,10 @@
     /** Time in milliseconds that a response, or the time between two events, takes. */
     var paceMillis = DEFAULT_PACE_MILLIS
 
+    /** Time of the latest start in Unix milliseconds. */
+    var startedMillis = 0L
+        private set
+
     /** Port of the listener. */
     var port = 0
         private set
@@ -54,6 +58,7 @@
         val listening = vertx.createNetServer().connectHandler(::accept).listen(atPort, host).coAwait()
         server = listening
         port = listening.actualPort()
+        startedMillis = System.currentTimeMillis()
     }
 
     /** Closes the listener and all connections, as a crash does. */
@@ -79,6 +84,7 @@
 
     private fun serve(connection: WorkerConnection, request: ReceivedRequest) {
         connection.writePending()
+        if (request.uri == REPORT_PATH) return connection.write(report())
         val requestId = request.headers[PlatformHeaders.REQUEST_ID]
         val expected = request.headers[PlatformHeaders.EXPECTED_WORKER]
         val fault = chooseFault(request)
@@ -119,6 +125,12 @@
         RunResponse(vertx, connection, run, ::response) { paceMillis }.send { running-- }
     }
 
+    private fun report(): String {
+        val body = """{"born":$startedMillis,"busy":false,"queued":0,"running":$running}"""
+        val head = "HTTP/1.1 $OK Status\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n"
+        return "$head\r\n$body"
+    }
+
     private fun refusal(status: Int, requestId: String?) = WorkerResponse(
         status = status,
         requestId = requestId,
@@ -150,6 +162,7 @@
 
     private companion object {
         val WHOLE = ResponseForm(ResponseForm.Content.REFUSAL)
+        const val REPORT_PATH = "/-/report"
         const val OK = 200
         const val FAILED = 500
         const val BAD_REQUEST = 400
--- a/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
+++ b/verification/src/main/kotlin/org/poplarshift/verification/soak/SoakWorkers.kt
@@ -109,7 +109,7 @@
         val entry =
             OperatorRecords.worker(
                 member.service,
-                member.worker.softwareVersion,
+                member.worker,
                 address,
                 member.zone,
                 SLOTS,
