Try random workers to find out whether a cut has ended

With three services or more, two small ones whose workers are gone would have kept the node on relayed connections.

Found by reading the change. CutOffNodeTest, CrashedServicesTest, TaskOwnershipTest and TunnelFramesTest pass, with formatter and linter. No test fails without this: a case with a cut and two crashed services is missing. The comment of RelayRoute is wrapped.

--- a/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerPathMonitor.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/forward/WorkerPathMonitor.kt
@@ -47,8 +47,8 @@
         while (true) {
             delay(TRIAL_INTERVAL_MILLIS)
             if (!path.isUsable) {
-                candidates().take(TRIAL_WORKERS).forEach { worker ->
-                    direct.connect(worker) { it.socket.close() }
+                usable.shuffled().take(TRIAL_WORKERS).forEach { trial ->
+                    direct.connect(trial.worker) { it.socket.close() }
                 }
             }
         }
--- a/serving/src/main/kotlin/org/poplarshift/serving/peer/RelayRoute.kt
+++ b/serving/src/main/kotlin/org/poplarshift/serving/peer/RelayRoute.kt
@@ -8,8 +8,8 @@
  * Chooses the nodes through which this node calls what it does not reach itself.
  *
  * Nodes that have served a call are asked first, and then randomly chosen ones. Until [maximumProven] nodes have served
- * calls, some calls ask another one first. Nodes that did not respond are left out
- * for a while. They may still run schedulers, so their failures are not shared with other components.
+ * calls, some calls ask another one first. Nodes that did not respond are left out for a while. They may still run
+ * schedulers, so their failures are not shared with other components.
  *
  * @param maximumProven number of nodes among which the calls are divided
  */
