--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -56,16 +56,19 @@
             status = 2;
         }
         Node.killAll();
-        if (System.getenv("KEEP_LOGS") == null && instance.folder != null) delete(instance.folder);
+        if (System.getenv("KEEP_LOGS") == null) delete(instance.folder);
         else System.out.println("logs: " + instance.folder);
         Runtime.getRuntime().halt(status);
     }
 
-    private static void delete(Path folder) throws IOException {
+    private static void delete(Path folder) {
+        if (folder == null) return;
         try (var files = Files.list(folder)) {
             for (Path file : (Iterable<Path>) files::iterator) Files.delete(file);
+            Files.delete(folder);
+        } catch (IOException exception) {
+            record("the temporary folder is left: " + exception);
         }
-        Files.delete(folder);
     }
 
     /** Starts the store and {@code perZone} nodes in each zone, and waits until they are ready. */
