Review: a node hangs for good after workers have read large requests slowly (case 6)

Cause: closing a connection to a worker first writes what is pending, so that bodies of requests that have timed out stay in the heap beyond the memory account; the only event loop ends with an OutOfMemoryError and the process goes on without it. At fault: WorkerConnection.close, RequestBody.release, PacedWriter; the run line of the deploy file.

--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -16,8 +17,32 @@
 
 /** HTTP/1.1 messages over blocking sockets, as far as the stand-ins need them. */
 final class Http {
+    private static final int SLOW_BUFFER_BYTES = 16_384;
+
     private Http() {}
 
+    /** Reads at a limited rate. */
+    private static final class Slow extends FilterInputStream {
+        private static final int READ_BYTES = 4_096;
+        private final int bytesPerMilli;
+
+        Slow(InputStream in, int bytesPerMilli) {
+            super(in);
+            this.bytesPerMilli = bytesPerMilli;
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int count = super.read(bytes, offset, Math.min(length, READ_BYTES));
+            try {
+                Thread.sleep(Math.max(0, count) / bytesPerMilli);
+            } catch (InterruptedException exception) {
+                throw new IOException(exception);
+            }
+            return count;
+        }
+    }
+
     /** The head of a message, with header names in any case, and its body. */
     static final class Message {
         String startLine = "";
@@ -60,7 +85,13 @@
 
     /** Serves connections at a free port of the address until the process ends. */
     static ServerSocket serve(String address, Handler handler) throws IOException {
+        return serve(address, handler, 0);
+    }
+
+    /** Serves connections, whose bytes are read at no more than {@code bytesPerMilli} unless that is 0. */
+    static ServerSocket serve(String address, Handler handler, int bytesPerMilli) throws IOException {
         ServerSocket server = new ServerSocket();
+        if (bytesPerMilli > 0) server.setReceiveBufferSize(SLOW_BUFFER_BYTES);
         server.bind(new InetSocketAddress(InetAddress.getByName(address), 0), 512);
         start("server " + server.getLocalPort(), () -> {
             while (true) {
@@ -70,16 +101,17 @@
                 } catch (IOException closed) {
                     return;
                 }
-                start("connection", () -> serve(socket, handler));
+                start("connection", () -> serve(socket, handler, bytesPerMilli));
             }
         });
         return server;
     }
 
-    private static void serve(Socket socket, Handler handler) {
+    private static void serve(Socket socket, Handler handler, int bytesPerMilli) {
         try (socket) {
             socket.setTcpNoDelay(true);
-            InputStream in = new BufferedInputStream(socket.getInputStream());
+            InputStream received = socket.getInputStream();
+            InputStream in = new BufferedInputStream(bytesPerMilli > 0 ? new Slow(received, bytesPerMilli) : received);
             OutputStream out = socket.getOutputStream();
             while (true) {
                 Message request = readHead(in);
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -24,6 +24,12 @@
     private int sequence;
 
     Worker(Store store, String id, String service, String zone, int slots, Work work) throws Exception {
+        this(store, id, service, zone, slots, 0, work);
+    }
+
+    /** A worker that reads requests at no more than {@code bytesPerMilli} on each channel, unless that is 0. */
+    Worker(Store store, String id, String service, String zone, int slots, int bytesPerMilli, Work work)
+        throws Exception {
         this.store = store;
         this.id = id;
         this.service = service;
@@ -41,7 +47,7 @@
                 return true;
             }
             return work.run(this, request, in, out);
-        });
+        }, bytesPerMilli);
         register();
         Http.start("beat of " + id, this::beat);
     }
