--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -17,7 +17,7 @@
 
 /** HTTP/1.1 messages over blocking sockets, as far as the stand-ins need them. */
 final class Http {
-    private static final int SLOW_BUFFER_BYTES = 16_384;
+    private static final int SLOW_BUFFER_BYTES = 2_048;
 
     private Http() {}
 
--- a/review/standins-2/SlowWorkers.java
+++ b/review/standins-2/SlowWorkers.java
@@ -17,11 +17,11 @@
 final class SlowWorkers extends Case {
     private static final int TENANTS = 4;
     private static final int BODY_BYTES = 4_000_000;
-    private static final int BYTES_PER_MILLI = 100;
+    private static final int BYTES_PER_MILLI = 50;
     private static final int TIMEOUT_MILLIS = 1_500;
     private static final int LOOKUP_INTERVAL_MILLIS = 100;
-    private static final long UPLOADS_MILLIS = 20_000;
-    private static final long LOOKUPS_AFTER_MILLIS = 30_000;
+    private static final long UPLOADS_MILLIS = 15_000;
+    private static final long LOOKUPS_AFTER_MILLIS = 20_000;
 
     // The bench's grace for an answer after the timeout, and what the clients of the case may measure it too late.
     private static final int LATE_MILLIS = 500;
