--- a/review/standins-2/SlowWorkers.java
+++ b/review/standins-2/SlowWorkers.java
@@ -16,12 +16,13 @@
 /** Workers read large requests slowly, so that these reach their timeout. */
 final class SlowWorkers extends Case {
     private static final int TENANTS = 4;
-    private static final int BODY_BYTES = 4_000_000;
-    private static final int BYTES_PER_MILLI = 50;
+    private static final int BODY_BYTES = 4_190_000;
+    private static final int BYTES_PER_MILLI = 10;
     private static final int TIMEOUT_MILLIS = 1_500;
     private static final int LOOKUP_INTERVAL_MILLIS = 100;
-    private static final long UPLOADS_MILLIS = 15_000;
-    private static final long LOOKUPS_AFTER_MILLIS = 20_000;
+    private static final int UPLOAD_PAUSE_MILLIS = 20;
+    private static final long UPLOADS_MILLIS = 45_000;
+    private static final long LOOKUPS_AFTER_MILLIS = 15_000;
 
     // The bench's grace for an answer after the timeout, and what the clients of the case may measure it too late.
     private static final int LATE_MILLIS = 500;
@@ -68,7 +69,10 @@
         for (int i = 0; i < TENANTS; i++) {
             int tenant = i;
             Http.start("uploads", () -> {
-                while (isUploading) send(node, tenant, "POST", "/docs/1", BODY_BYTES);
+                while (isUploading) {
+                    send(node, tenant, "POST", "/docs/1", BODY_BYTES);
+                    pause(UPLOAD_PAUSE_MILLIS);
+                }
             });
         }
         for (int i = 0; i < TENANTS; i++) {
@@ -93,8 +97,9 @@
         isSending = false;
         pause(TIMEOUT_MILLIS + 1_000);
         record(overdue.get() + " requests had no answer at their route's timeout, " + unanswered.get() + " of them none "
-            + LATE_MILLIS + " ms later; at most half are allowed");
-        return unanswered.get() < FEWEST || unanswered.get() * 2 <= overdue.get();
+            + LATE_MILLIS + " ms later; a quarter is allowed");
+        // The second sentence of the rule that claim.txt quotes.
+        return unanswered.get() < FEWEST || unanswered.get() * 4 <= overdue.get();
     }
 
     private static void pause(long millis) {
